Add the thin whole path

Cause: there was nothing; the first step is a request served end to end by separate processes, with settings kept on the platform's stand-in.

Change: platform stand-in (etcd v3 JSON paths, leases, watches, faults), nodes (gRPC peers, rendezvous tree, anti-entropy, call path on asyncio and httptools, one hop), backend stand-in, poplarrack-ctl, and moves judged by a sequential test.

--- /dev/null
+++ b/poplarrack/backend_servers.py
@@ -0,0 +1,55 @@
+"""Run a stand-in backend server: listen, announce, drain on a signal."""
+
+import asyncio
+import signal
+import time
+
+from poplarrack.backends import ANNOUNCE_SECONDS
+from poplarrack.backends import Announcer
+from poplarrack.backends import BackendDispatcher
+from poplarrack.callers import CallServer
+
+DRAIN_SECONDS = 3.0
+
+
+def serve_backend(service, version, address, announce_address, behaviour):
+    """Serve until SIGTERM, then drain."""
+    announcer = Announcer(
+        announce_address,
+        {
+            'service': service,
+            'version': version,
+            'address': address,
+            'slots': behaviour.slots,
+        },
+    )
+    asyncio.run(_serve(version, address, behaviour, announcer))
+
+
+async def _serve(version, address, behaviour, announcer):
+    loop = asyncio.get_running_loop()
+    stopping = asyncio.Event()
+    loop.add_signal_handler(signal.SIGTERM, stopping.set)
+    loop.add_signal_handler(signal.SIGINT, stopping.set)
+    dispatcher = BackendDispatcher(version, behaviour, time.monotonic)
+    server = CallServer(dispatcher, time.monotonic)
+    host, _, port = address.rpartition(':')
+    await server.listen(loop, host, int(port))
+    while not stopping.is_set():
+        await asyncio.to_thread(announcer.announce)
+        try:
+            async with asyncio.timeout(ANNOUNCE_SECONDS):
+                await stopping.wait()
+        except TimeoutError:
+            continue
+    await _drain(server, announcer)
+
+
+async def _drain(server, announcer):
+    """Announce the leave, serve what still comes, finish, end."""
+    await asyncio.to_thread(announcer.announce, draining=True)
+    await asyncio.sleep(DRAIN_SECONDS)
+    server.announce_drain()
+    server.drain()
+    while not server.drained:
+        await asyncio.sleep(0.05)
--- /dev/null
+++ b/poplarrack/configurations.py
@@ -0,0 +1,162 @@
+"""Check a whole snapshot and decode it into what a node serves by."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from dataclasses import field
+
+from poplarrack.errors import ErrorKind
+from poplarrack.errors import PoplarrackError
+from poplarrack.resources import decode_resource
+from poplarrack.resources import Move
+from poplarrack.resources import Route
+from poplarrack.resources import Service
+from poplarrack.resources import split_path
+from poplarrack.snapshots import Snapshot
+
+MAX_ENTRIES = 5_000
+MAX_TOTAL_BYTES = 8_000_000
+MAX_CALL_DEPTH = 11
+MAX_TIMEOUT_SECONDS = 600
+
+
+@dataclass(frozen=True)
+class Configuration:
+    """A snapshot that passed every check, decoded.
+
+    ``routes`` is sorted so that the longest prefix comes first.
+    """
+
+    snapshot: Snapshot = field(default_factory=Snapshot)
+    services: Mapping[str, Service] = field(default_factory=dict)
+    routes: tuple[Route, ...] = ()
+    moves: Mapping[str, Move] = field(default_factory=dict)
+    move_paths: Mapping[str, str] = field(default_factory=dict)
+
+    @property
+    def revision(self):
+        """Return the platform's revision of the snapshot."""
+        return self.snapshot.revision
+
+
+@dataclass(frozen=True)
+class Rejection:
+    """A version that was refused whole, and every reason."""
+
+    revision: int
+    reasons: tuple[str, ...]
+
+
+def load_configuration(snapshot):
+    """Decode and check a snapshot whole.
+
+    :returns: the Configuration.
+    :raises PoplarrackError: INVALID_CONFIGURATION with all faults.
+    """
+    faults = _size_faults(snapshot)
+    decoded = {}
+    for path, entry in snapshot.entries.items():
+        try:
+            decoded[path] = decode_resource(path, entry.value)
+        except PoplarrackError as error:
+            faults.append(error.detail)
+    configuration = _arrange(snapshot, decoded, faults)
+    faults.extend(_reference_faults(configuration))
+    faults.extend(_cycle_faults(configuration.services))
+    if faults:
+        raise PoplarrackError(
+            ErrorKind.INVALID_CONFIGURATION, '; '.join(faults)
+        )
+    return configuration
+
+
+def _size_faults(snapshot):
+    faults = []
+    total = sum(len(entry.value) for entry in snapshot.entries.values())
+    if len(snapshot.entries) > MAX_ENTRIES:
+        faults.append(
+            f'{len(snapshot.entries)} settings, {MAX_ENTRIES} at most'
+        )
+    if total > MAX_TOTAL_BYTES:
+        faults.append(f'{total} bytes in all, {MAX_TOTAL_BYTES} at most')
+    return faults
+
+
+def _arrange(snapshot, decoded, faults):
+    services, moves, move_paths, routes = {}, {}, {}, []
+    owners = {}
+    for path, resource in sorted(decoded.items()):
+        team, kind, name = split_path(path)
+        owner = owners.setdefault((kind, name), team)
+        if owner != team:
+            faults.append(f'{path}: {kind}/{name} is already {owner!r} own')
+        elif kind == 'services':
+            services[name] = resource
+        elif kind == 'moves':
+            moves[name] = resource
+            move_paths[name] = path
+        else:
+            routes.append(resource)
+    routes.sort(key=lambda route: (-len(route.prefix), route.name))
+    return Configuration(snapshot, services, tuple(routes), moves, move_paths)
+
+
+def _reference_faults(configuration):
+    services = configuration.services
+    for route in configuration.routes:
+        yield from _route_faults(route, services)
+    for service in services.values():
+        yield from _service_faults(service, services)
+    for move in configuration.moves.values():
+        yield from _move_faults(move, services)
+
+
+def _route_faults(route, services):
+    if route.service not in services:
+        yield f'route {route.name}: no service {route.service!r}'
+    if not route.prefix.startswith('/'):
+        yield f'route {route.name}: prefix must begin with /'
+    if not 0 < route.timeout_seconds <= MAX_TIMEOUT_SECONDS:
+        yield (
+            f'route {route.name}: timeout_seconds outside 0 to '
+            f'{MAX_TIMEOUT_SECONDS}'
+        )
+
+
+def _service_faults(service, services):
+    if service.slots < 1 or service.max_connections < 1:
+        yield f'service {service.name}: slots and max_connections >= 1'
+    for called in service.calls:
+        if called not in services:
+            yield f'service {service.name}: calls no service {called!r}'
+
+
+def _move_faults(move, services):
+    if move.service not in services:
+        yield f'move {move.service}: no such service'
+    if move.from_version == move.to_version:
+        yield f'move {move.service}: both versions are {move.to_version!r}'
+    if not 0 <= move.share <= 1:
+        yield f'move {move.service}: share {move.share} outside 0 to 1'
+
+
+def _cycle_faults(services):
+    depths = {}
+
+    def depth_of(name, path):
+        if name in path:
+            cycle = ' -> '.join((*path[path.index(name) :], name))
+            raise PoplarrackError(ErrorKind.INVALID_CONFIGURATION, cycle)
+        if name not in depths:
+            calls = services[name].calls if name in services else ()
+            below = (depth_of(called, (*path, name)) for called in calls)
+            depths[name] = 1 + max(below, default=0)
+        return depths[name]
+
+    for name in services:
+        try:
+            depth = depth_of(name, ())
+        except PoplarrackError as error:
+            yield f'service {name}: calls form a cycle: {error.detail}'
+            return
+        if depth > MAX_CALL_DEPTH:
+            yield f'service {name}: calls go {depth} deep'
--- /dev/null
+++ b/poplarrack/dumps.py
@@ -0,0 +1,78 @@
+"""Show the state of a node as plain JSON values."""
+
+from msgspec import to_builtins
+
+from poplarrack.moves import effective_share
+
+
+def dump_facts(node):
+    """Return a node's state: versions, members, place, moves, limits."""
+    facts = node.blackboard.facts
+    knowledge = facts.knowledge
+    return {
+        'node': to_builtins(facts.own),
+        'lifecycle': to_builtins(facts.lifecycle),
+        'configuration': _dump_configuration(knowledge),
+        'topology': to_builtins(facts.topology),
+        'members': [
+            to_builtins(member)
+            for member in knowledge.members.members.values()
+        ],
+        'contacts': to_builtins(facts.contacts),
+        'reports': {
+            node_id: {
+                'arrived_at': held.arrived_at,
+                'nodes': held.report.nodes,
+                'lowest_revision': held.report.lowest_revision,
+            }
+            for node_id, held in facts.reports.items()
+        },
+        'platform': to_builtins(facts.platform),
+        'moves': _dump_moves(knowledge),
+        'verdicts': to_builtins(dict(knowledge.verdicts)),
+        'evidence': to_builtins(facts.cells),
+        'servers': _dump_servers(node.dispatcher),
+        'calls': dict(node.dispatcher.counts),
+        'last_decisions': {
+            name: {'at': at, 'decision': repr(decision)}
+            for name, (at, decision) in node.last_decisions.items()
+        },
+    }
+
+
+def _dump_configuration(knowledge):
+    configuration = knowledge.configuration
+    return {
+        'revision': configuration.revision,
+        'digest': f'{configuration.snapshot.digest:016x}',
+        'settings': len(configuration.snapshot.entries),
+        'rejected': to_builtins(knowledge.rejection),
+        'services': to_builtins(configuration.services),
+        'routes': to_builtins(configuration.routes),
+    }
+
+
+def _dump_moves(knowledge):
+    return {
+        service: {
+            'record': to_builtins(move),
+            'share_here': effective_share(move, knowledge.verdicts),
+        }
+        for service, move in knowledge.configuration.moves.items()
+    }
+
+
+def _dump_servers(dispatcher):
+    return {
+        address: {
+            'service': load.endpoint.service,
+            'version': load.endpoint.version,
+            'tier': load.tier,
+            'in_flight': load.in_flight,
+            'limit': round(load.limit.limit, 2),
+            'latency_seconds': load.latency,
+            'failure_rate': round(load.failure_rate, 4),
+            'ejected_until': load.ejected_until,
+        }
+        for address, load in dispatcher.servers.items()
+    }
--- /dev/null
+++ b/poplarrack/http_messages.py
@@ -0,0 +1,157 @@
+"""Build HTTP/1.1 requests and answers, and name the headers in use."""
+
+from dataclasses import dataclass
+from dataclasses import field
+from http import HTTPStatus
+
+from msgspec.json import encode
+
+from poplarrack.errors import ANSWERS
+from poplarrack.errors import Ran
+
+CALL_HEADER = b'poplarrack-call'
+NOT_RUN_HEADER = b'poplarrack-not-run'
+DEADLINE_HEADER = b'poplarrack-deadline-ms'
+DEPTH_HEADER = b'poplarrack-depth'
+RAN_HEADER = b'poplarrack-ran'
+ERROR_HEADER = b'poplarrack-error'
+VERSION_HEADER = b'poplarrack-version'
+OWN_PREFIX = b'poplarrack-'
+
+HOP_HEADERS = frozenset(
+    (
+        b'connection',
+        b'keep-alive',
+        b'proxy-authenticate',
+        b'proxy-authorization',
+        b'proxy-connection',
+        b'te',
+        b'trailer',
+        b'transfer-encoding',
+        b'upgrade',
+        b'content-length',
+        b'expect',
+    )
+)
+
+_STATUS_LINES = {
+    status.value: b'HTTP/1.1 %d %s\r\n' % (status, status.phrase.encode())
+    for status in HTTPStatus
+}
+
+
+@dataclass(slots=True)
+class HttpRequest:
+    """A whole request as it was read; header names in lower case."""
+
+    method: str
+    target: str
+    headers: list[tuple[bytes, bytes]] = field(default_factory=list)
+    body: bytes = b''
+    keep_alive: bool = True
+
+    def header(self, name):
+        """Return the first header of a name, or None."""
+        for key, value in self.headers:
+            if key == name:
+                return value
+        return None
+
+
+@dataclass(slots=True)
+class HttpAnswer:
+    """A whole answer as it was read; header names in lower case."""
+
+    status: int
+    headers: list[tuple[bytes, bytes]] = field(default_factory=list)
+    body: bytes = b''
+
+    def header(self, name):
+        """Return the first header of a name, or None."""
+        for key, value in self.headers:
+            if key == name:
+                return value
+        return None
+
+
+def is_end_to_end(name):
+    """Say whether a header passes this hop."""
+    return name not in HOP_HEADERS and not name.startswith(OWN_PREFIX)
+
+
+def build_request(request, address, own_headers):
+    """Return a request's bytes for a backend server.
+
+    :param own_headers: bytes of whole header lines of this hop.
+    """
+    parts = [
+        request.method.encode(),
+        b' ',
+        request.target.encode(),
+        b' HTTP/1.1\r\n',
+    ]
+    named = connection_names(request.headers)
+    has_host = False
+    for name, value in request.headers:
+        if is_end_to_end(name) and name not in named:
+            has_host = has_host or name == b'host'
+            parts += (name, b': ', value, b'\r\n')
+    if not has_host:
+        parts += (b'host: ', address.encode(), b'\r\n')
+    if request.body or request.method in ('POST', 'PUT', 'PATCH'):
+        parts.append(b'content-length: %d\r\n' % len(request.body))
+    parts += (own_headers, b'\r\n', request.body)
+    return b''.join(parts)
+
+
+def connection_names(headers):
+    """Return the headers that a Connection header makes hop-only."""
+    for name, value in headers:
+        if name == b'connection':
+            return {part.strip().lower() for part in value.split(b',')}
+    return ()
+
+
+def build_answer(status, headers, body, keep_alive, bodiless=False):
+    """Return an answer's bytes.
+
+    :param headers: end-to-end headers as name and value pairs.
+    :param bodiless: send the headers alone, as HEAD wants.
+    """
+    line = _STATUS_LINES.get(status) or b'HTTP/1.1 %d -\r\n' % status
+    parts = [line]
+    for name, value in headers:
+        parts += (name, b': ', value, b'\r\n')
+    if status != 204 and status != 304 and not bodiless:
+        parts.append(b'content-length: %d\r\n' % len(body))
+    if not keep_alive:
+        parts.append(b'connection: close\r\n')
+    parts.append(b'\r\n')
+    if not bodiless:
+        parts.append(body)
+    return b''.join(parts)
+
+
+def build_error(kind, detail, call_id, keep_alive):
+    """Return the bytes of an error answer by the table of kinds.
+
+    :param call_id: the caller's own call id, echoed when it is sure that
+        the call was not run.
+    """
+    answer = ANSWERS[kind]
+    body = encode(
+        {
+            'error': kind.value,
+            'code': answer.code,
+            'detail': detail,
+            'ran': answer.ran.value,
+        }
+    )
+    headers = [
+        (b'content-type', b'application/json'),
+        (ERROR_HEADER, kind.value.encode()),
+        (RAN_HEADER, answer.ran.value.encode()),
+    ]
+    if answer.ran is Ran.NO and call_id:
+        headers.append((NOT_RUN_HEADER, call_id))
+    return build_answer(answer.http_status, headers, body, keep_alive)
--- /dev/null
+++ b/poplarrack/metrics.py
@@ -0,0 +1,67 @@
+"""Show a node's counts in the Prometheus text format.
+
+The counts are plain numbers kept where they arise; the library is loaded
+with the first scrape, so that a node nobody scrapes does not carry it.
+"""
+
+from poplarrack.pages import Page
+
+
+def build_metrics_page(node):
+    """Return the metrics of a node as a page."""
+    from prometheus_client import CollectorRegistry
+    from prometheus_client.exposition import CONTENT_TYPE_LATEST
+    from prometheus_client.exposition import generate_latest
+
+    registry = CollectorRegistry()
+    registry.register(NodeCollector(node))
+    return Page(200, CONTENT_TYPE_LATEST, generate_latest(registry))
+
+
+class NodeCollector:
+    """Collect metric families from a node's state."""
+
+    def __init__(self, node):
+        self.node = node
+
+    def collect(self):
+        """Yield the metric families."""
+        from prometheus_client.core import CounterMetricFamily
+        from prometheus_client.core import GaugeMetricFamily
+
+        facts = self.node.blackboard.facts
+        gauges = {
+            'configuration_revision': facts.knowledge.configuration.revision,
+            'rejected_revision': (
+                facts.knowledge.rejection.revision
+                if facts.knowledge.rejection
+                else 0
+            ),
+            'members_present': sum(
+                member.present
+                for member in facts.knowledge.members.members.values()
+            ),
+            'calls_in_flight': self.node.dispatcher.in_flight,
+            'verdicts': len(facts.knowledge.verdicts),
+            'is_fetcher': int(facts.topology.is_fetcher),
+            'is_worker': int(facts.topology.is_worker),
+            'platform_watching': int(facts.platform.watching),
+        }
+        for name, value in gauges.items():
+            text = name.replace('_', ' ')
+            yield GaugeMetricFamily(f'poplarrack_{name}', text, value)
+        traffic = self.node.traffic
+        counters = {
+            'peer_messages_in': traffic.messages_in,
+            'peer_messages_out': traffic.messages_out,
+            'peer_bytes_in': traffic.bytes_in,
+            'peer_bytes_out': traffic.bytes_out,
+            'platform_calls': self.node.platform_calls(),
+        }
+        counters.update(
+            (f'call_{name}', count)
+            for name, count in sorted(self.node.dispatcher.counts.items())
+        )
+        for name, value in counters.items():
+            text = name.replace('_', ' ')
+            yield CounterMetricFamily(f'poplarrack_{name}', text, value)
--- /dev/null
+++ b/poplarrack/peers.py
@@ -0,0 +1,190 @@
+"""Carry messages between nodes over gRPC.
+
+The methods are registered by hand with MessagePack codecs, so that there
+is no generated code and a message is a frozen data class on both sides.
+"""
+
+from asyncio import timeout
+from collections import OrderedDict
+import logging
+
+from grpc import method_handlers_generic_handler
+from grpc import StatusCode
+from grpc import unary_unary_rpc_method_handler
+from grpc.aio import AioRpcError
+from grpc.aio import insecure_channel
+from grpc.aio import server as build_grpc_server
+
+from poplarrack.errors import ErrorKind
+from poplarrack.errors import PoplarrackError
+from poplarrack.messages import Codec
+from poplarrack.messages import Digests
+from poplarrack.messages import DigestsAnswer
+from poplarrack.messages import MAX_MESSAGE_BYTES
+from poplarrack.messages import ProbeAnswer
+from poplarrack.messages import ProbeRequest
+from poplarrack.messages import Report
+from poplarrack.messages import ReportAnswer
+from poplarrack.messages import SyncRequest
+from poplarrack.messages import Updates
+from poplarrack.messages import UpdatesAnswer
+
+logger = logging.getLogger(__name__)
+
+SERVICE = 'poplarrack.Peer'
+MAX_CHANNELS = 32
+MAX_CONCURRENT_CALLS = 64
+
+METHODS = {
+    'Compare': (Digests, DigestsAnswer),
+    'Sync': (SyncRequest, Updates),
+    'Push': (Updates, UpdatesAnswer),
+    'Probe': (ProbeRequest, ProbeAnswer),
+    'Gather': (Report, ReportAnswer),
+}
+CODECS = {
+    name: (Codec(request), Codec(answer))
+    for name, (request, answer) in METHODS.items()
+}
+
+CHANNEL_OPTIONS = (
+    ('grpc.enable_http_proxy', 0),
+    ('grpc.use_local_subchannel_pool', 1),
+    ('grpc.max_receive_message_length', MAX_MESSAGE_BYTES),
+    ('grpc.max_send_message_length', MAX_MESSAGE_BYTES),
+    ('grpc.initial_reconnect_backoff_ms', 200),
+    ('grpc.min_reconnect_backoff_ms', 200),
+    ('grpc.max_reconnect_backoff_ms', 3000),
+)
+SERVER_OPTIONS = (
+    ('grpc.so_reuseport', 0),
+    ('grpc.max_receive_message_length', MAX_MESSAGE_BYTES),
+    ('grpc.max_send_message_length', MAX_MESSAGE_BYTES),
+)
+
+
+class PeerTraffic:
+    """Count control messages and bytes, in and out."""
+
+    def __init__(self):
+        self.messages_in = 0
+        self.messages_out = 0
+        self.bytes_in = 0
+        self.bytes_out = 0
+
+    def received(self, raw):
+        """Count a message that came."""
+        self.messages_in += 1
+        self.bytes_in += len(raw)
+
+    def sent(self, raw):
+        """Count a message that went out."""
+        self.messages_out += 1
+        self.bytes_out += len(raw)
+
+
+class PeerClient:
+    """Call other nodes; channels are kept for those called lately."""
+
+    def __init__(self, traffic, timeout_seconds):
+        self.traffic = traffic
+        self.timeout_seconds = timeout_seconds
+        self.channels = OrderedDict()
+
+    async def call(self, address, method, message):
+        """Call a method of the node at an address.
+
+        :raises PoplarrackError: PEER_UNAVAILABLE without an answer.
+        """
+        request_codec, answer_codec = CODECS[method]
+        raw = request_codec.encode(message)
+        self.traffic.sent(raw)
+        stub = await self._stub(address, method)
+        try:
+            # A bound of our own too: gRPC's deadline may fire late when a
+            # channel waits to connect again.
+            async with timeout(self.timeout_seconds * 1.5):
+                answer = await stub(raw, timeout=self.timeout_seconds)
+        except (AioRpcError, TimeoutError) as error:
+            detail = f'{method} to {address}: {_describe(error)}'
+            raise PoplarrackError(
+                ErrorKind.PEER_UNAVAILABLE, detail
+            ) from error
+        self.traffic.received(answer)
+        return answer_codec.decode(answer)
+
+    async def _stub(self, address, method):
+        channel = self.channels.get(address)
+        if channel is None:
+            channel = insecure_channel(address, options=CHANNEL_OPTIONS)
+            self.channels[address] = channel
+            await self._drop_oldest()
+        self.channels.move_to_end(address)
+        return channel.unary_unary(f'/{SERVICE}/{method}')
+
+    async def _drop_oldest(self):
+        while len(self.channels) > MAX_CHANNELS:
+            _, channel = self.channels.popitem(last=False)
+            await channel.close()
+
+    async def close(self):
+        """Close all channels."""
+        while self.channels:
+            _, channel = self.channels.popitem()
+            await channel.close()
+
+
+def _describe(error):
+    if isinstance(error, AioRpcError):
+        return f'{error.code().name} {error.details()}'
+    return 'no answer in time'
+
+
+class PeerServer:
+    """Answer other nodes; ``handlers`` maps method to coroutine."""
+
+    def __init__(self, traffic, handlers):
+        self.traffic = traffic
+        self.handlers = handlers
+        self.server = build_grpc_server(
+            options=SERVER_OPTIONS,
+            maximum_concurrent_rpcs=MAX_CONCURRENT_CALLS,
+        )
+        methods = {
+            name: unary_unary_rpc_method_handler(self._serve(name))
+            for name in handlers
+        }
+        self.server.add_generic_rpc_handlers(
+            (method_handlers_generic_handler(SERVICE, methods),)
+        )
+
+    def _serve(self, name):
+        request_codec, answer_codec = CODECS[name]
+        handle = self.handlers[name]
+
+        async def serve(raw, context):
+            self.traffic.received(raw)
+            try:
+                answer = await handle(request_codec.decode(raw))
+            except PoplarrackError as error:
+                code = StatusCode[error.answer.grpc_status]
+                await context.abort(code, str(error))
+            packed = answer_codec.encode(answer)
+            self.traffic.sent(packed)
+            return packed
+
+        return serve
+
+    async def listen(self, address):
+        """Listen; returns the port in use."""
+        port = self.server.add_insecure_port(address)
+        if not port:
+            raise PoplarrackError(
+                ErrorKind.INVALID_SETTINGS, f'cannot listen on {address}'
+            )
+        await self.server.start()
+        return port
+
+    async def close(self, grace_seconds):
+        """Stop after the calls under way."""
+        await self.server.stop(grace_seconds)
--- /dev/null
+++ b/poplarrack/platform_stand_ins.py
@@ -0,0 +1,223 @@
+"""Serve a stand-in for the platform's key-value service over HTTP.
+
+It speaks the paths of the etcd v3 JSON gateway that the project uses, and
+two of its own: ``/faults`` sets faults, ``/counts`` tells calls by path.
+"""
+
+from collections import Counter
+from dataclasses import dataclass
+from dataclasses import replace
+from json import dumps
+from json import loads
+import signal
+from threading import Condition
+from threading import Lock
+import time
+
+from cheroot.wsgi import Server
+
+from poplarrack.errors import PoplarrackError
+from poplarrack.stores import Store
+from poplarrack.wire import pack_event
+from poplarrack.wire import pack_key_value
+from poplarrack.wire import unpack
+from poplarrack.wire import unpack_compare
+from poplarrack.wire import unpack_operation
+
+WATCH_PROGRESS_SECONDS = 1.0
+THREADS = 64
+WRITE_PATHS = ('/v3/kv/txn', '/v3/lease/grant', '/v3/lease/keepalive')
+
+
+@dataclass(frozen=True)
+class Faults:
+    """The faults in force; ``lost_answers`` counts down per write."""
+
+    outage: bool = False
+    delay_seconds: float = 0.0
+    lost_answers: int = 0
+
+
+class RateLimit:
+    """A token bucket of one second's worth of calls."""
+
+    def __init__(self, per_second, now):
+        self.per_second = per_second
+        self.tokens = per_second
+        self.since = now
+
+    def admit(self, now):
+        """Take one token; return False when there is none."""
+        gained = (now - self.since) * self.per_second
+        self.tokens = min(self.per_second, self.tokens + gained)
+        self.since = now
+        if self.tokens < 1:
+            return False
+        self.tokens -= 1
+        return True
+
+
+class PlatformStandIn:
+    """The application behind the stand-in's HTTP server."""
+
+    def __init__(self, clock=time.monotonic, writes=500, reads=2000):
+        self.clock = clock
+        self.store = Store()
+        self.changed = Condition(Lock())
+        self.faults = Faults()
+        self.counts = Counter()
+        self.bytes_out = 0
+        self.write_limit = RateLimit(writes, clock())
+        self.read_limit = RateLimit(reads, clock())
+        self.stopped = False
+        self.handlers = {
+            '/v3/kv/range': self._range,
+            '/v3/kv/txn': self._transact,
+            '/v3/lease/grant': self._grant,
+            '/v3/lease/keepalive': self._keep_alive,
+        }
+
+    def __call__(self, environ, start_response):
+        """Answer one request by the WSGI protocol."""
+        path = environ['PATH_INFO']
+        length = int(environ.get('CONTENT_LENGTH') or 0)
+        body = loads(environ['wsgi.input'].read(length) or b'{}')
+        if path == '/counts':
+            return self._answer(start_response, 200, self._counts())
+        if path == '/faults':
+            self.faults = replace(self.faults, **body)
+            return self._answer(start_response, 200, {})
+        self.counts[path] += 1
+        return self._serve(path, body, start_response)
+
+    def _serve(self, path, body, start_response):
+        faults = self.faults
+        if faults.delay_seconds:
+            time.sleep(faults.delay_seconds)
+        if faults.outage:
+            return self._answer(start_response, 503, {'error': 'outage'})
+        if not self._admit(path):
+            return self._answer(start_response, 429, {'error': 'rate'})
+        if path == '/v3/watch':
+            start_response('200 OK', [('Content-Type', 'application/json')])
+            return self._watch(body['create_request'])
+        if path not in self.handlers:
+            return self._answer(start_response, 404, {'error': path})
+        try:
+            with self.changed:
+                self.store.expire(self.clock())
+                answer = self.handlers[path](body)
+                self.changed.notify_all()
+        except PoplarrackError as error:
+            status = error.answer.http_status
+            return self._answer(start_response, status, {'error': str(error)})
+        if path == '/v3/kv/txn' and self._lose_answer():
+            return self._answer(start_response, 504, {'error': 'lost'})
+        return self._answer(start_response, 200, answer)
+
+    def _admit(self, path):
+        with self.changed:
+            writes = path in WRITE_PATHS
+            limit = self.write_limit if writes else self.read_limit
+            return limit.admit(self.clock())
+
+    def _lose_answer(self):
+        with self.changed:
+            if self.faults.lost_answers < 1:
+                return False
+            left = self.faults.lost_answers - 1
+            self.faults = replace(self.faults, lost_answers=left)
+            return True
+
+    def _answer(self, start_response, status, answer):
+        body = dumps(answer).encode()
+        self.bytes_out += len(body)
+        headers = [
+            ('Content-Type', 'application/json'),
+            ('Content-Length', str(len(body))),
+        ]
+        start_response(f'{status} -', headers)
+        return [body]
+
+    def _counts(self):
+        return {**self.counts, 'bytes_out': self.bytes_out}
+
+    def _header(self):
+        return {'revision': str(self.store.revision)}
+
+    def _range(self, body):
+        key = unpack(body['key']).decode()
+        revision = int(body.get('revision', 0))
+        if 'range_end' in body:
+            found = self.store.range(key, revision)
+        else:
+            item = self.store.get(key, revision)
+            found = [item] if item else []
+        packed = [pack_key_value(item) for item in found]
+        return {'header': self._header(), 'kvs': packed}
+
+    def _transact(self, body):
+        compares = [unpack_compare(item) for item in body.get('compare', ())]
+        wanted = [unpack_operation(item) for item in body['success']]
+        held = self.store.transact(compares, wanted)
+        return {'header': self._header(), 'succeeded': held}
+
+    def _grant(self, body):
+        lease = self.store.grant(float(body['TTL']), self.clock())
+        return {'ID': str(lease.lease_id), 'TTL': body['TTL']}
+
+    def _keep_alive(self, body):
+        lease = self.store.keep_alive(int(body['ID']), self.clock())
+        ttl = str(lease.ttl_seconds) if lease else '0'
+        return {'result': {'ID': body['ID'], 'TTL': ttl}}
+
+    def _watch(self, request):
+        prefix = unpack(request['key']).decode()
+        seen = int(request.get('start_revision', 1)) - 1
+        while not (self.stopped or self.faults.outage):
+            try:
+                with self.changed:
+                    self.store.expire(self.clock())
+                    events = self.store.events_after(seen, prefix)
+                    if not events:
+                        self.changed.wait(WATCH_PROGRESS_SECONDS)
+                        events = self.store.events_after(seen, prefix)
+                    seen = self.store.revision
+            except PoplarrackError:
+                canceled = {'canceled': True, 'compact_revision': '1'}
+                yield dumps({'result': canceled}).encode() + b'\n'
+                return
+            packed = [pack_event(event) for event in events]
+            result = {'header': {'revision': str(seen)}, 'events': packed}
+            line = dumps({'result': result}).encode() + b'\n'
+            self.bytes_out += len(line)
+            yield line
+
+    def stop(self):
+        """End all watches."""
+        with self.changed:
+            self.stopped = True
+            self.changed.notify_all()
+
+
+def build_server(application, address, threads=THREADS):
+    """Build the HTTP server for an application at (host, port)."""
+    return Server(address, application, numthreads=threads)
+
+
+def serve_platform(address, writes, reads, threads):
+    """Serve until SIGTERM or SIGINT."""
+    host, _, port = address.rpartition(':')
+    application = PlatformStandIn(writes=writes, reads=reads)
+    server = build_server(application, (host, int(port)), threads)
+
+    def stop(number, frame):
+        application.stop()
+        raise KeyboardInterrupt
+
+    signal.signal(signal.SIGTERM, stop)
+    try:
+        server.start()
+    except KeyboardInterrupt:
+        application.stop()
+        server.stop()
--- /dev/null
+++ b/poplarrack/platforms.py
@@ -0,0 +1,262 @@
+"""Call the platform's key-value service, as the system and operators do."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from json import dumps
+from json import loads
+import logging
+from random import Random
+from threading import Lock
+import time
+from uuid import uuid4
+
+from urllib3 import PoolManager
+from urllib3 import Retry
+from urllib3 import Timeout
+from urllib3.exceptions import HTTPError
+from urllib3.exceptions import NewConnectionError
+
+from poplarrack.errors import ErrorKind
+from poplarrack.errors import PoplarrackError
+from poplarrack.retries import Backoff
+from poplarrack.retries import Circuit
+from poplarrack.stores import Compare
+from poplarrack.stores import KeyValue
+from poplarrack.stores import Operation
+from poplarrack.wire import pack
+from poplarrack.wire import pack_compare
+from poplarrack.wire import pack_operation
+from poplarrack.wire import prefix_end
+from poplarrack.wire import unpack_event
+from poplarrack.wire import unpack_key_value
+
+logger = logging.getLogger(__name__)
+
+CONFIGURATION_PREFIX = '/poplarrack/configuration/'
+ZONE_PREFIX = '/poplarrack/zones/'
+WRITE_PREFIX = '/poplarrack/writes/'
+CONNECT_TIMEOUT_SECONDS = 1.0
+CALL_TIMEOUT_SECONDS = 2.0
+WATCH_SILENCE_SECONDS = 5.0
+WRITE_ID_TTL_SECONDS = 300
+WRITE_ATTEMPTS = 4
+
+STATUS_KINDS = {
+    404: ErrorKind.NOT_FOUND,
+    410: ErrorKind.COMPACTED,
+    413: ErrorKind.TOO_LARGE,
+    429: ErrorKind.RATE_LIMITED,
+    503: ErrorKind.PLATFORM_UNAVAILABLE,
+}
+
+
+@dataclass(frozen=True)
+class RangeAnswer:
+    """The keys found and the store's revision at that moment."""
+
+    revision: int
+    items: tuple[KeyValue, ...]
+
+
+@dataclass(frozen=True)
+class WatchBatch:
+    """Events up to a revision; none is a sign of life."""
+
+    revision: int
+    events: tuple[KeyValue, ...]
+
+
+class PlatformClient:
+    """A blocking client; a node runs it on threads of its own."""
+
+    def __init__(self, addresses, random=None, clock=time.monotonic):
+        self.addresses = tuple(addresses)
+        self.random = random or Random()
+        self.clock = clock
+        self.sleep = time.sleep
+        self.circuit = Circuit()
+        self.backoff = Backoff()
+        self.calls = 0
+        self.lock = Lock()
+        self.pool = PoolManager(
+            maxsize=4,
+            retries=Retry(0, redirect=0),
+            timeout=Timeout(CONNECT_TIMEOUT_SECONDS, CALL_TIMEOUT_SECONDS),
+        )
+
+    def read_prefix(self, prefix, revision=0):
+        """Read all keys under a prefix."""
+        body = {'key': pack(prefix), 'range_end': pack(prefix_end(prefix))}
+        return self._range(body, revision)
+
+    def read_key(self, key, revision=0):
+        """Read one key; return None when it is absent."""
+        answer = self._range({'key': pack(key)}, revision)
+        return answer.items[0] if answer.items else None
+
+    def write(self, compares, operations, lease_id=0):
+        """Run a transaction once and say what became of it.
+
+        A write whose answer is lost is settled by its identity: a key of
+        its own, written with it, which a second try demands to be absent.
+
+        :returns: the revision of the write.
+        :raises PoplarrackError: CONFLICT when a compare failed,
+            OUTCOME_UNKNOWN when no answer came until the last attempt.
+        """
+        write_key = WRITE_PREFIX + uuid4().hex
+        id_lease = self.grant_lease(WRITE_ID_TTL_SECONDS)
+        marked = (
+            *operations,
+            Operation(write_key, b'', lease_id or id_lease),
+        )
+        compares = (*compares, Compare(write_key, 0))
+        for attempt in range(1, WRITE_ATTEMPTS + 1):
+            try:
+                return self._write_once(compares, marked, write_key)
+            except PoplarrackError as error:
+                last = error
+            if last.kind not in _TRY_AGAIN:
+                raise last
+            if attempt < WRITE_ATTEMPTS:
+                self.sleep(self.backoff.delay(attempt, self.random))
+        raise PoplarrackError(
+            ErrorKind.OUTCOME_UNKNOWN,
+            f'no answer to a write after {WRITE_ATTEMPTS} attempts: '
+            f'{last.detail}; read the setting back before trying again',
+        )
+
+    def put_unguarded(self, operation):
+        """Put a value that the next put replaces anyway, once."""
+        body = {'success': [pack_operation(operation)]}
+        self._call('/v3/kv/txn', body)
+
+    def grant_lease(self, ttl_seconds):
+        """Grant a lease and return its number."""
+        answer = self._call('/v3/lease/grant', {'TTL': str(ttl_seconds)})
+        return int(answer['ID'])
+
+    def keep_lease(self, lease_id):
+        """Renew a lease; return False when it lapsed."""
+        answer = self._call('/v3/lease/keepalive', {'ID': str(lease_id)})
+        return float(answer['result'].get('TTL', 0)) > 0
+
+    def watch(self, prefix, revision) -> Iterator[WatchBatch]:
+        """Yield batches of events after a revision until the stream ends.
+
+        :raises PoplarrackError: COMPACTED when the revision is too old,
+            PLATFORM_UNAVAILABLE when the stream breaks or falls silent.
+        """
+        request = {
+            'key': pack(prefix),
+            'range_end': pack(prefix_end(prefix)),
+            'start_revision': str(revision + 1),
+            'progress_notify': True,
+        }
+        response = self._open('/v3/watch', {'create_request': request}, True)
+        try:
+            for line in _lines(response):
+                yield _unpack_batch(loads(line)['result'])
+        except HTTPError as error:
+            raise PoplarrackError(
+                ErrorKind.PLATFORM_UNAVAILABLE, f'watch broke: {error}'
+            ) from error
+        finally:
+            response.close()
+        raise PoplarrackError(ErrorKind.PLATFORM_UNAVAILABLE, 'watch ended')
+
+    def _range(self, body, revision):
+        if revision:
+            body['revision'] = str(revision)
+        answer = self._call('/v3/kv/range', body)
+        found = tuple(unpack_key_value(item) for item in answer.get('kvs', ()))
+        return RangeAnswer(int(answer['header']['revision']), found)
+
+    def _write_once(self, compares, operations, write_key):
+        body = {
+            'compare': [pack_compare(item) for item in compares],
+            'success': [pack_operation(item) for item in operations],
+        }
+        answer = self._call('/v3/kv/txn', body)
+        if answer.get('succeeded'):
+            return int(answer['header']['revision'])
+        mark = self.read_key(write_key)
+        if mark is not None:
+            return mark.mod_revision
+        raise PoplarrackError(
+            ErrorKind.CONFLICT, 'a setting changed since it was read'
+        )
+
+    def _call(self, path, body):
+        response = self._open(path, body, False)
+        return loads(response.data)
+
+    def _open(self, path, body, streamed):
+        now = self.clock()
+        with self.lock:
+            if not self.circuit.allows(now):
+                raise PoplarrackError(
+                    ErrorKind.PLATFORM_UNAVAILABLE, 'circuit is open'
+                )
+            self.calls += 1
+        try:
+            response = self._send(path, body, streamed)
+        except PoplarrackError as error:
+            down = error.kind in _TRY_AGAIN
+            self._record(not down)
+            raise
+        self._record(True)
+        return response
+
+    def _record(self, succeeded):
+        with self.lock:
+            self.circuit = self.circuit.record(succeeded, self.clock())
+
+    def _send(self, path, body, streamed):
+        address = self.random.choice(self.addresses)
+        options = {'preload_content': not streamed}
+        if streamed:
+            options['timeout'] = Timeout(
+                CONNECT_TIMEOUT_SECONDS, WATCH_SILENCE_SECONDS
+            )
+        try:
+            response = self.pool.request(
+                'POST',
+                f'http://{address}{path}',
+                body=dumps(body).encode(),
+                headers={'Content-Type': 'application/json'},
+                **options,
+            )
+        except NewConnectionError as error:
+            raise PoplarrackError(
+                ErrorKind.PLATFORM_UNAVAILABLE, str(error)
+            ) from error
+        except HTTPError as error:
+            raise PoplarrackError(
+                ErrorKind.OUTCOME_UNKNOWN, f'{path}: {error}'
+            ) from error
+        if response.status != 200:
+            kind = STATUS_KINDS.get(response.status, ErrorKind.OUTCOME_UNKNOWN)
+            raise PoplarrackError(kind, f'{path}: status {response.status}')
+        return response
+
+
+_TRY_AGAIN = (
+    ErrorKind.OUTCOME_UNKNOWN,
+    ErrorKind.PLATFORM_UNAVAILABLE,
+    ErrorKind.RATE_LIMITED,
+)
+
+
+def _lines(response):
+    rest = b''
+    for chunk in response.stream(amt=None):
+        *whole, rest = (rest + chunk).split(b'\n')
+        yield from whole
+
+
+def _unpack_batch(result):
+    if result.get('canceled'):
+        raise PoplarrackError(ErrorKind.COMPACTED, 'watch was compacted')
+    events = tuple(unpack_event(item) for item in result.get('events', ()))
+    return WatchBatch(int(result['header']['revision']), events)
--- /dev/null
+++ b/poplarrack/programs.py
@@ -0,0 +1,111 @@
+"""Start the programs: parse, configure, build the objects and run."""
+
+import asyncio
+import sys
+
+from poplarrack.errors import PoplarrackError
+
+
+def _run(component, name):
+    """Run a command line; errors of known kinds set the exit code."""
+    from fire import Fire
+
+    try:
+        Fire(component, name=name)
+    except PoplarrackError as error:
+        print(f'{name}: {error}', file=sys.stderr)
+        sys.exit(error.answer.exit_code)
+    except KeyboardInterrupt:
+        sys.exit(130)
+
+
+def node(settings, check_settings=False, show_settings=False):
+    """Run a node by a settings file.
+
+    :param settings: the file's name.
+    :param check_settings: only say what is wrong with it.
+    :param show_settings: only print the settings in effect.
+    """
+    from json import dumps
+
+    from poplarrack.settings import load_settings
+    from poplarrack.settings import show_settings as show
+
+    loaded = load_settings(settings)
+    if show_settings:
+        print(dumps(show(loaded), indent=2))
+    elif check_settings:
+        print(f'{settings}: no faults')
+    else:
+        _serve_node(loaded)
+
+
+def _serve_node(settings):
+    from poplarrack.logs import configure_logs
+    from poplarrack.nodes import Node
+
+    configure_logs(settings.log_level, node=settings.node_id)
+
+    async def serve():
+        running = Node(settings)
+        running.handle_signals()
+        await running.run()
+
+    asyncio.run(serve())
+
+
+def platform(address='127.0.0.1:2379', writes=500, reads=2000, threads=64):
+    """Run the stand-in for the platform until it is ended."""
+    from poplarrack.logs import configure_logs
+    from poplarrack.platform_stand_ins import serve_platform
+
+    configure_logs('INFO', program='platform')
+    serve_platform(address, writes, reads, threads)
+
+
+def backend(service, version, address, announce_address, **behaviour):
+    """Run the stand-in for a backend server until it is ended.
+
+    Further flags are the fields of its behaviour, such as --fail_rate.
+    """
+    from poplarrack.backend_servers import serve_backend
+    from poplarrack.backends import Behaviour
+    from poplarrack.logs import configure_logs
+
+    configure_logs('INFO', program='backend', version=str(version))
+    serve_backend(
+        service,
+        str(version),
+        address,
+        announce_address,
+        Behaviour(**behaviour),
+    )
+
+
+def run_node():
+    """Enter ``poplarrack-node``."""
+    _run(node, 'poplarrack-node')
+
+
+def run_ctl():
+    """Enter ``poplarrack-ctl``."""
+    from poplarrack.commands import Commands
+
+    _run(Commands, 'poplarrack-ctl')
+
+
+def run_platform():
+    """Enter ``poplarrack-platform-stand-in``."""
+    _run(platform, 'poplarrack-platform-stand-in')
+
+
+def run_backend():
+    """Enter ``poplarrack-backend-stand-in``."""
+    _run(backend, 'poplarrack-backend-stand-in')
+
+
+def run_bench():
+    """Enter ``poplarrack-bench``."""
+    from poplarrack.benches import Bench
+
+    _run(Bench, 'poplarrack-bench')
--- /dev/null
+++ b/poplarrack/topologies.py
@@ -0,0 +1,129 @@
+"""Work out who fetches, who forwards to whom and who checks whom.
+
+All by rendezvous hashing over the membership view: no election is held,
+and two nodes with different views cost messages, never correctness.
+"""
+
+from dataclasses import dataclass
+
+from xxhash import xxh64_intdigest
+
+FETCHERS_PER_ZONE = 2
+TREE_DEGREE = 8
+NEIGHBOURS = 4
+
+
+@dataclass(frozen=True)
+class Topology:
+    """A node's place, as node ids.
+
+    ``roots`` are the fetchers of the node's zone in order; ``bridges`` are
+    the nodes in other zones that a root forwards to.
+    """
+
+    roots: tuple[str, ...] = ()
+    parent: str | None = None
+    children: tuple[str, ...] = ()
+    neighbours: tuple[str, ...] = ()
+    bridges: tuple[str, ...] = ()
+    rank: int = 0
+    is_fetcher: bool = False
+    is_lead: bool = False
+    is_worker: bool = False
+    zone_size: int = 1
+
+    @property
+    def is_first(self):
+        """Say whether the node speaks for its zone."""
+        return self.rank == 0
+
+    def next_hops(self):
+        """Return whom news go to: the tree, and from its root beyond."""
+        up = (self.parent,) if self.parent else ()
+        across = self.bridges if self.is_first else ()
+        return (*up, *self.children, *across)
+
+
+def rank_nodes(key, node_ids):
+    """Return node ids in rendezvous order for a key."""
+    return sorted(
+        node_ids,
+        key=lambda node: (xxh64_intdigest(f'{key}\0{node}'.encode()), node),
+    )
+
+
+def derive_topology(own, table, platform_region, unreachable=frozenset()):
+    """Derive a node's place from its own record and its table.
+
+    The first nodes of zones in one region forward to each other; one of
+    them, the lead, forwards to the lead of the other region, so that one
+    copy of a change crosses the link.
+
+    :param own: the node's own Member.
+    :param platform_region: the region where the platform's store sits.
+    :param unreachable: (region, zone) pairs that do not answer.
+    :returns: a Topology.
+    """
+    ranks = _ranks_by_zone(own, table)
+    zone_ranks = ranks[(own.region, own.zone)]
+    at = zone_ranks.index(own.node_id)
+    leads = _region_leads(ranks, unreachable - {(own.region, own.zone)})
+    is_lead = leads[own.region] == own.node_id
+    roots = tuple(zone_ranks[:FETCHERS_PER_ZONE])
+    near_platform = own.region == platform_region or not platform_region
+    below = slice(TREE_DEGREE * at + 1, TREE_DEGREE * (at + 1) + 1)
+    return Topology(
+        roots=roots,
+        parent=zone_ranks[(at - 1) // TREE_DEGREE] if at else None,
+        children=tuple(zone_ranks[below]),
+        neighbours=_neighbours(own.node_id, zone_ranks),
+        bridges=_bridges(own, ranks, leads) if at < len(roots) else (),
+        rank=at,
+        is_fetcher=at < len(roots) and (near_platform or is_lead),
+        is_lead=is_lead,
+        is_worker=is_lead and near_platform,
+        zone_size=len(zone_ranks),
+    )
+
+
+def _ranks_by_zone(own, table):
+    zones = {(own.region, own.zone): {own.node_id}}
+    for member in table.members.values():
+        if member.present:
+            place = (member.region, member.zone)
+            zones.setdefault(place, set()).add(member.node_id)
+    return {
+        place: rank_nodes(place[1], node_ids)
+        for place, node_ids in zones.items()
+    }
+
+
+def _region_leads(ranks, unreachable):
+    """Return the first node of each region's first zone that answers."""
+    leads = {}
+    for place in sorted(
+        ranks, key=lambda place: (place in unreachable, place)
+    ):
+        leads.setdefault(place[0], ranks[place][0])
+    return leads
+
+
+def _bridges(own, ranks, leads):
+    near = [
+        zone_ranks[0]
+        for (region, zone), zone_ranks in sorted(ranks.items())
+        if region == own.region and zone != own.zone
+    ]
+    own_first = ranks[(own.region, own.zone)][0]
+    far = []
+    if leads[own.region] == own_first:
+        far = [lead for region, lead in leads.items() if region != own.region]
+    return tuple(near + far)
+
+
+def _neighbours(node_id, zone_ranks):
+    """Return the next nodes on a ring in rendezvous order."""
+    at = zone_ranks.index(node_id)
+    ring = zone_ranks[at + 1 :] + zone_ranks[:at]
+    step = max(1, len(ring) // NEIGHBOURS)
+    return tuple(dict.fromkeys(ring[:1] + ring[step::step]))[:NEIGHBOURS]
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of poplarrack, run by ``python -m unittest``."""
--- /dev/null
+++ b/tests/support.py
@@ -0,0 +1,56 @@
+"""Turn test functions into a unittest suite, with shared fixtures."""
+
+from contextlib import ExitStack
+import inspect
+import sys
+from unittest import FunctionTestCase
+from unittest import TestSuite
+
+FIXTURES = {}
+
+
+def shared_fixture(build):
+    """Register a context manager that tests take by parameter name."""
+    FIXTURES[build.__name__] = build
+    return build
+
+
+def suite_of(module_name):
+    """Return a ``load_tests`` function for a module's test functions."""
+
+    def load_tests(loader, standard, pattern):
+        module = sys.modules[module_name]
+        functions = [
+            item
+            for name, item in vars(module).items()
+            if name.startswith('test_') and inspect.isfunction(item)
+        ]
+        return TestSuite(_case(item, module_name) for item in functions)
+
+    return load_tests
+
+
+def _case(function, module_name):
+    def run():
+        with ExitStack() as stack:
+            wanted = inspect.signature(function).parameters
+            built = {
+                name: stack.enter_context(FIXTURES[name]()) for name in wanted
+            }
+            function(**built)
+
+    case = FunctionTestCase(run, description=function.__doc__)
+    case.id = lambda: f'{module_name}.{function.__name__}'
+    return case
+
+
+def raises(kind, function, *arguments):
+    """Call a function that must raise an error of a kind; return it."""
+    from poplarrack.errors import PoplarrackError
+
+    try:
+        function(*arguments)
+    except PoplarrackError as error:
+        assert error.kind is kind, error
+        return error
+    raise AssertionError(f'no {kind.value} was raised')
--- /dev/null
+++ b/tests/test_end_to_end.py
@@ -0,0 +1,73 @@
+"""Drive the whole path on real processes over real sockets."""
+
+from json import dumps
+from threading import Event
+from threading import Thread
+
+from poplarrack.meshes import await_condition
+from poplarrack.meshes import Mesh
+from tests.support import suite_of
+
+load_tests = suite_of(__name__)
+
+SETTINGS = {
+    'counter/services/front': {'name': 'front', 'version': 'v1'},
+    'counter/routes/front': {
+        'name': 'front',
+        'prefix': '/',
+        'service': 'front',
+        'repeatable': True,
+    },
+}
+
+
+def test_settings_reach_calls_and_a_move_is_read_back_as_done():
+    with Mesh() as mesh:
+        mesh.start_platform()
+        put = mesh.ctl('put_all', dumps(SETTINGS))
+        one = mesh.start_node('a-1', 'south', 'a')
+        two = mesh.start_node('b-1', 'south', 'b', [one.peer_address])
+        mesh.start_backend(one, 'front', 'v1')
+        mesh.start_backend(two, 'front', 'v2')
+        mesh.await_ready()
+        for node_id in ('a-1', 'b-1'):
+            mesh.await_servers(node_id, 2)
+        waited = mesh.ctl('wait', put['revision'], '--timeout=20')
+        assert waited['nodes'] == 2, waited
+
+        answer = _call(mesh, one)
+        assert answer.status == 200
+        assert answer.headers['x-served-by'] == 'v1'
+
+        ended = Event()
+        caller = Thread(target=_call_until, args=(mesh, one, ended))
+        caller.start()
+        try:
+            mesh.ctl(
+                *('move', 'start', 'front', 'v2'),
+                *('--within=6s', '--policy=done_in_time'),
+            )
+            moved = mesh.ctl('wait', 'front', '--timeout=40')
+        finally:
+            ended.set()
+            caller.join()
+        assert moved['state'] == 'completed', moved
+        status = mesh.ctl('move', 'status', 'front')
+        assert status['share'] == 1.0, status
+        for node in (one, two):
+            await_condition(
+                lambda node=node: (
+                    _call(mesh, node).headers['x-served-by'] == 'v2'
+                ),
+                10,
+                'answer by v2',
+            )
+
+
+def _call(mesh, node):
+    return mesh.pool.request('GET', f'http://{node.call_address}/menu')
+
+
+def _call_until(mesh, node, ended):
+    while not ended.wait(0.002):
+        assert _call(mesh, node).status == 200
