--- a/poplarrack/blackboards.py
+++ b/poplarrack/blackboards.py
@@ -67,10 +67,12 @@
 
     report: Report | None = None
     report_at: float = 0.0
+    report_receivers: tuple[str, ...] = ()
     summary_revision: int = -1
     summary_at: float = 0.0
     compared_at: float = 0.0
     compare_turn: int = 0
+    rejoined_at: float = 0.0
     moves: Mapping[str, float] = field(default_factory=dict)
 
 
--- a/poplarrack/controllers.py
+++ b/poplarrack/controllers.py
@@ -11,6 +11,7 @@
 from poplarrack.decisions import ForgetEndpoint
 from poplarrack.decisions import ProbeThrough
 from poplarrack.decisions import Publish
+from poplarrack.decisions import Rejoin
 from poplarrack.decisions import SendReport
 from poplarrack.decisions import Watch
 from poplarrack.decisions import WriteMove
@@ -41,6 +42,7 @@
 BRIDGE_COMPARE_SECONDS = 2.0
 UNREACHABLE_SECONDS = 4.0
 MOVE_GAP_SECONDS = 0.5
+REJOIN_SECONDS = 2.0
 
 
 def controller(name):
@@ -67,6 +69,35 @@
         yield Compare(topology.bridges[turn])
 
 
+@controller('rejoining')
+def rejoin_others(facts, now):
+    """Look for nodes that this one lost, or never found.
+
+    A node that knows nobody asks its seeds and the platform again. The
+    roots of a zone try its dead one after another, since a cut looks the
+    same as a death from here and heals without notice.
+    """
+    if now - facts.sent.rejoined_at < REJOIN_SECONDS:
+        return
+    topology = facts.topology
+    if topology.zone_size == 1 and not topology.bridges:
+        yield Rejoin(facts.settings.seeds, ask_platform=True)
+    elif topology.rank < len(topology.roots):
+        lost = _lost_addresses(facts)
+        if lost:
+            turn = int(now / REJOIN_SECONDS) % len(lost)
+            yield Rejoin((lost[turn],), ask_platform=False)
+
+
+def _lost_addresses(facts):
+    members = facts.knowledge.members.members.values()
+    present = {item.peer_address for item in members if item.present}
+    dead = {
+        item.peer_address for item in members if item.state is MemberState.DEAD
+    }
+    return sorted((dead | set(facts.settings.seeds)) - present)
+
+
 @controller('failure-detection')
 def detect_failures(facts, now):
     """Have silent nodes probed, accuse them, and bury the suspects.
@@ -147,8 +178,14 @@
 
 
 def _reports_here(facts, node_id):
+    """Count children, and other zones only where the zone is spoken for.
+
+    A second root has bridges too, but what their nodes once sent to it is
+    not renewed.
+    """
     topology = facts.topology
-    return node_id in topology.children or node_id in topology.bridges
+    across = topology.bridges if topology.is_first else ()
+    return node_id in topology.children or node_id in across
 
 
 def build_report(facts, now, own_zone_only=False):
@@ -202,6 +239,7 @@
     evidence_changed = last is not None and report.cells != last.cells
     due = (
         versions_changed
+        or receivers != facts.sent.report_receivers
         or since >= peers.report_seconds
         or (evidence_changed and since >= peers.evidence_seconds)
     )
--- a/poplarrack/decisions.py
+++ b/poplarrack/decisions.py
@@ -16,6 +16,17 @@
     node_id: str
 
 
+@dataclass(frozen=True)
+class Rejoin:
+    """Sync with nodes that may be cut off from this one.
+
+    ``ask_platform`` looks for addresses in the zones' summaries too.
+    """
+
+    addresses: tuple[str, ...]
+    ask_platform: bool
+
+
 @dataclass(frozen=True)
 class ProbeThrough:
     """Ask helpers whether a silent node answers them."""
--- a/poplarrack/meshes.py
+++ b/poplarrack/meshes.py
@@ -4,12 +4,12 @@
 runs in a mesh starts another one.
 """
 
-from contextlib import ExitStack
 from dataclasses import dataclass
 from json import dumps
 from json import loads
 import os
 from pathlib import Path
+from random import SystemRandom
 import signal
 import socket
 import subprocess
@@ -23,21 +23,11 @@
 from poplarrack.errors import ErrorKind
 from poplarrack.errors import PoplarrackError
 
-HOST = '127.0.0.1'
 POLL_SECONDS = 0.05
 START_SECONDS = 20.0
 STOP_SECONDS = 10.0
 
 
-def free_ports(number):
-    """Return port numbers that are free now, all different."""
-    with ExitStack() as stack:
-        sockets = [stack.enter_context(socket.socket()) for _ in range(number)]
-        for item in sockets:
-            item.bind((HOST, 0))
-        return [item.getsockname()[1] for item in sockets]
-
-
 def program_command(name, *arguments):
     """Return the command that runs one of the project's programs."""
     code = f'from poplarrack.programs import run_{name}; run_{name}()'
@@ -81,6 +71,12 @@
         self.processes = []
         self.nodes = {}
         self.platform_address = ''
+        # An address of its own: ports that are free here are not taken by
+        # outgoing connections, which come from 127.0.0.1.
+        low, high = 1, 254
+        parts = [str(SystemRandom().randint(low, high)) for _ in range(3)]
+        self.host = '.'.join(('127', *parts))
+        self.ports_given = set()
         self.pool = PoolManager(timeout=3.0, retries=False, maxsize=8)
 
     def __enter__(self):
@@ -98,6 +94,16 @@
             process.wait(STOP_SECONDS)
         self.folder.cleanup()
 
+    def free_address(self):
+        """Return an address that is free and was not given before."""
+        while True:
+            with socket.socket() as item:
+                item.bind((self.host, 0))
+                port = item.getsockname()[1]
+            if port not in self.ports_given:
+                self.ports_given.add(port)
+                return f'{self.host}:{port}'
+
     def start(self, name, log_name, *arguments):
         """Start a program; its log goes to a file in the folder."""
         log = (self.path / f'{log_name}.log').open('ab')
@@ -118,11 +124,13 @@
 
     def start_platform(self, **limits):
         """Start the platform's stand-in and wait for it."""
-        (port,) = free_ports(1)
-        self.platform_address = f'{HOST}:{port}'
+        self.platform_address = self.free_address()
         flags = [f'--{name}={value}' for name, value in limits.items()]
         process = self.start(
-            'platform', 'platform', f'--address={HOST}:{port}', *flags
+            'platform',
+            'platform',
+            f'--address={self.platform_address}',
+            *flags,
         )
         await_condition(
             lambda: self.fetch(self.platform_address, '/counts'),
@@ -133,7 +141,7 @@
 
     def start_node(self, node_id, region, zone, seeds=(), **settings):
         """Start a node."""
-        addresses = [f'{HOST}:{port}' for port in free_ports(4)]
+        addresses = [self.free_address() for _ in range(4)]
         peer, call, announce, operator = addresses
         platform = {'addresses': [self.platform_address]}
         platform.update(settings.pop('platform', {}))
@@ -158,14 +166,13 @@
 
     def start_backend(self, node, service, version, **behaviour):
         """Start a backend server in a node's instance."""
-        (port,) = free_ports(1)
         flags = [f'--{name}={value}' for name, value in behaviour.items()]
         return self.start(
             'backend',
             f'{node.node_id}-{service}-{version}',
             service,
             version,
-            f'{HOST}:{port}',
+            self.free_address(),
             node.announce_address,
             *flags,
         )
--- a/poplarrack/moves.py
+++ b/poplarrack/moves.py
@@ -161,11 +161,11 @@
 
 
 def _step(move, wanted, policy, facts, now):
-    if move.share > 0 and not _seen_enough(move, policy, facts):
-        late = now >= move.complete_by - _closing_seconds(move)
+    steps = [share for _, share in SCHEDULE if share > move.share]
+    if move.share > 0 and not _seen_enough(policy, facts):
+        late = len(steps) > 1 and wanted >= steps[1]
         if not (late and policy.finish_when_thin):
             return _hold_thin(move, policy, facts, now)
-    steps = [share for _, share in SCHEDULE if share > move.share]
     share = min(wanted, steps[0] if steps else 1.0)
     return _change(
         move,
@@ -179,27 +179,20 @@
 
 
 def _hold_thin(move, policy, facts, now):
-    seen = sum(finding.new_calls for finding in facts.findings)
-    wanted = _calls_wanted(move, policy)
+    seen = _calls_seen(facts)
     if now >= move.complete_by:
         reason = f'deadline passed on thin evidence: {seen} calls seen'
         return _hold(move, reason, now, facts)
-    return _hold(move, f'waiting for {wanted} calls', now, facts)
-
-
-def _calls_wanted(move, policy):
-    step = sum(1 for _, share in SCHEDULE if share <= move.share)
-    return policy.calls_a_step * max(1, step)
+    reason = f'waiting for {policy.calls_a_step} calls'
+    return _hold(move, reason, now, facts)
 
 
-def _seen_enough(move, policy, facts):
-    seen = sum(finding.new_calls for finding in facts.findings)
-    return seen >= _calls_wanted(move, policy)
+def _calls_seen(facts):
+    return sum(finding.new_calls for finding in facts.findings)
 
 
-def _closing_seconds(move):
-    last_begins = SCHEDULE[-1][0]
-    return (move.complete_by - move.started_at) * (1 - last_begins)
+def _seen_enough(policy, facts):
+    return _calls_seen(facts) >= policy.calls_a_step
 
 
 def _may_complete(move, now):
@@ -209,7 +202,7 @@
 
 
 def _complete(move, policy, facts, now):
-    if not _seen_enough(move, policy, facts) and not policy.finish_when_thin:
+    if not _seen_enough(policy, facts) and not policy.finish_when_thin:
         return _hold_thin(move, policy, facts, now)
     return _change(
         move,
--- a/poplarrack/nodes.py
+++ b/poplarrack/nodes.py
@@ -25,6 +25,7 @@
 from poplarrack.decisions import ForgetEndpoint
 from poplarrack.decisions import ProbeThrough
 from poplarrack.decisions import Publish
+from poplarrack.decisions import Rejoin
 from poplarrack.decisions import SendReport
 from poplarrack.decisions import Watch
 from poplarrack.decisions import WriteMove
@@ -151,7 +152,13 @@
         """Serve until told to stop, then drain."""
         self.loop = asyncio.get_running_loop()
         self.stopping = asyncio.Event()
-        await self._listen()
+        try:
+            await self._listen()
+        except OSError as error:
+            await self._close()
+            raise PoplarrackError(
+                ErrorKind.INVALID_SETTINGS, f'cannot listen: {error}'
+            ) from error
         self._update_own(self.blackboard.facts.own)
         await self._join()
         logger.info('node_started')
@@ -202,8 +209,8 @@
             (self.settings.announce_address, announce_routes),
         ):
             server = PageServer(address, routes)
-            server.start()
             self.pages.append(server)
+            server.start()
 
     async def _drain(self):
         """Leave: tell the peers, finish what is in flight, end."""
@@ -225,11 +232,15 @@
         self.call_server.drain()
         while not self.call_server.drained:
             await asyncio.sleep(TICK_SECONDS / 2)
+        await self._close()
+        logger.info('node_stopped')
+
+    async def _close(self):
         await self.peers.close()
-        await self.peer_server.close(0.2)
+        if self.peer_server is not None:
+            await self.peer_server.close(0.2)
         for server in self.pages:
             server.stop()
-        logger.info('node_stopped')
 
     # Joining.
 
@@ -403,18 +414,38 @@
         contacts[decision.target] = replace(contact, probed=True)
         self.blackboard.write('peers', contacts=contacts)
 
+    @performs(Rejoin)
+    async def _rejoin(self, decision):
+        self._write_sent(rejoined_at=self.clock())
+        if decision.ask_platform:
+            # Nodes that start together must not call together.
+            await asyncio.sleep(self.random.random())
+        answered = await self._sync_with_some(list(decision.addresses))
+        if not answered and decision.ask_platform:
+            listed = await self._seeds_on_platform()
+            await self._sync_with_some(listed)
+
     @performs(Publish)
     async def _publish(self, decision):
         self._absorb(Updates(self.settings.node_id, None, decision.members))
 
     @performs(SendReport)
     async def _send_report(self, decision):
-        self._write_sent(report=decision.report, report_at=self.clock())
+        self._write_sent(
+            report=decision.report,
+            report_at=self.clock(),
+            report_receivers=decision.receivers,
+        )
         for receiver in decision.receivers:
             address = self._address_of(receiver)
-            answer = await self._call(
-                receiver, address, 'Gather', decision.report
-            )
+            try:
+                answer = await self._call(
+                    receiver, address, 'Gather', decision.report
+                )
+            except PoplarrackError:
+                # Forget that it was sent, so that it goes again soon.
+                self._write_sent(report=None)
+                continue
             own = self._digests()
             if answer.digests.revision > own.revision:
                 await self._sync(address, DigestsAnswer(answer.digests))
--- a/poplarrack/settings.py
+++ b/poplarrack/settings.py
@@ -36,7 +36,7 @@
 
     addresses: tuple[str, ...]
     region: str = ''
-    summary_seconds: float = 10.0
+    summary_seconds: float = 3.0
 
 
 @dataclass(frozen=True)
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -5,9 +5,9 @@
 so that its entry gets removed.
 """
 
+from pathlib import Path
 import sys
 import unittest
-from pathlib import Path
 
 ROOT = Path(__file__).resolve().parent.parent
 PREFIX = 'test:'
@@ -36,9 +36,7 @@
         print(f'failed: {name}')
     passed = result.testsRun - len(failed)
     skipped = len(result.skipped) + len(failed & listed)
-    print(
-        f'{passed} passed, {len(failed - listed)} failed, {skipped} skipped'
-    )
+    print(f'{passed} passed, {len(failed - listed)} failed, {skipped} skipped')
     return 1 if failed - listed or not passed else 0
 
 
