Split the node from its sockets

Cause: nodes.py held sockets, pages, joining, handlers and decisions, 700 lines, and nothing of it could run without a process.

Change: Node takes Links (peers, platform, fetcher, clock); performers, joiners, peer handlers, call tables and the process around it are modules of their own. Callers of a service are counted from the services' calls.

--- /dev/null
+++ b/poplarrack/call_tables.py
@@ -0,0 +1,82 @@
+"""Derive the table that calls are carried by from what a node holds."""
+
+from collections import Counter
+from dataclasses import dataclass
+from dataclasses import field
+
+from poplarrack.balancers import derive_candidates
+from poplarrack.moves import effective_share
+from poplarrack.moves import is_live
+from poplarrack.routers import Router
+
+
+@dataclass(frozen=True)
+class ServedMove:
+    """A move as a node serves it: whose side gets which share."""
+
+    move_id: str
+    from_version: str
+    to_version: str
+    share: float
+    counted: bool
+
+
+@dataclass(frozen=True)
+class CallTable:
+    """All that calls are carried by; replaced whole with each change."""
+
+    router: Router = field(default_factory=Router)
+    versions: dict = field(default_factory=dict)
+    moves: dict = field(default_factory=dict)
+    candidates: dict = field(default_factory=dict)
+    warm_up_seconds: dict = field(default_factory=dict)
+
+
+def derive_call_table(place, knowledge, now):
+    """Derive the table in force at a node's place.
+
+    Each route in it names a service that the same version holds, since
+    the whole comes from one checked configuration.
+    """
+    configuration = knowledge.configuration
+    services = configuration.services
+    moves = {
+        service: ServedMove(
+            move.move_id,
+            move.from_version,
+            move.to_version,
+            effective_share(move, knowledge.verdicts),
+            is_live(move, now),
+        )
+        for service, move in configuration.moves.items()
+    }
+    callers = count_callers(services, knowledge.members.members.values())
+    return CallTable(
+        Router(configuration.routes),
+        {name: service.version for name, service in services.items()},
+        moves,
+        derive_candidates(
+            place, knowledge.members.members.values(), callers.__getitem__
+        ),
+        {name: service.warm_up_seconds for name, service in services.items()},
+    )
+
+
+def count_callers(services, members):
+    """Count the nodes that call each service.
+
+    A service that no other one lists among its calls may be called from
+    any node.
+    """
+    nodes = Counter()
+    present = 0
+    for member in members:
+        if member.present:
+            present += 1
+            if member.endpoint is not None:
+                nodes[member.endpoint.service] += 1
+    listed = Counter()
+    for service in services.values():
+        for called in service.calls:
+            listed[called] += nodes[service.name]
+    return Counter({name: listed[name] or present for name in services})
--- a/poplarrack/dispatchers.py
+++ b/poplarrack/dispatchers.py
@@ -3,13 +3,13 @@
 from asyncio import get_running_loop
 from collections import Counter
 from dataclasses import dataclass
-from dataclasses import field
 from random import Random
 
 from poplarrack.balancers import BALANCERS
 from poplarrack.balancers import choose_server
 from poplarrack.balancers import may_eject
 from poplarrack.balancers import ServerLoad
+from poplarrack.call_tables import CallTable
 from poplarrack.errors import ANSWERS
 from poplarrack.errors import ErrorKind
 from poplarrack.errors import Ran
@@ -30,7 +30,6 @@
 from poplarrack.retries import Failure
 from poplarrack.retries import may_retry
 from poplarrack.retries import RetryBudget
-from poplarrack.routers import Router
 from poplarrack.upstreams import Outcome
 from poplarrack.upstreams import UpstreamPool
 
@@ -51,28 +50,6 @@
 }
 
 
-@dataclass(frozen=True)
-class ServedMove:
-    """A move as a node serves it: whose side gets which share."""
-
-    move_id: str
-    from_version: str
-    to_version: str
-    share: float
-    counted: bool
-
-
-@dataclass(frozen=True)
-class CallTable:
-    """All that calls are carried by; replaced whole with each change."""
-
-    router: Router = field(default_factory=Router)
-    versions: dict = field(default_factory=dict)
-    moves: dict = field(default_factory=dict)
-    candidates: dict = field(default_factory=dict)
-    warm_up_seconds: dict = field(default_factory=dict)
-
-
 @dataclass(slots=True)
 class Call:
     """A caller's call on its way through the node."""
--- a/poplarrack/dumps.py
+++ b/poplarrack/dumps.py
@@ -5,7 +5,7 @@
 from poplarrack.moves import effective_share
 
 
-def dump_facts(node):
+def dump_node(node, traffic):
     """Return a node's state: versions, members, place, moves, limits."""
     facts = node.blackboard.facts
     knowledge = facts.knowledge
@@ -28,6 +28,7 @@
             for node_id, held in facts.reports.items()
         },
         'platform': to_builtins(facts.platform),
+        'traffic': vars(traffic),
         'moves': _dump_moves(knowledge),
         'verdicts': to_builtins(dict(knowledge.verdicts)),
         'evidence': to_builtins(facts.cells),
--- a/poplarrack/members.py
+++ b/poplarrack/members.py
@@ -9,6 +9,7 @@
 from dataclasses import field
 from dataclasses import replace
 from enum import IntEnum
+from functools import cached_property
 from types import MappingProxyType
 
 from xxhash import xxh64_intdigest
@@ -96,8 +97,9 @@
         default_factory=lambda: MappingProxyType({})
     )
     buckets: tuple[int, ...] = (0,) * BUCKETS
+    suspects: frozenset[str] = frozenset()
 
-    @property
+    @cached_property
     def digest(self):
         """Return one digest over all buckets."""
         return xxh64_intdigest(repr(self.buckets).encode())
@@ -137,6 +139,7 @@
         return Merge(table, ())
     members = dict(table.members)
     buckets = list(table.buckets)
+    suspects = set(table.suspects)
     for member in news:
         old = members.get(member.node_id)
         if old is not None and old.rank >= member.rank:
@@ -145,7 +148,12 @@
         buckets[at] ^= member_digest(old) if old else 0
         buckets[at] ^= member_digest(member)
         members[member.node_id] = member
-    merged = MemberTable(MappingProxyType(members), tuple(buckets))
+        suspects.discard(member.node_id)
+        if member.state is MemberState.SUSPECT:
+            suspects.add(member.node_id)
+    merged = MemberTable(
+        MappingProxyType(members), tuple(buckets), frozenset(suspects)
+    )
     return Merge(merged, news)
 
 
--- a/poplarrack/metrics.py
+++ b/poplarrack/metrics.py
@@ -7,22 +7,23 @@
 from poplarrack.pages import Page
 
 
-def build_metrics_page(node):
-    """Return the metrics of a node as a page."""
+def build_metrics_page(server):
+    """Return the metrics of a node's process as a page."""
     from prometheus_client import CollectorRegistry
     from prometheus_client.exposition import CONTENT_TYPE_LATEST
     from prometheus_client.exposition import generate_latest
 
     registry = CollectorRegistry()
-    registry.register(NodeCollector(node))
+    registry.register(NodeCollector(server))
     return Page(200, CONTENT_TYPE_LATEST, generate_latest(registry))
 
 
 class NodeCollector:
     """Collect metric families from a node's state."""
 
-    def __init__(self, node):
-        self.node = node
+    def __init__(self, server):
+        self.server = server
+        self.node = server.node
 
     def collect(self):
         """Yield the metric families."""
@@ -50,13 +51,13 @@
         for name, value in gauges.items():
             text = name.replace('_', ' ')
             yield GaugeMetricFamily(f'poplarrack_{name}', text, value)
-        traffic = self.node.traffic
+        traffic = self.server.traffic
         counters = {
             'peer_messages_in': traffic.messages_in,
             'peer_messages_out': traffic.messages_out,
             'peer_bytes_in': traffic.bytes_in,
             'peer_bytes_out': traffic.bytes_out,
-            'platform_calls': self.node.platform_calls(),
+            'platform_calls': self.server.platform.calls,
         }
         counters.update(
             (f'call_{name}', count)
--- /dev/null
+++ b/poplarrack/node_servers.py
@@ -0,0 +1,166 @@
+"""Run a node as a process: listen, serve pages, tick, drain."""
+
+import asyncio
+import logging
+from random import Random
+import signal
+import time
+
+from poplarrack.announcements import decode_announcement
+from poplarrack.callers import CallServer
+from poplarrack.dumps import dump_node
+from poplarrack.errors import ErrorKind
+from poplarrack.errors import PoplarrackError
+from poplarrack.fetchers import Fetcher
+from poplarrack.joiners import join
+from poplarrack.metrics import build_metrics_page
+from poplarrack.nodes import Links
+from poplarrack.nodes import Node
+from poplarrack.nodes import TICK_SECONDS
+from poplarrack.pages import json_page
+from poplarrack.pages import PageServer
+from poplarrack.peer_handlers import bind_handlers
+from poplarrack.peers import PeerClient
+from poplarrack.peers import PeerServer
+from poplarrack.peers import PeerTraffic
+from poplarrack.platforms import PlatformClient
+
+logger = logging.getLogger(__name__)
+
+EXPIRE_SECONDS = 1.0
+CLOSE_GRACE_SECONDS = 0.2
+
+
+class NodeServer:
+    """The process around a node."""
+
+    def __init__(self, settings):
+        self.settings = settings
+        self.traffic = PeerTraffic()
+        self.peers = PeerClient(
+            self.traffic, settings.peers.call_timeout_seconds
+        )
+        self.platform = PlatformClient(settings.platform.addresses)
+        links = Links(
+            self.peers,
+            self.platform,
+            asyncio.to_thread,
+            self._build_fetcher,
+            time.time,
+            Random(),
+        )
+        self.node = Node(settings, links)
+        self.peer_server = PeerServer(self.traffic, bind_handlers(self.node))
+        self.call_server = CallServer(self.node.dispatcher, time.monotonic)
+        self.pages = []
+        self.loop = None
+        self.stopping = None
+        self.expired_at = 0.0
+
+    async def run(self):
+        """Serve until told to stop, then drain."""
+        self.loop = asyncio.get_running_loop()
+        self.stopping = asyncio.Event()
+        try:
+            await self._listen()
+        except OSError as error:
+            await self._close()
+            raise PoplarrackError(
+                ErrorKind.INVALID_SETTINGS, f'cannot listen: {error}'
+            ) from error
+        self._handle_signals()
+        self.node.update_own(self.node.facts.own)
+        await join(self.node)
+        logger.info('node_started')
+        while not self.stopping.is_set():
+            self._tick()
+            await self._pause(TICK_SECONDS)
+        await self._drain()
+
+    def _handle_signals(self):
+        for number in (signal.SIGTERM, signal.SIGINT):
+            self.loop.add_signal_handler(number, self.stopping.set)
+
+    def _tick(self):
+        self.node.tick()
+        now = self.loop.time()
+        if now - self.expired_at >= EXPIRE_SECONDS:
+            self.expired_at = now
+            self.call_server.expire(time.monotonic())
+            self.node.dispatcher.close_idle(now)
+
+    async def _pause(self, seconds):
+        try:
+            async with asyncio.timeout(seconds):
+                await self.stopping.wait()
+        except TimeoutError:
+            return
+
+    async def _listen(self):
+        await self.peer_server.listen(self.settings.peer_address)
+        host, _, port = self.settings.call_address.rpartition(':')
+        await self.call_server.listen(self.loop, host, int(port))
+        operator_routes = {
+            ('GET', '/dump'): lambda body: json_page(self.dump()),
+            ('GET', '/metrics'): lambda body: build_metrics_page(self),
+            ('GET', '/health'): lambda body: json_page({'healthy': True}),
+            ('GET', '/ready'): lambda body: self._ready_page(),
+        }
+        announce_routes = {('POST', '/announce'): self._on_announcement}
+        for address, routes in (
+            (self.settings.operator_address, operator_routes),
+            (self.settings.announce_address, announce_routes),
+        ):
+            server = PageServer(address, routes)
+            self.pages.append(server)
+            server.start()
+
+    async def _drain(self):
+        """Leave: tell the peers, finish what is in flight, end.
+
+        Connections stay open at first and close after their next answer,
+        so that a caller is never cut between two calls.
+        """
+        logger.info('node_draining')
+        self.node.leave()
+        self.call_server.announce_drain()
+        await asyncio.sleep(self.settings.calls.drain_seconds)
+        self.call_server.drain()
+        while not self.call_server.drained:
+            await asyncio.sleep(TICK_SECONDS / 2)
+        await self._close()
+        logger.info('node_stopped')
+
+    async def _close(self):
+        await self.peers.close()
+        await self.peer_server.close(CLOSE_GRACE_SECONDS)
+        for server in self.pages:
+            server.stop()
+
+    def _build_fetcher(self, node):
+        """Build a fetcher whose thread hands over to the loop."""
+
+        def offer(snapshot):
+            self.loop.call_soon_threadsafe(node.offer, snapshot)
+
+        def note(succeeded, detail):
+            self.loop.call_soon_threadsafe(
+                node.note_platform, succeeded, detail
+            )
+
+        return Fetcher(self.platform, offer, note)
+
+    def _on_announcement(self, body):
+        endpoint = decode_announcement(body, self.node.clock())
+        self.loop.call_soon_threadsafe(self.node.announce, endpoint)
+        return json_page({'node': self.settings.node_id})
+
+    def _ready_page(self):
+        ready = self.node.ready
+        revision = self.node.knowledge.configuration.revision
+        page = {'ready': ready, 'revision': revision}
+        return json_page(page, 200 if ready else 503)
+
+    def dump(self):
+        """Return the whole state for operators."""
+        return dump_node(self.node, self.traffic)
--- /dev/null
+++ b/poplarrack/performers.py
@@ -0,0 +1,217 @@
+"""Carry out what controllers decide."""
+
+import asyncio
+from dataclasses import replace
+import logging
+
+from poplarrack.controllers import build_report
+from poplarrack.controllers import summary_signature
+from poplarrack.decisions import Brake
+from poplarrack.decisions import Compare
+from poplarrack.decisions import ForgetEndpoint
+from poplarrack.decisions import ProbeThrough
+from poplarrack.decisions import Publish
+from poplarrack.decisions import Rejoin
+from poplarrack.decisions import SendReport
+from poplarrack.decisions import Watch
+from poplarrack.decisions import WriteMove
+from poplarrack.decisions import WriteSummary
+from poplarrack.errors import PoplarrackError
+from poplarrack.fetchers import HEAD_KEY
+from poplarrack.joiners import find_seeds
+from poplarrack.joiners import sync
+from poplarrack.joiners import sync_with_some
+from poplarrack.messages import DigestsAnswer
+from poplarrack.messages import ProbeRequest
+from poplarrack.messages import Updates
+from poplarrack.platforms import CONFIGURATION_PREFIX
+from poplarrack.platforms import ZONE_PREFIX
+from poplarrack.resources import encode_resource
+from poplarrack.stores import Compare as CompareKey
+from poplarrack.stores import Operation
+from poplarrack.summaries import encode_summary
+
+logger = logging.getLogger(__name__)
+
+SUMMARY_TTL_SECONDS = 60
+REJOIN_SPREAD_SECONDS = 1.0
+
+PERFORMERS = {}
+
+
+def performs(decision_type):
+    """Register the coroutine that carries out a type of decision."""
+
+    def register(perform):
+        PERFORMERS[decision_type] = perform
+        return perform
+
+    return register
+
+
+@performs(Compare)
+async def compare(node, decision):
+    """Compare digests with a node and sync where they differ."""
+    turn = node.facts.sent.compare_turn + 1
+    node.write_sent(compared_at=node.clock(), compare_turn=turn)
+    own = node.digests()
+    answer = await node.call(decision.node_id, 'Compare', own)
+    if _differs(own, answer.digests):
+        await sync(node, node.address_of(decision.node_id), answer)
+
+
+def _differs(own, other):
+    return (
+        own.revision != other.revision
+        or own.members != other.members
+        or own.verdicts != other.verdicts
+    )
+
+
+@performs(Rejoin)
+async def rejoin(node, decision):
+    """Sync with nodes that were lost or never found."""
+    node.write_sent(rejoined_at=node.clock())
+    if decision.ask_platform:
+        # Nodes that start together must not call together.
+        await asyncio.sleep(node.random.random() * REJOIN_SPREAD_SECONDS)
+    answered = await sync_with_some(node, list(decision.addresses))
+    if not answered and decision.ask_platform:
+        await sync_with_some(node, await find_seeds(node))
+
+
+@performs(ProbeThrough)
+async def probe_through(node, decision):
+    """Have helpers check a silent node, and note what they say."""
+    contact = node.facts.contacts.get(decision.target)
+    if contact is None:
+        return
+    request = ProbeRequest(node.address_of(decision.target))
+    for helper in decision.helpers:
+        try:
+            answer = await node.call(helper, 'Probe', request)
+        except PoplarrackError:
+            continue
+        if answer.answered:
+            node.note_contact(decision.target, True)
+            return
+    contacts = dict(node.facts.contacts)
+    contacts[decision.target] = replace(contact, probed=True)
+    node.blackboard.write('peers', contacts=contacts)
+
+
+@performs(Publish)
+async def publish(node, decision):
+    """Merge member records and spread what is news."""
+    node.absorb(Updates(node.settings.node_id, None, decision.members))
+
+
+@performs(SendReport)
+async def send_report(node, decision):
+    """Send a report upward, and catch up where the receiver is ahead."""
+    node.write_sent(
+        report=decision.report,
+        report_at=node.clock(),
+        report_receivers=decision.receivers,
+    )
+    for receiver in decision.receivers:
+        try:
+            answer = await node.call(receiver, 'Gather', decision.report)
+        except PoplarrackError:
+            # Forget that it was sent, so that it goes again soon.
+            node.write_sent(report=None)
+            continue
+        if answer.digests.revision > node.digests().revision:
+            address = node.address_of(receiver)
+            await sync(node, address, DigestsAnswer(answer.digests))
+
+
+@performs(Brake)
+async def brake(node, decision):
+    """Take a version's share to nothing here, and spread the verdict."""
+    verdict = decision.verdict
+    logger.warning(
+        'version_braked',
+        extra={
+            'move': verdict.move_id,
+            'route': verdict.route,
+            'cause': verdict.cause,
+            'factor': verdict.factor,
+        },
+    )
+    node.absorb(Updates(node.settings.node_id, verdicts=(verdict,)))
+
+
+@performs(WriteMove)
+async def write_move(node, decision):
+    """Write a move's next record, fenced by the revision it was read at."""
+    moves = dict(node.facts.sent.moves)
+    moves[decision.move.service] = node.clock()
+    node.write_sent(moves=moves)
+    compares, operations = move_transaction(decision)
+    await node.links.run_blocking(
+        node.links.platform.write, compares, operations
+    )
+    logger.info(
+        'move_written',
+        extra={
+            'path': decision.path,
+            'state': decision.move.state.value,
+            'share': decision.move.share,
+            'reason': decision.move.reason,
+        },
+    )
+
+
+def move_transaction(decision):
+    """Return compares and operations that write a move's next record."""
+    key = CONFIGURATION_PREFIX + decision.path
+    compares = [CompareKey(key, decision.revision)]
+    operations = [
+        Operation(key, encode_resource(decision.move)),
+        Operation(HEAD_KEY, b''),
+    ]
+    if decision.service_path:
+        service_key = CONFIGURATION_PREFIX + decision.service_path
+        compares.append(CompareKey(service_key, decision.service_revision))
+        operations.append(Operation(service_key, decision.service_value))
+    return compares, operations
+
+
+@performs(WriteSummary)
+async def write_summary(node, decision):
+    """Write the zone's summary, under a lease."""
+    now = node.clock()
+    report = build_report(node.facts, now, own_zone_only=True)
+    node.write_sent(
+        summary_at=now, summary_revision=summary_signature(node.facts, report)
+    )
+    await node.links.run_blocking(_put_summary, node, decision.summary)
+
+
+def _put_summary(node, summary):
+    platform = node.links.platform
+    if not node.summary_lease or not platform.keep_lease(node.summary_lease):
+        node.summary_lease = platform.grant_lease(SUMMARY_TTL_SECONDS)
+    key = f'{ZONE_PREFIX}{summary.region}/{summary.zone}'
+    value = encode_summary(summary)
+    platform.put_unguarded(Operation(key, value, node.summary_lease))
+
+
+@performs(Watch)
+async def watch(node, decision):
+    """Start or end following the platform."""
+    if decision.wanted:
+        node.fetcher = node.links.build_fetcher(node)
+        node.fetcher.start()
+    elif node.fetcher is not None:
+        node.fetcher.stop()
+        node.fetcher = None
+    platform = replace(node.facts.platform, watching=decision.wanted)
+    node.blackboard.write('platform', platform=platform)
+
+
+@performs(ForgetEndpoint)
+async def forget_endpoint(node, decision):
+    """Take the own backend server, which fell silent, out of use."""
+    node.forget_endpoint()
--- a/poplarrack/programs.py
+++ b/poplarrack/programs.py
@@ -46,15 +46,15 @@
 
 def _serve_node(settings):
     from poplarrack.logs import configure_logs
-    from poplarrack.nodes import Node
+    from poplarrack.node_servers import NodeServer
 
     configure_logs(settings.log_level, node=settings.node_id)
     tune_interpreter()
 
+
     async def serve():
-        running = Node(settings)
-        running.handle_signals()
-        await running.run()
+        # Built inside the loop, which gRPC's objects bind to.
+        await NodeServer(settings).run()
 
     asyncio.run(serve())
 
