--- a/poplarrack/nodes.py
+++ b/poplarrack/nodes.py
@@ -41,6 +41,7 @@
 CELLS_SECONDS = 0.5
 TOPOLOGY_SECONDS = 1.0
 SPREAD_DELAY_SECONDS = 0.01
+REBUILD_DELAY_SECONDS = 0.05
 
 
 @dataclass(frozen=True)
@@ -95,6 +96,7 @@
         self.pending = Updates(own.node_id)
         self.pending_from = set()
         self.spreading = None
+        self.rebuilding = None
         self.tasks = set()
         self.performing = set()
         self.last_decisions = {}
@@ -316,15 +318,35 @@
         before = self.knowledge
         knowledge = prune_verdicts(knowledge)
         self.blackboard.write('merging', knowledge=knowledge)
-        if knowledge.members is not before.members:
-            self._refresh_topology()
-        self.dispatcher.put_in_force(
-            derive_call_table(self.place, knowledge, self.clock())
+        only_members = (
+            knowledge.configuration is before.configuration
+            and knowledge.verdicts is before.verdicts
         )
+        if only_members and self.facts.topology.roots:
+            self._rebuild_soon()
+        else:
+            self._rebuild()
         revision = knowledge.configuration.revision
         if revision != before.configuration.revision:
             logger.info('version_applied', extra={'revision': revision})
 
+    def _rebuild_soon(self):
+        """Gather changes of members: a herd's are many and each costs."""
+        if self.rebuilding is None:
+            self.rebuilding = asyncio.get_running_loop().call_later(
+                REBUILD_DELAY_SECONDS, self._rebuild
+            )
+
+    def _rebuild(self):
+        """Derive the place and the calls' table from what is held."""
+        if self.rebuilding is not None:
+            self.rebuilding.cancel()
+            self.rebuilding = None
+        self._refresh_topology()
+        self.dispatcher.put_in_force(
+            derive_call_table(self.place, self.knowledge, self.clock())
+        )
+
     def _refresh_topology(self):
         facts = self.facts
         topology = derive_topology(
--- a/poplarrack/platform_stand_ins.py
+++ b/poplarrack/platform_stand_ins.py
@@ -17,6 +17,7 @@
 from cheroot.wsgi import Server
 
 from poplarrack.errors import PoplarrackError
+from poplarrack.stores import Operation
 from poplarrack.stores import Store
 from poplarrack.wire import pack_event
 from poplarrack.wire import pack_key_value
@@ -91,29 +92,46 @@
         return self._serve(path, body, start_response)
 
     def _serve(self, path, body, start_response):
-        faults = self.faults
-        if faults.delay_seconds:
-            time.sleep(faults.delay_seconds)
-        if faults.outage:
-            return self._answer(start_response, 503, {'error': 'outage'})
-        if not self._admit(path):
-            return self._answer(start_response, 429, {'error': 'rate'})
-        if path == '/v3/watch':
+        if self.faults.delay_seconds:
+            time.sleep(self.faults.delay_seconds)
+        if path == '/v3/watch' and not self.faults.outage:
             start_response('200 OK', [('Content-Type', 'application/json')])
             return self._watch(body['create_request'])
+        status, answer = self.answer(path, body)
+        return self._answer(start_response, status, answer)
+
+    def answer(self, path, body):
+        """Return status and answer of any call but a watch."""
+        if self.faults.outage:
+            return 503, {'error': 'outage'}
+        if not self._admit(path):
+            return 429, {'error': 'rate'}
         if path not in self.handlers:
-            return self._answer(start_response, 404, {'error': path})
+            return 404, {'error': path}
         try:
             with self.changed:
                 self.store.expire(self.clock())
                 answer = self.handlers[path](body)
                 self.changed.notify_all()
         except PoplarrackError as error:
-            status = error.answer.http_status
-            return self._answer(start_response, status, {'error': str(error)})
+            return error.answer.http_status, {'error': str(error)}
         if path == '/v3/kv/txn' and self._lose_answer():
-            return self._answer(start_response, 504, {'error': 'lost'})
-        return self._answer(start_response, 200, answer)
+            return 504, {'error': 'lost'}
+        return 200, answer
+
+    def write_raw(self, changes):
+        """Write settings past every check, as a foreign client might.
+
+        :param changes: mappings with ``key`` and ``value``, None to remove.
+        :returns: the revision.
+        """
+        with self.changed:
+            operations = [
+                Operation(item['key'], item['value']) for item in changes
+            ]
+            self.store.transact((), operations)
+            self.changed.notify_all()
+            return self.store.revision
 
     def _admit(self, path):
         with self.changed:
--- a/poplarrack/platforms.py
+++ b/poplarrack/platforms.py
@@ -235,11 +235,14 @@
             raise PoplarrackError(
                 ErrorKind.OUTCOME_UNKNOWN, f'{path}: {error}'
             ) from error
-        if response.status != 200:
-            kind = STATUS_KINDS.get(response.status, ErrorKind.OUTCOME_UNKNOWN)
-            raise PoplarrackError(kind, f'{path}: status {response.status}')
+        self._raise_for_status(path, response.status)
         return response
 
+    def _raise_for_status(self, path, status):
+        if status != 200:
+            kind = STATUS_KINDS.get(status, ErrorKind.OUTCOME_UNKNOWN)
+            raise PoplarrackError(kind, f'{path}: status {status}')
+
 
 _TRY_AGAIN = (
     ErrorKind.OUTCOME_UNKNOWN,
--- a/poplarrack/programs.py
+++ b/poplarrack/programs.py
@@ -51,7 +51,6 @@
     configure_logs(settings.log_level, node=settings.node_id)
     tune_interpreter()
 
-
     async def serve():
         # Built inside the loop, which gRPC's objects bind to.
         await NodeServer(settings).run()
--- a/poplarrack/topologies.py
+++ b/poplarrack/topologies.py
@@ -5,6 +5,7 @@
 """
 
 from dataclasses import dataclass
+from functools import lru_cache
 
 from xxhash import xxh64_intdigest
 
@@ -46,10 +47,12 @@
 
 def rank_nodes(key, node_ids):
     """Return node ids in rendezvous order for a key."""
-    return sorted(
-        node_ids,
-        key=lambda node: (xxh64_intdigest(f'{key}\0{node}'.encode()), node),
-    )
+    return sorted(node_ids, key=lambda node: (_rank_of(key, node), node))
+
+
+@lru_cache(maxsize=4096)
+def _rank_of(key, node_id):
+    return xxh64_intdigest(f'{key}\0{node_id}'.encode())
 
 
 def derive_topology(own, table, platform_region, unreachable=frozenset()):
