--- a/poplarrack/balancers.py
+++ b/poplarrack/balancers.py
@@ -120,6 +120,14 @@
     tier: int
 
 
+@dataclass(frozen=True)
+class Callers:
+    """How many nodes call a service, in all and in the own zone."""
+
+    total: int
+    near: int
+
+
 def subset_size(servers, callers, max_connections):
     """Return how many servers each caller's node may connect to.
 
@@ -127,15 +135,14 @@
     headroom for a storm of reconnects; each pair is counted as one.
     """
     room = CONNECTIONS_HEADROOM * max_connections * servers
-    return max(LEAST_SUBSET, min(servers, int(room / max(1, callers))))
+    return min(servers, int(room / max(1, callers)))
 
 
 def derive_candidates(place, members, callers_of):
     """Derive the servers by service and version that a node may use.
 
     :param members: an iterable of Member.
-    :param callers_of: a function from service to the number of caller
-        nodes.
+    :param callers_of: a function from service to Callers.
     :returns: a mapping of (service, version) to a tuple of Candidates.
     """
     groups = {}
@@ -153,8 +160,13 @@
 
 
 def _subset(node_id, group, callers):
+    """Keep some servers: near ones as far as they have room, and others.
+
+    The same servers for a node whoever else comes and goes, by
+    rendezvous hashing.
+    """
     bound = group[0].endpoint.max_connections
-    size = subset_size(len(group), callers, bound)
+    size = max(LEAST_SUBSET, subset_size(len(group), callers.total, bound))
     if size >= len(group):
         return tuple(group)
     ranked = sorted(
@@ -164,16 +176,14 @@
             xxh64_intdigest(f'{node_id}\0{item.endpoint.address}'.encode()),
         ),
     )
-    return _spread_over_tiers(ranked, size)
-
-
-def _spread_over_tiers(ranked, size):
-    """Keep the nearest, and a third from farther off to spill to."""
-    near_tier = ranked[0].tier
-    near = [item for item in ranked if item.tier == near_tier]
-    rest = [item for item in ranked if item.tier != near_tier]
+    near = [item for item in ranked if item.tier == SAME_ZONE]
+    rest = [item for item in ranked if item.tier != SAME_ZONE]
+    if not near:
+        return tuple(rest[:size])
     spill = min(len(rest), max(1, size // 3))
-    return tuple(near[: size - spill] + rest[:spill])
+    wanted = min(size - spill, subset_size(len(near), callers.near, bound))
+    kept = max(1, wanted)
+    return tuple(near[:kept] + rest[: size - kept])
 
 
 def choose_server(loads, pick, now, random, tried=()):
--- a/poplarrack/call_tables.py
+++ b/poplarrack/call_tables.py
@@ -1,10 +1,13 @@
 """Derive the table that calls are carried by from what a node holds."""
 
 from collections import Counter
+from collections import defaultdict
 from dataclasses import dataclass
 from dataclasses import field
 
+from poplarrack.balancers import Callers
 from poplarrack.balancers import derive_candidates
+from poplarrack.balancers import SAME_ZONE
 from poplarrack.moves import effective_share
 from poplarrack.moves import is_live
 from poplarrack.routers import Router
@@ -50,33 +53,44 @@
         )
         for service, move in configuration.moves.items()
     }
-    callers = count_callers(services, knowledge.members.members.values())
+    members = knowledge.members.members.values()
+    callers = count_callers(services, members, place)
     return CallTable(
         Router(configuration.routes),
         {name: service.version for name, service in services.items()},
         moves,
-        derive_candidates(
-            place, knowledge.members.members.values(), callers.__getitem__
-        ),
+        derive_candidates(place, members, callers.__getitem__),
         {name: service.warm_up_seconds for name, service in services.items()},
     )
 
 
-def count_callers(services, members):
-    """Count the nodes that call each service.
+def count_callers(services, members, place):
+    """Count the nodes that call each service, in all and in the own zone.
 
     A service that no other one lists among its calls may be called from
     any node.
+
+    :returns: a mapping of service to Callers, for unknown ones all nodes.
     """
-    nodes = Counter()
-    present = 0
+    every, near = Counter(), Counter()
+    present, present_near = 0, 0
     for member in members:
-        if member.present:
-            present += 1
-            if member.endpoint is not None:
-                nodes[member.endpoint.service] += 1
-    listed = Counter()
+        if not member.present:
+            continue
+        is_near = place.tier(member) == SAME_ZONE
+        present += 1
+        present_near += is_near
+        if member.endpoint is not None:
+            every[member.endpoint.service] += 1
+            near[member.endpoint.service] += is_near
+    total, total_near = Counter(), Counter()
     for service in services.values():
         for called in service.calls:
-            listed[called] += nodes[service.name]
-    return Counter({name: listed[name] or present for name in services})
+            total[called] += every[service.name]
+            total_near[called] += near[service.name]
+    anybody = Callers(present, present_near)
+    counted = defaultdict(lambda: anybody)
+    for name in total:
+        if total[name]:
+            counted[name] = Callers(total[name], total_near[name])
+    return counted
--- a/poplarrack/controllers.py
+++ b/poplarrack/controllers.py
@@ -40,7 +40,8 @@
 REPORT_TTL_FACTOR = 3
 SUMMARY_GAP_SECONDS = 0.5
 BRIDGE_COMPARE_SECONDS = 2.0
-UNREACHABLE_SECONDS = 4.0
+SILENT_SECONDS = 1.0
+RETRY_SECONDS = 15.0
 MOVE_GAP_SECONDS = 0.5
 REJOIN_SECONDS = 2.0
 
@@ -421,14 +422,25 @@
     )
 
 
-def unreachable_zones(facts, now):
-    """Return the (region, zone) pairs whose first node stays silent."""
-    silent = set()
-    for node_id in facts.topology.bridges:
-        contact = facts.contacts.get(node_id)
-        member = facts.knowledge.members.members.get(node_id)
-        if contact is None or member is None or not contact.failing_since:
-            continue
-        if now - contact.failing_since >= UNREACHABLE_SECONDS:
-            silent.add((member.region, member.zone))
-    return frozenset(silent)
+def note_failure(contact, now):
+    """Return a contact after one more call without an answer."""
+    since = contact.failing_since
+    if not since or now - since >= RETRY_SECONDS:
+        return replace(contact, failing_since=now, probed=False)
+    return contact
+
+
+def silent_nodes(facts, now):
+    """Return the nodes of other zones that have not answered for a while.
+
+    Each is tried again after some time, since nobody here judges it.
+    """
+    members = facts.knowledge.members.members
+    return frozenset(
+        node_id
+        for node_id, contact in facts.contacts.items()
+        if contact.failing_since
+        and SILENT_SECONDS <= now - contact.failing_since < RETRY_SECONDS
+        and node_id in members
+        and members[node_id].zone != facts.own.zone
+    )
--- a/poplarrack/nodes.py
+++ b/poplarrack/nodes.py
@@ -18,7 +18,8 @@
 from poplarrack.blackboards import Lifecycle
 from poplarrack.call_tables import derive_call_table
 from poplarrack.controllers import CONTROLLERS
-from poplarrack.controllers import unreachable_zones
+from poplarrack.controllers import note_failure
+from poplarrack.controllers import silent_nodes
 from poplarrack.dispatchers import Dispatcher
 from poplarrack.errors import ErrorKind
 from poplarrack.errors import PoplarrackError
@@ -276,7 +277,7 @@
         if answered:
             changed = Contact(answered_at=now)
         else:
-            changed = replace(held, failing_since=held.failing_since or now)
+            changed = note_failure(held, now)
         present = self.knowledge.members.members
         kept = {
             other: contact
@@ -351,7 +352,7 @@
     def _refresh_topology(self):
         """Derive the place anew when what it rests on changed."""
         facts = self.facts
-        silent = unreachable_zones(facts, self.clock())
+        silent = silent_nodes(facts, self.clock())
         basis = (facts.knowledge.members, facts.own.incarnation, silent)
         if basis[0] is self.topology_basis[0] and basis == self.topology_basis:
             return
--- a/poplarrack/topologies.py
+++ b/poplarrack/topologies.py
@@ -12,6 +12,7 @@
 FETCHERS_PER_ZONE = 2
 TREE_DEGREE = 8
 NEIGHBOURS = 4
+SPEAKERS_TRIED = 3
 
 
 @dataclass(frozen=True)
@@ -45,6 +46,14 @@
         return (*up, *self.children, *across)
 
 
+@dataclass(frozen=True)
+class Speaker:
+    """The node that a zone is reached by; ``cut`` when none answers."""
+
+    node_id: str
+    cut: bool
+
+
 def rank_nodes(key, node_ids):
     """Return node ids in rendezvous order for a key."""
     return sorted(node_ids, key=lambda node: (_rank_of(key, node), node))
@@ -55,7 +64,7 @@
     return xxh64_intdigest(f'{key}\0{node_id}'.encode())
 
 
-def derive_topology(own, table, platform_region, unreachable=frozenset()):
+def derive_topology(own, table, platform_region, silent=frozenset()):
     """Derive a node's place from its own record and its table.
 
     The first nodes of zones in one region forward to each other; one of
@@ -64,13 +73,14 @@
 
     :param own: the node's own Member.
     :param platform_region: the region where the platform's store sits.
-    :param unreachable: (region, zone) pairs that do not answer.
+    :param silent: ids of nodes elsewhere that do not answer this one.
     :returns: a Topology.
     """
     ranks = _ranks_by_zone(own, table)
     zone_ranks = ranks[(own.region, own.zone)]
     at = zone_ranks.index(own.node_id)
-    leads = _region_leads(ranks, unreachable - {(own.region, own.zone)})
+    speakers = _speakers(own, ranks, silent)
+    leads = _region_leads(speakers)
     is_lead = leads[own.region] == own.node_id
     roots = tuple(zone_ranks[:FETCHERS_PER_ZONE])
     near_platform = own.region == platform_region or not platform_region
@@ -80,7 +90,7 @@
         parent=zone_ranks[(at - 1) // TREE_DEGREE] if at else None,
         children=tuple(zone_ranks[below]),
         neighbours=_neighbours(own.node_id, zone_ranks),
-        bridges=_bridges(own, ranks, leads) if at < len(roots) else (),
+        bridges=_bridges(own, speakers, leads) if at < len(roots) else (),
         rank=at,
         is_fetcher=at < len(roots) and (near_platform or is_lead),
         is_lead=is_lead,
@@ -101,25 +111,36 @@
     }
 
 
-def _region_leads(ranks, unreachable):
-    """Return the first node of each region's first zone that answers."""
+def _speakers(own, ranks, silent):
+    """Return whom each zone is reached by, and whether it may be cut off."""
+    speakers = {}
+    for place, zone_ranks in ranks.items():
+        first = zone_ranks[:SPEAKERS_TRIED]
+        if place == (own.region, own.zone):
+            first = zone_ranks[:1]
+        heard = [node_id for node_id in first if node_id not in silent]
+        speakers[place] = Speaker((heard or first)[0], not heard)
+    return speakers
+
+
+def _region_leads(speakers):
+    """Return who speaks for each region: its first zone that answers."""
     leads = {}
-    for place in sorted(
-        ranks, key=lambda place: (place in unreachable, place)
-    ):
-        leads.setdefault(place[0], ranks[place][0])
+    ordered = sorted(speakers, key=lambda place: (speakers[place].cut, place))
+    for place in ordered:
+        leads.setdefault(place[0], speakers[place].node_id)
     return leads
 
 
-def _bridges(own, ranks, leads):
+def _bridges(own, speakers, leads):
+    here = (own.region, own.zone)
     near = [
-        zone_ranks[0]
-        for (region, zone), zone_ranks in sorted(ranks.items())
-        if region == own.region and zone != own.zone
+        speaker.node_id
+        for place, speaker in sorted(speakers.items())
+        if place[0] == own.region and place != here
     ]
-    own_first = ranks[(own.region, own.zone)][0]
     far = []
-    if leads[own.region] == own_first:
+    if leads[own.region] == speakers[here].node_id:
         far = [lead for region, lead in leads.items() if region != own.region]
     return tuple(near + far)
 
--- a/poplarrack/upstreams.py
+++ b/poplarrack/upstreams.py
@@ -106,6 +106,8 @@
 
     def on_headers_complete(self):
         """Take the status; an answer to HEAD ends here."""
+        if self.complete:
+            return
         self.answer.status = self.parser.get_status_code()
         if self.size > MAX_HEADER_BYTES:
             self._fail(Outcome.TOO_LARGE)
@@ -113,7 +115,9 @@
             self.complete = True
 
     def on_body(self, body):
-        """Collect a part of the body."""
+        """Collect a part of the body; what follows the end is dropped."""
+        if self.complete:
+            return
         self.size += len(body)
         if self.size > self.pool.max_answer_bytes:
             self._fail(Outcome.TOO_LARGE)
--- /dev/null
+++ b/tests/test_balancers.py
@@ -0,0 +1,180 @@
+"""Check choice, limits, queues, budgets and routes."""
+
+from collections import Counter
+from random import Random
+
+from poplarrack.balancers import Callers
+from poplarrack.balancers import choose_server
+from poplarrack.balancers import derive_candidates
+from poplarrack.balancers import may_eject
+from poplarrack.balancers import pick_least_loaded
+from poplarrack.balancers import Place
+from poplarrack.balancers import ServerLoad
+from poplarrack.balancers import subset_size
+from poplarrack.limits import AdaptiveLimit
+from poplarrack.limits import CallQueue
+from poplarrack.members import EndpointState
+from poplarrack.resources import Priority
+from poplarrack.resources import Route
+from poplarrack.retries import Attempted
+from poplarrack.retries import Backoff
+from poplarrack.retries import Failure
+from poplarrack.retries import may_retry
+from poplarrack.retries import RetryBudget
+from poplarrack.routers import Router
+from tests.samples import endpoint
+from tests.samples import member
+from tests.support import suite_of
+
+load_tests = suite_of(__name__)
+
+
+def load(address, tier=0, announced_at=-100.0):
+    at = endpoint(address, announced_at=announced_at)
+    return ServerLoad(at, tier, 5.0)
+
+
+def choose(loads, tried=(), now=0.0):
+    return choose_server(loads, pick_least_loaded, now, Random(1), tried)
+
+
+def test_the_nearest_tier_goes_first_and_spills_when_full():
+    near, far = load('n'), load('f', tier=2)
+    assert choose([far, near]) is near
+    near.in_flight = 10
+    assert choose([far, near]) is far
+    far.in_flight = 10
+    assert choose([far, near]) is None
+
+
+def test_a_cold_server_gets_little_until_it_is_warm():
+    cold, warm = load('c', announced_at=0.0), load('w')
+    random = Random(3)
+    drawn = Counter()
+    for _ in range(1000):
+        picked = choose_server([cold, warm], pick_least_loaded, 0.1, random)
+        drawn[picked.endpoint.address] += 1
+    assert drawn['c'] < 250, drawn
+    cold.in_flight = 1
+    assert not cold.admits(0.1) and cold.admits(5.0)
+
+
+def test_ejection_never_empties_a_service():
+    loads = [load(str(number)) for number in range(6)]
+    out = 0
+    for item in loads:
+        for _ in range(6):
+            item.on_failure()
+        if may_eject(item, loads, 0.0):
+            item.eject(0.0)
+            out += 1
+    assert out == 2
+    assert choose(loads, now=0.1) not in loads[:2]
+    assert not may_eject(load('only'), [load('only')], 0.0)
+
+
+def test_a_tried_server_is_taken_again_only_when_alone():
+    one, two = load('1'), load('2')
+    assert choose([one, two], tried=('1',)) is two
+    assert choose([one], tried=('1',)) is one
+
+
+def test_subsets_keep_servers_under_their_connections():
+    members = [
+        member(f's{i}', zone='abcde'[i % 5], endpoint=endpoint(f's{i}'))
+        for i in range(20)
+    ]
+    connections = Counter()
+    for number in range(1000):
+        place = Place(f'n{number}', 'south', 'abcde'[number % 5])
+        found = derive_candidates(
+            place, members, lambda service: Callers(400, 200)
+        )
+        for candidate in found[('front', 'v1')]:
+            connections[candidate.endpoint.address] += number % 5 < 2
+    assert subset_size(20, 500, 110) == 3
+    assert max(connections.values()) <= 110, max(connections.values())
+
+
+def test_leaving_servers_are_no_candidates():
+    leaving = endpoint(state=EndpointState.DRAINING)
+    found = derive_candidates(
+        Place('n', 'south', 'a'),
+        [member('s', endpoint=leaving)],
+        lambda service: Callers(1, 1),
+    )
+    assert not found
+
+
+def test_limits_fall_under_pressure_and_come_back():
+    limit = AdaptiveLimit(10)
+    for moment in range(40):
+        limit.on_pressure(moment * 0.2)
+    assert limit.limit == 1.0 and limit.admits(0)
+    for _ in range(200):
+        limit.on_success(limit.limit)
+    assert limit.limit == 10.0
+
+
+def test_queues_serve_the_important_first_and_refuse_the_rest_early():
+    queue = CallQueue(10)
+    taken = [queue.offer(n, Priority.SHEDDABLE) for n in range(5)]
+    assert taken == [True] * 3 + [False] * 2
+    assert all(queue.offer(n, Priority.CRITICAL) for n in range(10, 17))
+    assert not queue.offer(99, Priority.CRITICAL)
+    assert queue.take() == 10
+    queue.discard(11, Priority.CRITICAL)
+    assert queue.take() == 12
+
+
+def attempted(failure, **more):
+    fields = {'attempts': 1, 'repeatable': False, 'depth': 0, 'deadline': 9.0}
+    return Attempted(failure, **{**fields, **more})
+
+
+def test_retries_by_what_is_sure():
+    budget = RetryBudget()
+    sure = (Failure.NEVER_SENT, Failure.REFUSED)
+    for failure in Failure:
+        allowed = may_retry(attempted(failure), budget, 0.0)
+        assert allowed == (failure in sure), failure
+    lost = attempted(Failure.LOST, repeatable=True)
+    assert may_retry(lost, budget, 0.0)
+    assert not may_retry(lost, budget, 10.0)
+    deep = attempted(Failure.LOST, repeatable=True, depth=1)
+    assert not may_retry(deep, budget, 0.0)
+
+
+def test_the_budget_bounds_retries_to_a_share_of_calls():
+    budget = RetryBudget(share=0.1, reserve=10)
+    retries = 0
+    for _ in range(1000):
+        budget.record_call()
+        retries += budget.take()
+    assert retries <= 111, retries
+
+
+def test_backoff_is_fully_jittered_and_bounded():
+    delays = [Backoff().delay(9, Random(n)) for n in range(500)]
+    assert 0 <= min(delays) < 1 and 9 < max(delays) <= 10
+
+
+def test_routes_match_whole_segments_longest_first():
+    router = Router(
+        sorted(
+            [
+                Route('all', '/', 's'),
+                Route('bag', '/bags', 's', methods=('GET',)),
+                Route('own', '/bags/own', 's'),
+            ],
+            key=lambda route: -len(route.prefix),
+        )
+    )
+    expected = {
+        ('GET', '/bags?x=1'): 'bag',
+        ('GET', '/bags/own/3'): 'own',
+        ('GET', '/bagsful'): 'all',
+        ('POST', '/bags'): 'all',
+    }
+    for (method, target), name in expected.items():
+        assert router.match(method, target).name == name, target
--- /dev/null
+++ b/tests/test_calls.py
@@ -0,0 +1,424 @@
+"""Check the call path against every way to lose or cross an answer."""
+
+import asyncio
+from contextlib import asynccontextmanager
+from random import Random
+import time
+
+from poplarrack.balancers import Candidate
+from poplarrack.call_tables import CallTable
+from poplarrack.call_tables import ServedMove
+from poplarrack.callers import CallServer
+from poplarrack.dispatchers import Dispatcher
+from poplarrack.evidence import Side
+from poplarrack.resources import Priority
+from poplarrack.resources import Route
+from poplarrack.routers import Router
+from tests.samples import endpoint
+from tests.support import suite_of
+
+load_tests = suite_of(__name__)
+
+OK = b'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok'
+ROUTES = (
+    Route('pay', '/pay', 'front', priority=Priority.CRITICAL),
+    Route('jars', '/jars', 'front', repeatable=True),
+    Route('quick', '/quick', 'front', timeout_seconds=0.05),
+)
+
+
+class Server:
+    """A backend server that answers as a script says, byte by byte.
+
+    ``script`` takes the request's bytes and the number of the request and
+    returns bytes to send, None to close at once, or ``'silent'``.
+    """
+
+    def __init__(self, script):
+        self.script = script
+        self.requests = []
+        self.connections = 0
+        self.writers = set()
+
+    async def serve(self, reader, writer):
+        self.connections += 1
+        self.writers.add(writer)
+        try:
+            while True:
+                head = await reader.readuntil(b'\r\n\r\n')
+                self.requests.append(head)
+                answer = self.script(head, len(self.requests))
+                if answer is None:
+                    break
+                if answer == 'silent':
+                    await reader.read()
+                    break
+                writer.write(answer)
+                await writer.drain()
+                if b'cut' in answer:
+                    break
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            writer.close()
+
+
+@asynccontextmanager
+async def path_to(*scripts, **table):
+    """Run a node's call path in front of scripted servers."""
+    servers = [Server(script) for script in scripts]
+    listeners, candidates = [], []
+    for server in servers:
+        listener = await asyncio.start_server(server.serve, '127.0.0.1', 0)
+        listeners.append(listener)
+        port = listener.sockets[0].getsockname()[1]
+        candidates.append(Candidate(endpoint(f'127.0.0.1:{port}'), 0))
+    dispatcher = Dispatcher('n', time.time, Random(1))
+    given = {('front', 'v1'): tuple(candidates)}
+    dispatcher.put_in_force(
+        CallTable(
+            Router(ROUTES), {'front': 'v1'}, **{'candidates': given, **table}
+        )
+    )
+    calls = CallServer(dispatcher, time.monotonic)
+    port = await calls.listen(asyncio.get_running_loop(), '127.0.0.1', 0)
+    try:
+        yield Path(dispatcher, calls, port, servers)
+    finally:
+        calls.listener.close()
+        for listener in listeners:
+            listener.close()
+        for server in servers:
+            for writer in server.writers:
+                writer.close()
+        for connection in list(calls.connections):
+            connection.transport.abort()
+        await asyncio.sleep(0)
+
+
+class Path:
+    """The call path under test and a caller of it."""
+
+    def __init__(self, dispatcher, calls, port, servers):
+        self.dispatcher = dispatcher
+        self.calls = calls
+        self.port = port
+        self.servers = servers
+
+    async def connect(self):
+        return await asyncio.open_connection('127.0.0.1', self.port)
+
+    async def call(self, target, headers='', method='GET', stream=None):
+        """Make a call; return status, headers and body."""
+        reader, writer = stream or await self.connect()
+        writer.write(
+            f'{method} {target} HTTP/1.1\r\nhost: x\r\n{headers}\r\n'.encode()
+        )
+        head = (await reader.readuntil(b'\r\n\r\n')).decode().lower()
+        lines = head.split('\r\n')
+        fields = dict(line.split(': ', 1) for line in lines[1:] if line)
+        size = int(fields.get('content-length', 0)) if method != 'HEAD' else 0
+        body = await reader.readexactly(size)
+        if stream is None:
+            writer.close()
+        return int(lines[0].split()[1]), fields, body
+
+
+def run(test):
+    """Make a coroutine function a test function."""
+
+    def wrapped():
+        asyncio.run(asyncio.wait_for(test(), 20))
+
+    wrapped.__name__ = test.__name__
+    wrapped.__module__ = test.__module__
+    return wrapped
+
+
+def call_id_of(head):
+    for line in head.split(b'\r\n'):
+        if line.startswith(b'poplarrack-call: '):
+            return line.partition(b': ')[2]
+    raise AssertionError(head)
+
+
+def refuse(head, number):
+    mark = call_id_of(head)
+    return (
+        b'HTTP/1.1 503 x\r\npoplarrack-not-run: %s\r\n'
+        b'content-length: 0\r\n\r\n' % mark
+    )
+
+
+@run
+async def test_a_connection_is_kept_for_the_next_call():
+    async with path_to(lambda *request: OK) as path:
+        for _ in range(5):
+            assert (await path.call('/jars'))[2] == b'ok'
+        assert path.servers[0].connections == 1
+
+
+@run
+async def test_what_may_not_be_repeated_runs_at_most_once():
+    cuts = (
+        lambda head, number: None,
+        lambda head, number: (
+            b'HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\ncut'
+        ),
+        lambda head, number: b'HTTP/1.1 200 OK\r\ncut',
+        lambda head, number: b'nonsense cut\r\n\r\n',
+    )
+    for cut in cuts:
+        async with path_to(cut, cut) as path:
+            status, headers, _ = await path.call('/pay')
+            assert status == 502, (cut, status)
+            assert headers['poplarrack-ran'] == 'unknown'
+            assert sum(len(s.requests) for s in path.servers) == 1
+
+
+@run
+async def test_what_may_be_repeated_is_tried_elsewhere():
+    async with path_to(lambda *x: None, lambda *x: OK) as path:
+        for _ in range(4):
+            assert (await path.call('/jars'))[0] == 200
+
+
+@run
+async def test_a_true_refusal_lets_anything_go_elsewhere():
+    async with path_to(refuse, lambda *x: OK) as path:
+        for _ in range(6):
+            assert (await path.call('/pay'))[0] == 200
+        assert path.servers[0].requests, 'the refusing one was tried too'
+
+
+@run
+async def test_a_refusal_with_a_strange_mark_is_not_believed():
+    def stale(head, number):
+        return refuse(
+            head.replace(b'poplarrack-call: n', b'poplarrack-call: m'), 1
+        )
+
+    async with path_to(stale, stale) as path:
+        status, headers, _ = await path.call('/pay')
+        assert status == 503
+        assert 'poplarrack-not-run' not in headers
+        assert sum(len(s.requests) for s in path.servers) == 1
+
+
+@run
+async def test_refused_everywhere_is_answered_as_not_run_with_the_mark():
+    async with path_to(refuse) as path:
+        status, headers, _ = await path.call('/pay', 'poplarrack-call: c7\r\n')
+        assert status == 503
+        assert headers['poplarrack-not-run'] == 'c7'
+
+
+@run
+async def test_a_call_that_may_have_run_is_never_called_not_run():
+    def lose_then_refuse(head, number):
+        return None if number == 1 else refuse(head, number)
+
+    async with path_to(lose_then_refuse) as path:
+        status, headers, _ = await path.call(
+            '/jars', 'poplarrack-call: c7\r\n'
+        )
+        assert len(path.servers[0].requests) > 1
+        assert headers['poplarrack-ran'] == 'unknown', headers
+        assert 'poplarrack-not-run' not in headers
+
+
+@run
+async def test_a_late_answer_reaches_nobody():
+    release = asyncio.Event()
+
+    class Late(Server):
+        async def serve(self, reader, writer):
+            self.connections += 1
+            head = await reader.readuntil(b'\r\n\r\n')
+            self.requests.append(head)
+            if b'/quick' in head:
+                await release.wait()
+                writer.write(OK.replace(b'ok', b'no'))
+            else:
+                writer.write(OK)
+
+    async with path_to(lambda *x: OK) as path:
+        late = Late(None)
+        listener = await asyncio.start_server(late.serve, '127.0.0.1', 0)
+        port = listener.sockets[0].getsockname()[1]
+        table = path.dispatcher.table
+        from dataclasses import replace
+
+        only = (Candidate(endpoint(f'127.0.0.1:{port}'), 0),)
+        path.dispatcher.put_in_force(
+            replace(table, candidates={('front', 'v1'): only})
+        )
+        status, headers, _ = await path.call('/quick')
+        assert status == 504 and headers['poplarrack-ran'] == 'unknown'
+        release.set()
+        assert (await path.call('/jars'))[2] == b'ok'
+        assert late.connections == 2
+        listener.close()
+
+
+@run
+async def test_two_answers_to_one_request_drop_the_connection():
+    async with path_to(lambda *x: OK + OK.replace(b'ok', b'no')) as path:
+        for _ in range(3):
+            assert (await path.call('/jars'))[2] == b'ok'
+        assert path.servers[0].connections == 3
+
+
+@run
+async def test_pipelined_calls_are_answered_in_order():
+    def echo(head, number):
+        target = head.split(b' ')[1]
+        return b'HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n%s' % (
+            len(target),
+            target,
+        )
+
+    async with path_to(echo) as path:
+        reader, writer = await path.connect()
+        for number in range(8):
+            writer.write(b'GET /jars/%d HTTP/1.1\r\nhost: x\r\n\r\n' % number)
+        for number in range(8):
+            head = await reader.readuntil(b'\r\n\r\n')
+            assert b' 200 ' in head
+            assert await reader.readexactly(7) == b'/jars/%d' % number
+        writer.close()
+
+
+@run
+async def test_head_and_no_content_have_no_body():
+    async with path_to(
+        lambda head, n: (
+            OK[:-2]
+            if head.startswith(b'HEAD')
+            else b'HTTP/1.1 204 No Content\r\n\r\n'
+        )
+    ) as path:
+        assert (await path.call('/jars', method='HEAD'))[0] == 200
+        assert (await path.call('/jars'))[0] == 204
+
+
+@run
+async def test_a_caller_that_goes_away_cancels_its_call():
+    async with path_to(lambda *x: 'silent') as path:
+        reader, writer = await path.connect()
+        writer.write(b'GET /jars HTTP/1.1\r\nhost: x\r\n\r\n')
+        while not path.servers[0].requests:
+            await asyncio.sleep(0)
+        writer.close()
+        while path.dispatcher.in_flight:
+            await asyncio.sleep(0)
+        assert path.dispatcher.counts['cancelled'] == 1
+        load = next(iter(path.dispatcher.servers.values()))
+        assert load.in_flight == 0
+
+
+@run
+async def test_requests_over_the_bounds_are_refused():
+    async with path_to(lambda *x: OK) as path:
+        big = 'x-big: ' + 'y' * 40_000 + '\r\n'
+        assert (await path.call('/jars', big))[0] == 413
+        body = 'content-length: 2000000\r\n'
+        reader, writer = await path.connect()
+        writer.write(f'POST /jars HTTP/1.1\r\nhost: x\r\n{body}\r\n'.encode())
+        writer.write(b'z' * 1_100_000)
+        assert b' 413 ' in await reader.readline()
+        assert (await path.call('/none'))[0] == 404
+        assert not path.servers[0].requests
+
+
+@run
+async def test_callers_may_not_set_what_only_nodes_set():
+    async with path_to(lambda *x: OK) as path:
+        await path.call(
+            '/jars',
+            'poplarrack-not-run: 1\r\nconnection: x-hop\r\nx-hop: 1\r\n',
+        )
+        head = path.servers[0].requests[0]
+        assert b'not-run' not in head and b'x-hop' not in head
+        assert b'poplarrack-depth: 1' in head
+
+
+@run
+async def test_only_the_first_of_a_chain_repeats_what_may_have_run():
+    async with path_to(lambda *x: None) as path:
+        await path.call('/jars', 'poplarrack-depth: 3\r\n')
+        assert len(path.servers[0].requests) == 1
+
+
+@run
+async def test_a_slow_caller_is_cut_off():
+    async with path_to(lambda *x: OK) as path:
+        reader, writer = await path.connect()
+        writer.write(b'GET /jars HTTP/1.1\r\nhost')
+        while not any(c.request for c in path.calls.connections):
+            await asyncio.sleep(0)
+        path.calls.expire(time.monotonic() + 60)
+        assert b' 400 ' in await reader.readline()
+
+
+@run
+async def test_drain_answers_what_is_under_way_and_closes():
+    gate = asyncio.Event()
+
+    class Slow(Server):
+        async def serve(self, reader, writer):
+            self.requests.append(await reader.readuntil(b'\r\n\r\n'))
+            await gate.wait()
+            writer.write(OK)
+
+    async with path_to(lambda *x: OK) as path:
+        slow = Slow(None)
+        listener = await asyncio.start_server(slow.serve, '127.0.0.1', 0)
+        port = listener.sockets[0].getsockname()[1]
+        from dataclasses import replace
+
+        only = (Candidate(endpoint(f'127.0.0.1:{port}'), 0),)
+        path.dispatcher.put_in_force(
+            replace(path.dispatcher.table, candidates={('front', 'v1'): only})
+        )
+        under_way = asyncio.ensure_future(path.call('/pay'))
+        while not slow.requests:
+            await asyncio.sleep(0)
+        path.calls.announce_drain()
+        path.calls.drain()
+        assert not path.calls.drained
+        gate.set()
+        status, headers, body = await under_way
+        assert (status, body) == (200, b'ok')
+        assert headers['connection'] == 'close'
+        while not path.calls.drained:
+            await asyncio.sleep(0)
+        listener.close()
+
+
+@run
+async def test_shares_add_up_over_many_nodes_with_few_calls():
+    went = {Side.OLD: 0, Side.NEW: 0}
+    move = ServedMove('m', 'v1', 'v2', 0.05, True)
+    for node in range(400):
+        dispatcher = Dispatcher(f'n{node}', time.time, Random(node))
+        for _ in range(5):
+            went[Side(dispatcher._draw(move))] += 1
+    assert 80 <= went[Side.NEW] <= 120, went
+
+
+@run
+async def test_a_braked_version_gets_no_call_even_without_the_old():
+    move = {'front': ServedMove('m', 'v1', 'v2', 0.0, True)}
+    async with path_to(lambda *x: OK) as path:
+        from dataclasses import replace
+
+        (held,) = path.dispatcher.table.candidates.values()
+        table = replace(
+            path.dispatcher.table,
+            moves=move,
+            candidates={('front', 'v2'): held},
+        )
+        path.dispatcher.put_in_force(table)
+        status, headers, _ = await path.call('/jars')
+        assert (status, headers['poplarrack-error']) == (503, 'no_endpoint')
--- /dev/null
+++ b/tests/test_nodes.py
@@ -0,0 +1,396 @@
+"""Check nodes on fakes: joins, cuts, deaths, herds and moves."""
+
+import asyncio
+
+from poplarrack.blackboards import Blackboard
+from poplarrack.blackboards import ChildReport
+from poplarrack.blackboards import Contact
+from poplarrack.blackboards import Facts
+from poplarrack.blackboards import Sent
+from poplarrack.controllers import build_report
+from poplarrack.controllers import detect_failures
+from poplarrack.controllers import rejoin_others
+from poplarrack.controllers import send_report
+from poplarrack.decisions import ProbeThrough
+from poplarrack.decisions import Publish
+from poplarrack.decisions import Rejoin
+from poplarrack.errors import ErrorKind
+from poplarrack.evidence import Verdict
+from poplarrack.fakes import FakeMesh
+from poplarrack.fakes import run_virtual
+from poplarrack.fakes import start_mesh
+from poplarrack.knowledge import Knowledge
+from poplarrack.members import MemberState
+from poplarrack.members import refute
+from poplarrack.messages import Report
+from poplarrack.messages import Updates
+from poplarrack.settings import NodeSettings
+from poplarrack.settings import PlatformSettings
+from poplarrack.topologies import derive_topology
+from poplarrack.topologies import Topology
+from tests.samples import CHANGES
+from tests.samples import endpoint
+from tests.samples import member
+from tests.samples import route
+from tests.samples import table
+from tests.support import raises
+from tests.support import suite_of
+
+load_tests = suite_of(__name__)
+
+ZONES = (
+    ('south', 'a'),
+    ('south', 'b'),
+    ('north', 'd'),
+    ('north', 'e'),
+)
+
+
+def on_fakes(test, count=16, seed=7):
+    """Make a coroutine function of a started mesh a test function."""
+
+    async def build(clock):
+        await test(await start_mesh(clock, seed, count, ZONES, CHANGES))
+
+    def wrapped():
+        run_virtual(build)
+
+    wrapped.__name__ = test.__name__
+    wrapped.__module__ = test.__module__
+    return wrapped
+
+
+def change(mesh, number):
+    return mesh.put({'t/routes/front': route(timeout_seconds=number)})
+
+
+def present(node):
+    members = node.knowledge.members.members.values()
+    return sum(item.present for item in members)
+
+
+def apart(*zones):
+    return lambda one, other: (one[1] in zones) != (other[1] in zones)
+
+
+@on_fakes
+async def test_a_change_is_in_force_everywhere_by_one_copy_over_the_link(mesh):
+    before = mesh.tally.link_bytes
+    took = await mesh.await_revision(change(mesh, 2), 5)
+    assert took < 1
+    assert mesh.tally.link_bytes - before < 3000
+
+
+@on_fakes
+async def test_lost_repeated_and_late_messages_only_delay(mesh):
+    mesh.disturbance.loss = 0.2
+    mesh.disturbance.repeat = 0.2
+    mesh.disturbance.late_seconds = 0.3
+    seen = {}
+
+    def observe(node):
+        revision = node.knowledge.configuration.revision
+        name = node.settings.node_id
+        assert revision >= seen.get(name, 0), 'went back'
+        seen[name] = revision
+
+    mesh.observers.append(observe)
+    for number in range(2, 6):
+        change(mesh, number)
+        await asyncio.sleep(0.2)
+    mesh.disturbance.loss = 0.05
+    await mesh.await_revision(change(mesh, 9), 5)
+    assert len(seen) == 16
+
+
+@on_fakes
+async def test_a_bad_version_is_refused_everywhere_and_shown(mesh):
+    good = max(mesh.revisions().values())
+    mesh.put({'t/routes/front': route(target='none')})
+    await asyncio.sleep(5)
+    assert set(mesh.revisions().values()) == {good}
+    values = [
+        item.value
+        for item in mesh.stand_in.store.range('/poplarrack/zones/south')
+    ]
+    assert all(b'no service' in value for value in values), values
+    await mesh.await_revision(change(mesh, 3), 5)
+
+
+@on_fakes
+async def test_a_zone_cut_off_serves_on_and_catches_up(mesh):
+    zone_a = [name for name in mesh.nodes if name.startswith('a-')]
+    held = max(mesh.revisions().values())
+    mesh.disturbance.cut = apart('a')
+    for name in zone_a:
+        mesh.clients[name].cut = True
+    revision = change(mesh, 2)
+    rest = [name for name in mesh.nodes if name not in zone_a]
+    await mesh.await_revision(revision, 10, rest)
+    fresh = mesh.add_node('a-fresh', 'south', 'a', zone_a[:2])
+    mesh.clients['a-fresh'].cut = True
+    await asyncio.sleep(30)
+    assert {mesh.revisions()[name] for name in zone_a} == {held}
+    assert fresh.knowledge.configuration.revision == held
+    assert fresh.ready
+    mesh.disturbance.cut = None
+    for name in (*zone_a, 'a-fresh'):
+        mesh.clients[name].cut = False
+    assert await mesh.await_revision(revision, 5) <= 5
+    await mesh.await_condition(
+        lambda: all(present(node) == 17 for node in mesh.nodes.values()), 30
+    )
+
+
+@on_fakes
+async def test_a_region_cut_off_heals_without_a_burst(mesh):
+    mesh.disturbance.cut = lambda one, other: one[0] != other[0]
+    for name, node in mesh.nodes.items():
+        mesh.clients[name].cut = node.settings.region == 'north'
+    for number in range(2, 12):
+        revision = change(mesh, number)
+        await asyncio.sleep(6)
+    before = mesh.tally.link_bytes
+    mesh.disturbance.cut = None
+    for client in mesh.clients.values():
+        client.cut = False
+    assert await mesh.await_revision(revision, 5) <= 5
+    assert mesh.tally.link_bytes - before < 50_000
+
+
+@on_fakes
+async def test_fetchers_killed_in_the_middle_of_a_fan_out(mesh):
+    roots = {
+        node.facts.topology.roots[0]
+        for node in mesh.nodes.values()
+        if node.facts.topology.roots
+    }
+    revision = change(mesh, 2)
+    await asyncio.sleep(0.055)
+    for name in roots:
+        mesh.kill(name)
+    assert await mesh.await_revision(revision, 5) <= 5
+    left = len(mesh.nodes)
+    await mesh.await_condition(
+        lambda: all(present(node) == left for node in mesh.nodes.values()), 20
+    )
+    assert await mesh.await_revision(change(mesh, 3), 5) <= 5
+
+
+@on_fakes
+async def test_a_zone_restarted_as_one_comes_back_from_its_peers(mesh):
+    zone_b = [name for name in mesh.nodes if name.startswith('b-')]
+    for name in zone_b:
+        mesh.kill(name)
+    held = max(mesh.revisions().values())
+    calls = sum(client.calls for client in mesh.clients.values())
+    for name in zone_b:
+        mesh.add_node(name, 'south', 'b', ['a-0', 'a-4'])
+    await mesh.await_revision(held, 5)
+    await mesh.await_condition(
+        lambda: all(present(node) == 16 for node in mesh.nodes.values()), 15
+    )
+    spent = sum(client.calls for client in mesh.clients.values()) - calls
+    assert spent < 60, spent
+
+
+@on_fakes
+async def test_an_outage_at_the_change_and_a_death_together(mesh):
+    from dataclasses import replace
+
+    stand_in = mesh.stand_in
+    stand_in.faults = replace(stand_in.faults, outage=True)
+    revision = change(mesh, 2)
+    lead = next(
+        name for name, n in mesh.nodes.items() if n.facts.topology.is_worker
+    )
+    mesh.kill(lead)
+    fresh = mesh.add_node('a-fresh', 'south', 'a', ['a-4', 'a-8'])
+    await asyncio.sleep(20)
+    assert fresh.ready, 'peers alone suffice'
+    stand_in.faults = replace(stand_in.faults, outage=False)
+    assert await mesh.await_revision(revision, 5) <= 5
+
+
+@on_fakes
+async def test_a_paused_node_is_buried_and_revives_itself(mesh):
+    name = 'a-8'
+    mesh.paused.add(name)
+    others = [node for other, node in mesh.nodes.items() if other != name]
+    await mesh.await_condition(
+        lambda: all(
+            node.knowledge.members.members[name].state is MemberState.DEAD
+            for node in others
+        ),
+        15,
+    )
+    mesh.paused.discard(name)
+    await mesh.await_condition(
+        lambda: all(
+            node.knowledge.members.members[name].state is MemberState.ALIVE
+            for node in others
+        ),
+        15,
+    )
+
+
+@on_fakes
+async def test_a_leaving_server_is_out_of_use_within_three_seconds(mesh):
+    node = mesh.nodes['a-4']
+    node.announce(endpoint('127.0.0.1:5', announced_at=mesh.clock()))
+
+    def in_use():
+        return [
+            name
+            for name, other in mesh.nodes.items()
+            if '127.0.0.1:5' in other.dispatcher.servers
+        ]
+
+    await mesh.await_condition(lambda: len(in_use()) == 16, 3)
+    node.leave()
+    assert await mesh.await_condition(lambda: not in_use(), 3) < 3
+
+
+@on_fakes
+async def test_a_silent_server_is_forgotten(mesh):
+    node = mesh.nodes['a-4']
+    node.announce(endpoint('127.0.0.1:5', announced_at=mesh.clock()))
+    await asyncio.sleep(0.5)
+    assert node.facts.own.endpoint is not None
+    await asyncio.sleep(4)
+    assert node.facts.own.endpoint is None
+
+
+@on_fakes
+async def test_a_verdict_in_a_cut_off_zone_is_final_everywhere(mesh):
+    mesh.disturbance.cut = apart('e')
+    verdict = Verdict('m1', 'front', 'failures', 9.0, mesh.clock(), 'e-3')
+    mesh.nodes['e-3'].absorb(Updates('e-3', verdicts=(verdict,)))
+    await asyncio.sleep(3)
+    zone_e = [n for name, n in mesh.nodes.items() if name.startswith('e-')]
+    assert all('m1' in node.knowledge.verdicts for node in zone_e)
+    mesh.disturbance.cut = None
+    await mesh.await_condition(
+        lambda: all(
+            'm1' in node.knowledge.verdicts for node in mesh.nodes.values()
+        ),
+        10,
+    )
+
+
+def test_nodes_that_start_at_once_find_each_other():
+    async def build(clock):
+        mesh = FakeMesh(clock, 3)
+        mesh.put(CHANGES)
+        names = [f'a-{number}' for number in range(12)]
+        for name in names:
+            mesh.add_node(name, 'south', 'a', names[:2])
+        await mesh.await_condition(
+            lambda: all(present(node) == 12 for node in mesh.nodes.values()),
+            15,
+        )
+
+    run_virtual(build)
+
+
+# Controllers and places, without any clock.
+
+SETTINGS = NodeSettings(
+    'n', 'south', 'a', 'n', '', '', '', PlatformSettings(()), ('s1',)
+)
+
+
+def facts(topology, members=(), **more):
+    knowledge = Knowledge(members=table(*members))
+    return Facts(
+        SETTINGS, member('n'), knowledge=knowledge, topology=topology, **more
+    )
+
+
+def test_a_second_root_does_not_count_the_reports_of_other_zones():
+    old = {'b-1': ChildReport(Report('b-1', 4, 2), 10.0)}
+    second = facts(Topology(rank=1, bridges=('b-1',)), reports=old)
+    assert build_report(second, 11.0).nodes == 1
+    first = facts(Topology(rank=0, bridges=('b-1',)), reports=old)
+    assert build_report(first, 11.0).nodes == 5
+    assert build_report(first, 99.0).nodes == 1, 'and not for ever'
+
+
+def test_a_report_goes_at_once_to_a_new_parent():
+    report = build_report(facts(Topology()), 1.0)
+    sent = Sent(report, 9.8, ('p1',))
+    same = facts(Topology(rank=3, parent='p1'), sent=sent)
+    moved = facts(Topology(rank=3, parent='p2'), sent=sent)
+    assert not list(send_report(same, 10.0))
+    assert list(send_report(moved, 10.0))
+
+
+def test_a_node_that_hears_nobody_accuses_nobody():
+    names = ('x', 'y', 'z')
+    members = [member(name) for name in names]
+    silent = {name: Contact(0.0, 1.0, True) for name in names}
+    topology = Topology(neighbours=names, zone_size=4)
+    cut_off = facts(topology, members, contacts=silent)
+    assert not list(detect_failures(cut_off, 10.0))
+    one = facts(topology, members, contacts={'x': Contact(0.0, 1.0)})
+    assert list(detect_failures(one, 10.0)) == [ProbeThrough('x', ('y', 'z'))]
+    probed = facts(topology, members, contacts={'x': Contact(0.0, 1.0, True)})
+    (accusation,) = detect_failures(probed, 10.0)
+    assert isinstance(accusation, Publish)
+    assert accusation.members[0].state is MemberState.SUSPECT
+
+
+def test_the_lonely_and_the_roots_look_for_others():
+    assert list(rejoin_others(facts(Topology()), 10.0)) == [
+        Rejoin(('s1',), True)
+    ]
+    dead = [member('d', state=MemberState.DEAD), member('s1')]
+    root = Topology(roots=('n', 'm'), zone_size=4)
+    assert list(rejoin_others(facts(root, dead), 10.0)) == [
+        Rejoin(('d',), False)
+    ]
+
+
+def test_an_accused_node_raises_its_own_record_only():
+    own = member('n')
+    assert refute(own, table(member('n'))) is None
+    suspect = table(member('n', state=MemberState.SUSPECT))
+    assert refute(own, suspect).sequence == 2
+    ahead = table(member('n', incarnation=9, state=MemberState.LEFT))
+    assert refute(own, ahead).incarnation == 10
+
+
+def test_trees_reach_everybody_once_and_the_link_is_crossed_once():
+    places = [('south', zone) for zone in 'abc'] + [('north', 'd')]
+    members = [
+        member(f'{zone}-{number}', zone=zone, region=region)
+        for region, zone in places
+        for number in range(60)
+    ]
+    known = table(*members)
+    hops = {
+        item.node_id: derive_topology(item, known, 'south') for item in members
+    }
+    start = next(name for name, place in hops.items() if place.is_first)
+    reached, edge, crossings = {start}, [(start, None)], 0
+    while edge:
+        name, source = edge.pop()
+        for target in hops[name].next_hops():
+            crosses = name[0] == 'd' or target[0] == 'd'
+            crossings += crosses and name[0] != target[0]
+            if target != source and target not in reached:
+                reached.add(target)
+                edge.append((target, name))
+    assert len(reached) == 240
+    fetchers = [name for name, place in hops.items() if place.is_fetcher]
+    assert len(fetchers) == 7, 'two a zone at home, one in the other region'
+    assert crossings <= 2, 'there and back'
+    assert sum(place.is_worker for place in hops.values()) == 1
+
+
+def test_a_section_has_one_writer():
+    board = Blackboard(facts(Topology()))
+    error = raises(
+        ErrorKind.INTERNAL, lambda: board.write('calls', topology=Topology())
+    )
+    assert 'topology' in error.detail
