--- a/poplarrack/benches.py
+++ b/poplarrack/benches.py
@@ -12,7 +12,10 @@
 from poplarrack.errors import PoplarrackError
 
 CASES = {}
-CASE_MODULES = ('poplarrack.bench_calls',)
+CASE_MODULES = (
+    'poplarrack.bench_calls',
+    'poplarrack.bench_configurations',
+)
 EXIT_MISSED = 3
 
 
--- a/poplarrack/controllers.py
+++ b/poplarrack/controllers.py
@@ -39,7 +39,7 @@
 REPORT_GAP_SECONDS = 0.1
 REPORT_TTL_FACTOR = 3
 SUMMARY_GAP_SECONDS = 0.5
-BRIDGE_COMPARE_SECONDS = 2.0
+BRIDGE_TURNS = 3
 SILENT_SECONDS = 1.0
 RETRY_SECONDS = 15.0
 MOVE_GAP_SECONDS = 0.5
@@ -65,8 +65,8 @@
     if topology.neighbours:
         turn = sent.compare_turn % len(topology.neighbours)
         yield Compare(topology.neighbours[turn])
-    if topology.bridges and sent.compare_turn % 2 == 0:
-        turn = (sent.compare_turn // 2) % len(topology.bridges)
+    if topology.bridges and sent.compare_turn % BRIDGE_TURNS == 0:
+        turn = (sent.compare_turn // BRIDGE_TURNS) % len(topology.bridges)
         yield Compare(topology.bridges[turn])
 
 
@@ -199,8 +199,6 @@
     busy = Counter()
     for item in (*facts.busy, *(b for r in reports for b in r.busy)):
         busy[(item.service, item.version)] += item.in_flight
-    own_lag = (Lag(facts.own.node_id, revision),)
-    lags = (*own_lag, *(lag for item in reports for lag in item.lags))
     lowest = min([revision, *(item.lowest_revision for item in reports)])
     rejections = [r for item in reports for r in item.rejections]
     if facts.knowledge.rejection:
@@ -209,18 +207,31 @@
         facts.own.node_id,
         1 + sum(item.nodes for item in reports),
         lowest,
-        tuple(sorted(lags, key=lambda lag: lag.revision)[:MAX_LAGS]),
+        _collect_lags(facts.own.node_id, revision, reports),
         tuple(dict.fromkeys(rejections))[:MAX_LAGS],
         merge_cells([facts.cells, *(item.cells for item in reports)]),
         tuple(Busy(*key, number) for key, number in sorted(busy.items())),
     )
 
 
+def _collect_lags(node_id, revision, reports):
+    """Return the nodes furthest behind the newest version seen."""
+    lags = [Lag(node_id, revision)]
+    for item in reports:
+        lags.extend(item.lags or [Lag(item.node_id, item.lowest_revision)])
+    newest = max(lag.revision for lag in lags)
+    behind = [lag for lag in lags if lag.revision < newest]
+    return tuple(sorted(behind, key=lambda lag: lag.revision)[:MAX_LAGS])
+
+
 def _receivers(facts):
     topology = facts.topology
     if topology.parent:
         return (topology.parent,)
-    return topology.bridges if topology.is_first else ()
+    if not topology.is_first:
+        return ()
+    # A lead hears from its region and tells the other one's.
+    return topology.far_leads if topology.is_lead else (topology.lead,)
 
 
 @controller('reports')
--- a/poplarrack/nodes.py
+++ b/poplarrack/nodes.py
@@ -33,6 +33,7 @@
 from poplarrack.messages import Updates
 from poplarrack.moves import is_live
 from poplarrack.performers import PERFORMERS
+from poplarrack.performers import SummaryLease
 from poplarrack.snapshots import SnapshotHistory
 from poplarrack.topologies import derive_topology
 
@@ -86,7 +87,7 @@
         self.place = Place(own.node_id, own.region, own.zone)
         self.history = SnapshotHistory()
         self.fetcher = None
-        self.summary_lease = 0
+        self.summary_lease = SummaryLease()
         self.dispatcher = Dispatcher(
             own.node_id,
             self.clock,
--- a/poplarrack/performers.py
+++ b/poplarrack/performers.py
@@ -1,6 +1,7 @@
 """Carry out what controllers decide."""
 
 import asyncio
+from dataclasses import dataclass
 from dataclasses import replace
 import logging
 
@@ -39,6 +40,14 @@
 PERFORMERS = {}
 
 
+@dataclass(frozen=True)
+class SummaryLease:
+    """The lease of a zone's summary and when to renew it, in seconds."""
+
+    lease_id: int = 0
+    renew_at: float = 0.0
+
+
 def performs(decision_type):
     """Register the coroutine that carries out a type of decision."""
 
@@ -190,12 +199,22 @@
 
 
 def _put_summary(node, summary):
+    """Put a summary; the lease is renewed well before it lapses."""
     platform = node.links.platform
-    if not node.summary_lease or not platform.keep_lease(node.summary_lease):
-        node.summary_lease = platform.grant_lease(SUMMARY_TTL_SECONDS)
+    now = node.clock()
+    if now >= node.summary_lease.renew_at:
+        node.summary_lease = _renew_lease(node.summary_lease, platform, now)
     key = f'{ZONE_PREFIX}{summary.region}/{summary.zone}'
     value = encode_summary(summary)
-    platform.put_unguarded(Operation(key, value, node.summary_lease))
+    lease_id = node.summary_lease.lease_id
+    platform.put_unguarded(Operation(key, value, lease_id))
+
+
+def _renew_lease(held, platform, now):
+    lease_id = held.lease_id
+    if not lease_id or not platform.keep_lease(lease_id):
+        lease_id = platform.grant_lease(SUMMARY_TTL_SECONDS)
+    return SummaryLease(lease_id, now + SUMMARY_TTL_SECONDS / 3)
 
 
 @performs(Watch)
--- a/poplarrack/platform_stand_ins.py
+++ b/poplarrack/platform_stand_ins.py
@@ -88,13 +88,13 @@
         if path == '/faults':
             self.faults = replace(self.faults, **body)
             return self._answer(start_response, 200, {})
-        self.counts[path] += 1
         return self._serve(path, body, start_response)
 
     def _serve(self, path, body, start_response):
         if self.faults.delay_seconds:
             time.sleep(self.faults.delay_seconds)
         if path == '/v3/watch' and not self.faults.outage:
+            self.counts[path] += 1
             start_response('200 OK', [('Content-Type', 'application/json')])
             return self._watch(body['create_request'])
         status, answer = self.answer(path, body)
@@ -102,6 +102,7 @@
 
     def answer(self, path, body):
         """Return status and answer of any call but a watch."""
+        self.counts[path] += 1
         if self.faults.outage:
             return 503, {'error': 'outage'}
         if not self._admit(path):
--- a/poplarrack/platforms.py
+++ b/poplarrack/platforms.py
@@ -41,6 +41,10 @@
 WRITE_ID_TTL_SECONDS = 300
 WRITE_ATTEMPTS = 4
 
+# What HTTP and TCP add to a call and to a line of a watch, about.
+HEADER_BYTES = 400
+CHUNK_BYTES = 80
+
 STATUS_KINDS = {
     404: ErrorKind.NOT_FOUND,
     410: ErrorKind.COMPACTED,
@@ -77,6 +81,7 @@
         self.circuit = Circuit()
         self.backoff = Backoff()
         self.calls = 0
+        self.bytes = 0
         self.lock = Lock()
         self.pool = PoolManager(
             maxsize=4,
@@ -156,6 +161,7 @@
         response = self._open('/v3/watch', {'create_request': request}, True)
         try:
             for line in _lines(response):
+                self.bytes += len(line) + CHUNK_BYTES
                 yield _unpack_batch(loads(line)['result'])
         except HTTPError as error:
             raise PoplarrackError(
@@ -189,6 +195,7 @@
 
     def _call(self, path, body):
         response = self._open(path, body, False)
+        self.bytes += len(dumps(body)) + len(response.data) + HEADER_BYTES
         return loads(response.data)
 
     def _open(self, path, body, streamed):
--- a/poplarrack/settings.py
+++ b/poplarrack/settings.py
@@ -36,7 +36,7 @@
 
     addresses: tuple[str, ...]
     region: str = ''
-    summary_seconds: float = 3.0
+    summary_seconds: float = 5.0
 
 
 @dataclass(frozen=True)
@@ -46,7 +46,7 @@
     compare_seconds: float = 1.0
     call_timeout_seconds: float = 0.8
     suspect_seconds: float = 3.0
-    report_seconds: float = 5.0
+    report_seconds: float = 10.0
     evidence_seconds: float = 1.0
 
 
--- a/poplarrack/topologies.py
+++ b/poplarrack/topologies.py
@@ -28,6 +28,8 @@
     children: tuple[str, ...] = ()
     neighbours: tuple[str, ...] = ()
     bridges: tuple[str, ...] = ()
+    lead: str = ''
+    far_leads: tuple[str, ...] = ()
     rank: int = 0
     is_fetcher: bool = False
     is_lead: bool = False
@@ -91,6 +93,10 @@
         children=tuple(zone_ranks[below]),
         neighbours=_neighbours(own.node_id, zone_ranks),
         bridges=_bridges(own, speakers, leads) if at < len(roots) else (),
+        lead=leads[own.region],
+        far_leads=tuple(
+            lead for region, lead in leads.items() if region != own.region
+        ),
         rank=at,
         is_fetcher=at < len(roots) and (near_platform or is_lead),
         is_lead=is_lead,
@@ -100,17 +106,28 @@
 
 
 def _ranks_by_zone(own, table):
+    """Return each zone's present nodes in order, the suspects last.
+
+    A suspect keeps its place in the tree's leaves: should it be alive, it
+    is still sent everything, and nobody waits for it.
+    """
     zones = {(own.region, own.zone): {own.node_id}}
     for member in table.members.values():
         if member.present:
             place = (member.region, member.zone)
             zones.setdefault(place, set()).add(member.node_id)
     return {
-        place: rank_nodes(place[1], node_ids)
+        place: _suspects_last(rank_nodes(place[1], node_ids), table.suspects)
         for place, node_ids in zones.items()
     }
 
 
+def _suspects_last(ranked, suspects):
+    if suspects.isdisjoint(ranked):
+        return ranked
+    return sorted(ranked, key=suspects.__contains__)
+
+
 def _speakers(own, ranks, silent):
     """Return whom each zone is reached by, and whether it may be cut off."""
     speakers = {}
--- a/tests/test_nodes.py
+++ b/tests/test_nodes.py
@@ -183,14 +183,14 @@
     for name in zone_b:
         mesh.kill(name)
     held = max(mesh.revisions().values())
-    calls = sum(client.calls for client in mesh.clients.values())
+    calls = sum(mesh.stand_in.counts.values())
     for name in zone_b:
         mesh.add_node(name, 'south', 'b', ['a-0', 'a-4'])
     await mesh.await_revision(held, 5)
     await mesh.await_condition(
         lambda: all(present(node) == 16 for node in mesh.nodes.values()), 15
     )
-    spent = sum(client.calls for client in mesh.clients.values()) - calls
+    spent = sum(mesh.stand_in.counts.values()) - calls
     assert spent < 60, spent
 
 
