--- /dev/null
+++ b/poplarrack/bench_capacity.py
@@ -0,0 +1,443 @@
+"""Measure slopes and work out what each role costs at a size."""
+
+import asyncio
+from dataclasses import dataclass
+from json import dumps
+from json import loads
+import subprocess
+import sys
+import time
+import tracemalloc
+
+from poplarrack.balancers import Place
+from poplarrack.bench_configurations import build_changes
+from poplarrack.bench_configurations import change_one
+from poplarrack.bench_configurations import read_plain_memory
+from poplarrack.bench_configurations import start_real_nodes
+from poplarrack.bench_configurations import ZONES
+from poplarrack.benches import bench_case
+from poplarrack.benches import Bound
+from poplarrack.benches import percentile
+from poplarrack.benches import Result
+from poplarrack.call_tables import derive_call_table
+from poplarrack.fakes import HEADER_BYTES
+from poplarrack.fakes import run_virtual
+from poplarrack.fakes import start_mesh
+from poplarrack.knowledge import Knowledge
+from poplarrack.knowledge import offer_snapshot
+from poplarrack.loads import read_usage
+from poplarrack.members import Endpoint
+from poplarrack.members import Member
+from poplarrack.members import MemberTable
+from poplarrack.members import merge_members
+from poplarrack.meshes import Mesh
+from poplarrack.messages import Digests
+from poplarrack.messages import DigestsAnswer
+from poplarrack.messages import Updates
+from poplarrack.peers import CODECS
+from poplarrack.peers import PeerClient
+from poplarrack.peers import PeerServer
+from poplarrack.peers import PeerTraffic
+from poplarrack.snapshots import build_snapshot
+from poplarrack.snapshots import diff_snapshots
+from poplarrack.snapshots import Entry
+from poplarrack.snapshots import Snapshot
+from poplarrack.topologies import derive_topology
+
+SERVICES = 51
+CHANGES_A_DAY = 640
+REPLACEMENTS_A_DAY = 64
+SECONDS_A_DAY = 86_400
+CALLS_PER_SECOND_A_NODE = 120
+TICKS_PER_SECOND = 10
+
+CONTROL_CPU_SHARE = 0.02
+CONTROL_MB = 32
+CONTROL_BYTES_PER_SECOND = 3000
+PLATFORM_WRITES_PER_SECOND = 300
+PLATFORM_READS_PER_SECOND = 2000
+LINK_BYTES_PER_SECOND = 30e6 / 8
+
+# What each process holds on top of the one before it, in this order.
+LAYERS = {
+    'interpreter': '',
+    'call_path': (
+        'import asyncio\n'
+        'from poplarrack.callers import CallServer\n'
+        'from poplarrack.dispatchers import Dispatcher'
+    ),
+    'pages': 'from poplarrack.pages import PageServer',
+    'platform_client': 'from poplarrack.platforms import PlatformClient',
+    'logs': 'from poplarrack.logs import configure_logs',
+    'settings': 'import json5',
+    'grpc': 'import grpc.aio',
+    'node': 'from poplarrack.node_servers import NodeServer',
+    'first_scrape': (
+        'from prometheus_client.exposition import generate_latest'
+    ),
+}
+
+
+@dataclass(frozen=True)
+class Slopes:
+    """What was measured; seconds, bytes and megabytes."""
+
+    layer_mb: dict
+    member_bytes: float
+    setting_bytes: float
+    message_cpu: float
+    tick_cpu_base: float
+    tick_cpu_member: float
+    rebuild_cpu_member: float
+    change_cpu: float
+    roles: dict
+    join_bytes_member: float
+    whole_bytes: float
+    real: dict
+
+
+def measure_layers():
+    """Return resident megabytes that each layer of libraries adds."""
+    code, before, layers = '', 0.0, {}
+    for name, statement in LAYERS.items():
+        code = f'{code}\n{statement}'
+        sizes = [_resident_mb(code) for _ in range(3)]
+        middle = percentile(sizes, 0.5)
+        layers[name] = middle - before
+        before = middle
+    return layers
+
+
+def _resident_mb(code):
+    process = subprocess.Popen(
+        [sys.executable, '-c', f'{code}\nprint(1, flush=True)\ninput()'],
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+    )
+    try:
+        process.stdout.readline()
+        return read_usage(process.pid).resident_bytes / 1e6
+    finally:
+        process.kill()
+        process.communicate()
+
+
+def build_members(nodes):
+    """Build the records of nodes spread over zones and services."""
+    members = []
+    for number in range(nodes):
+        region, zone = ZONES[number % len(ZONES)]
+        server = Endpoint(
+            f'service-{number % SERVICES}',
+            'v1',
+            f'10.0.{number // 250}.{number % 250}:8080',
+            10,
+            110,
+        )
+        members.append(
+            Member(
+                f'{zone}-{number}',
+                1_796_000_000_000 + number,
+                2,
+                region,
+                zone,
+                f'10.0.{number // 250}.{number % 250}:7001',
+                endpoint=server,
+                operator_address=f'10.0.{number // 250}.{number % 250}:9',
+            )
+        )
+    return members
+
+
+def build_knowledge(nodes):
+    """Build what a node of a mesh of a size holds."""
+    entries = [
+        Entry(path, value, 1) for path, value in build_changes().items()
+    ]
+    known = offer_snapshot(Knowledge(), build_snapshot(1, entries))
+    merged = merge_members(MemberTable(), build_members(nodes))
+    return Knowledge(known.configuration, None, merged.table)
+
+
+def measure_state(nodes):
+    """Return bytes per member (with table entries) and per setting."""
+    tracemalloc.start()
+    start = tracemalloc.get_traced_memory()[0]
+    known = build_knowledge(0)
+    settings = tracemalloc.get_traced_memory()[0]
+    known = build_knowledge(nodes)
+    derive_call_table(Place('a-0', 'south', 'a'), known, 0.0)
+    members = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    count = len(known.configuration.snapshot.entries)
+    grown = max(0, members - settings - (settings - start))
+    return grown / nodes, (settings - start) / count
+
+
+def measure_rebuild(nodes):
+    """Return CPU seconds to derive place and table, per member."""
+    known = build_knowledge(nodes)
+    own = known.members.members['a-0']
+    place = Place('a-0', 'south', 'a')
+
+    def rebuild():
+        derive_topology(own, known.members, 'south')
+        derive_call_table(place, known, 0.0)
+
+    return _cpu_of(rebuild, 20) / nodes
+
+
+def measure_change():
+    """Return CPU seconds to check and take a version."""
+    known = build_knowledge(10)
+    base = known.configuration.snapshot
+    entries = [*base.entries.values()][:-1]
+    other = build_snapshot(2, [*entries, Entry(*_last_entry(base), 2)])
+    return _cpu_of(lambda: offer_snapshot(known, other), 20)
+
+
+def _last_entry(snapshot):
+    entry = [*snapshot.entries.values()][-1]
+    return entry.path, entry.value
+
+
+def _cpu_of(work, times):
+    work()
+    before = time.process_time()
+    for _ in range(times):
+        work()
+    return (time.process_time() - before) / times
+
+
+def measure_message(messages=1500):
+    """Return CPU seconds of one message, both ends, over real gRPC."""
+
+    async def exchange():
+        digests = Digests('a-0', 1, 2, 3, 4)
+
+        async def on_compare(message):
+            return DigestsAnswer(digests)
+
+        server = PeerServer(PeerTraffic(), {'Compare': on_compare})
+        port = await server.listen('127.0.0.1:0')
+        client = PeerClient(PeerTraffic(), 5.0)
+        address = f'127.0.0.1:{port}'
+        for _ in range(100):
+            await client.call(address, 'Compare', digests)
+        before = time.process_time()
+        for _ in range(messages):
+            await client.call(address, 'Compare', digests)
+        spent = time.process_time() - before
+        await client.close()
+        await server.close(0)
+        return spent / messages
+
+    return asyncio.run(exchange())
+
+
+def measure_roles(seed, nodes, seconds=30):
+    """Return messages, bytes and tick CPU by role, idle, on fakes."""
+
+    async def scenario(clock):
+        mesh = await start_mesh(clock, seed, nodes, ZONES, build_changes())
+        messages = mesh.tally.messages.copy()
+        sent = mesh.tally.bytes.copy()
+        link = mesh.tally.link_bytes
+        calls = sum(mesh.stand_in.counts.values())
+        await asyncio.sleep(seconds)
+        roles = {}
+        for name, node in mesh.nodes.items():
+            group = roles.setdefault(role_of(node.facts.topology), [])
+            group.append(
+                (
+                    (mesh.tally.messages[name] - messages[name]) / seconds,
+                    (mesh.tally.bytes[name] - sent[name]) / seconds,
+                )
+            )
+        link = (mesh.tally.link_bytes - link) / seconds
+        calls = (sum(mesh.stand_in.counts.values()) - calls) / seconds
+        node = next(iter(mesh.nodes.values()))
+        tick = _cpu_of(node.tick, 200)
+        before = mesh.tally.link_bytes
+        took = await mesh.await_revision(change_one(mesh, seed), 30)
+        return {
+            'roles': {
+                role: tuple(max(column) for column in zip(*group))
+                for role, group in roles.items()
+            },
+            'link': link,
+            'platform_calls': calls,
+            'tick': tick,
+            'seconds_to_all': took,
+            'change_link_bytes': mesh.tally.link_bytes - before,
+        }
+
+    return run_virtual(scenario)
+
+
+def role_of(topology):
+    """Return the name of the heaviest role that a place brings."""
+    if topology.is_worker:
+        return 'worker'
+    if topology.is_first:
+        return 'zone_first'
+    if topology.is_fetcher:
+        return 'fetcher'
+    return 'parent' if topology.children else 'leaf'
+
+
+def measure_slopes(seed, sizes):
+    """Measure everything once; sizes are those run on fakes."""
+    small, large = (measure_roles(seed, size) for size in sizes)
+    member_bytes, setting_bytes = measure_state(1000)
+    updates = Updates('a', None, tuple(build_members(1000)))
+    codec = CODECS['Push'][0]
+    target = build_knowledge(0).configuration.snapshot
+    whole = Updates('a', diff_snapshots(Snapshot(), target))
+    tick_member = max(
+        0.0, (large['tick'] - small['tick']) / (sizes[1] - sizes[0])
+    )
+    return Slopes(
+        measure_layers(),
+        member_bytes,
+        setting_bytes,
+        measure_message(),
+        large['tick'],
+        tick_member,
+        measure_rebuild(1000),
+        measure_change(),
+        large,
+        len(codec.encode(updates)) / 1000,
+        len(codec.encode(whole)),
+        measure_real(),
+    )
+
+
+def measure_real(nodes=6, seconds=10):
+    """Return idle CPU share and control memory of real processes.
+
+    Messages a node do not grow with the mesh, so that what a process
+    costs at rest here is what it rests on at any size.
+    """
+    settings = {path: loads(value) for path, value in build_changes().items()}
+    with Mesh('bench') as mesh:
+        mesh.start_platform()
+        mesh.ctl('put_all', dumps(settings))
+        start_real_nodes(mesh, nodes)
+        plain = read_plain_memory(mesh)
+        pids = {n: item.process.pid for n, item in mesh.nodes.items()}
+        before = {name: read_usage(pid) for name, pid in pids.items()}
+        time.sleep(seconds)
+        after = {name: read_usage(pid) for name, pid in pids.items()}
+        fetches = {
+            name: mesh.dump(name)['topology']['is_fetcher'] for name in pids
+        }
+    shares = {
+        name: (after[name].cpu_seconds - before[name].cpu_seconds) / seconds
+        for name in pids
+    }
+    resident = [usage.resident_bytes / 1e6 for usage in after.values()]
+    return {
+        'fetcher': max(shares[name] for name in pids if fetches[name]),
+        'other': max(shares[name] for name in pids if not fetches[name]),
+        'resident_mb': max(resident),
+        'control_mb': max(resident) - plain,
+    }
+
+
+def work_out(slopes, nodes, measured_nodes):
+    """Work out each role's cost at a size, from the slopes."""
+    state_mb = (
+        nodes * slopes.member_bytes + 2 * SERVICES * slopes.setting_bytes
+    ) / 1e6
+    tick = (nodes - measured_nodes) * slopes.tick_cpu_member
+    # A replacement is three news: left or dead, joined, announced.
+    news_rate = 3 * REPLACEMENTS_A_DAY / SECONDS_A_DAY
+    rebuild = nodes * slopes.rebuild_cpu_member
+    change_rate = CHANGES_A_DAY / SECONDS_A_DAY
+    grown = (
+        TICKS_PER_SECOND * max(0.0, tick)
+        + news_rate * rebuild
+        + change_rate * (slopes.change_cpu + rebuild)
+    )
+    roles = {}
+    for role, (messages, sent) in sorted(slopes.roles['roles'].items()):
+        plain = role in ('leaf', 'parent')
+        roles[role] = {
+            'messages_per_second': messages,
+            'bytes_per_second': sent,
+            'message_cpu_share': messages * slopes.message_cpu,
+            'cpu_share': slopes.real['other' if plain else 'fetcher'] + grown,
+            'control_mb': slopes.real['control_mb'] + state_mb,
+        }
+    return roles
+
+
+def print_tables(slopes, roles, nodes):
+    """Print the tables that docs/CAPACITY.md is made from."""
+    print('| layer | MB resident, added |')
+    print('| --- | --- |')
+    for name, size in slopes.layer_mb.items():
+        print(f'| {name} | {size:.1f} |')
+    print(
+        f'\n| role at {nodes} nodes | messages/s | bytes/s '
+        '| CPU % of messages | CPU % in all | MB of control |'
+    )
+    print('| --- | --- | --- | --- | --- | --- |')
+    for role, cost in roles.items():
+        print(
+            f'| {role} | {cost["messages_per_second"]:.2f} '
+            f'| {cost["bytes_per_second"]:.0f} '
+            f'| {cost["message_cpu_share"] * 100:.2f} '
+            f'| {cost["cpu_share"] * 100:.2f} | {cost["control_mb"]:.1f} |'
+        )
+    print()
+
+
+@bench_case('capacity')
+def capacity(seed, nodes=1000, small=30, large=90):
+    """Slopes of state, messages, CPU, memory; each role at a size."""
+    slopes = measure_slopes(seed, (small, large))
+    roles = work_out(slopes, nodes, large)
+    print_tables(slopes, roles, nodes)
+    figures = {
+        'nodes': nodes,
+        'member_bytes': slopes.member_bytes,
+        'setting_bytes': slopes.setting_bytes,
+        'message_cpu_ms': slopes.message_cpu * 1e3,
+        'tick_cpu_ms': slopes.tick_cpu_base * 1e3,
+        'tick_cpu_ms_a_member': slopes.tick_cpu_member * 1e3,
+        'rebuild_cpu_ms': slopes.rebuild_cpu_member * nodes * 1e3,
+        'real_resident_mb': slopes.real['resident_mb'],
+        'real_fetcher_cpu_share': slopes.real['fetcher'],
+        'real_other_cpu_share': slopes.real['other'],
+        'change_cpu_ms': slopes.change_cpu * 1e3,
+        'header_bytes_assumed': HEADER_BYTES,
+        'seconds_to_all_measured': slopes.roles['seconds_to_all'],
+        'platform_calls_per_second': slopes.roles['platform_calls'],
+        'link_bytes_per_second': slopes.roles['link'],
+        'link_bytes_a_change': slopes.roles['change_link_bytes'],
+        'join_bytes': nodes * slopes.join_bytes_member + slopes.whole_bytes,
+        'most_bytes_per_second': _most(roles, 'bytes_per_second'),
+        'most_cpu_share': _most(roles, 'cpu_share'),
+        'most_control_mb': _most(roles, 'control_mb'),
+    }
+    # All nodes restarted: each asks the zones' seeds once within 1 s.
+    figures['all_restarted_reads_per_second'] = float(nodes)
+    figures['all_restarted_link_bytes'] = 2 * figures['join_bytes']
+    bounds = {
+        'seconds_to_all_measured': Bound(most=5.0),
+        'most_bytes_per_second': Bound(most=CONTROL_BYTES_PER_SECOND),
+        'most_cpu_share': Bound(most=CONTROL_CPU_SHARE),
+        'most_control_mb': Bound(most=CONTROL_MB),
+        'platform_calls_per_second': Bound(most=PLATFORM_WRITES_PER_SECOND),
+        'all_restarted_reads_per_second': Bound(
+            most=PLATFORM_READS_PER_SECOND
+        ),
+        'link_bytes_per_second': Bound(most=LINK_BYTES_PER_SECOND),
+    }
+    return Result(figures, bounds)
+
+
+def _most(roles, name):
+    return max(cost[name] for cost in roles.values())
