Compare versions within one share; write the docs

Cause: whole counts compare different hours, since the share grows: in a caller's storm good versions were blamed. A small fault spread over routes was too thin on each.

Change: evidence is kept by stage (share), the last stage leaves 10% on the old version, all routes are tested together too, thresholds 1,000, 2,000 and 5,000 by policy.

--- a/poplarrack/dispatchers.py
+++ b/poplarrack/dispatchers.py
@@ -346,15 +346,10 @@
             return
         side = Side.NEW if version == move.to_version else Side.OLD
         telling = not failed and not load.is_cold(now)
-        self.evidence.record(
-            move.move_id,
-            call.route.name,
-            side,
-            load.tier,
-            failed,
-            latency if telling else None,
-            now,
-        )
+        stage = round(move.share * 1000)
+        key = (move.move_id, call.route.name, side, load.tier, stage)
+        told = latency if telling else None
+        self.evidence.record(key, failed, told, now)
 
     def _retries(self, call, failure, now):
         """Try again where that is allowed; say whether it was."""
--- a/poplarrack/evidence.py
+++ b/poplarrack/evidence.py
@@ -24,6 +24,10 @@
 FAILURE_TOLERANCE = 1.25
 LATENCY_TOLERANCE_BUCKETS = 1
 LATENCY_QUANTILES = (0.5, 0.9)
+WHOLE_STAGE = 1000
+ALL_ROUTES = '(all)'
+AFTERWARDS_TOLERANCE = 5.0
+AFTERWARDS_DOUBT = 1000.0
 
 
 class Side(IntEnum):
@@ -38,14 +42,17 @@
     """What calls are counted by.
 
     ``tier`` is the locality of the backend server: 0 same availability
-    zone, 1 same region, 2 another region. ``epoch`` 0 counts the whole
-    move, 1 the latest epochs.
+    zone, 1 same region, 2 another region. ``stage`` is the share in
+    thousandths: while it stays, each call's side is drawn by the same
+    chance, so that both sides see the same hours and storms. ``epoch`` 0
+    counts the whole stage, 1 its latest epochs.
     """
 
     move_id: str
     route: str
     side: Side
     tier: int
+    stage: int
     epoch: int
 
 
@@ -95,14 +102,14 @@
         self.whole = {}
         self.epochs = {}
 
-    def record(self, move_id, route, side, tier, failed, latency, now):
+    def record(self, key, failed, latency, now):
         """Count one finished call.
 
+        :param key: move id, route, side, tier and stage.
         :param latency: seconds, or None where it says nothing of the
             version, as for a failed call or a cold server.
         """
         bucket = None if latency is None else latency_bucket(latency)
-        key = (move_id, route, side, tier)
         counts = self.whole.get(key)
         if counts is None:
             counts = self.whole[key] = _Counts()
@@ -137,9 +144,8 @@
 
 
 def _freeze(key, epoch, counts):
-    move_id, route, side, tier = key
     return Cell(
-        CellKey(move_id, route, side, tier, epoch),
+        CellKey(*key, epoch),
         counts.calls,
         counts.failures,
         dict(counts.latency),
@@ -258,40 +264,33 @@
 
 
 def _examine_route(route, cells):
-    whole_old = _by_tier(cells, Side.OLD, WHOLE)
-    whole_new = _by_tier(cells, Side.NEW, WHOLE)
-    recent_old = _by_tier(cells, Side.OLD, RECENT)
-    recent_new = _by_tier(cells, Side.NEW, RECENT)
+    whole_old = _by_stratum(cells, Side.OLD, WHOLE)
+    whole_new = _by_stratum(cells, Side.NEW, WHOLE)
     if not whole_new:
         return None
-    recent_base = {
-        tier: _thicker(recent_old.get(tier), whole_old.get(tier))
-        for tier in recent_new
-    }
-    views = ((whole_old, whole_new), (recent_base, recent_new))
+    views = (
+        (whole_old, whole_new),
+        (
+            _by_stratum(cells, Side.OLD, RECENT),
+            _by_stratum(cells, Side.NEW, RECENT),
+        ),
+    )
+    failures = [_failure_factor(*view) for view in views]
+    failures.extend(_afterwards_factor(whole_old, new) for _, new in views)
     return Finding(
         route,
         sum(cell.calls for cell in whole_old.values()),
         sum(cell.failures for cell in whole_old.values()),
         sum(cell.calls for cell in whole_new.values()),
         sum(cell.failures for cell in whole_new.values()),
-        max(_failure_factor(*view) for view in views),
+        max(failures),
         max(_latency_factor(*view) for view in views),
     )
 
 
-def _thicker(recent, whole):
-    """Prefer the same interval unless it holds too little of the old."""
-    if whole is None:
-        return recent
-    if recent is None or recent.calls * 4 < whole.calls < 400:
-        return whole
-    return recent if recent.calls >= 30 else whole
-
-
-def _by_tier(cells, side, epoch):
+def _by_stratum(cells, side, epoch):
     return {
-        cell.key.tier: cell
+        (cell.key.route, cell.key.tier, cell.key.stage): cell
         for cell in cells
         if cell.key.side is side and cell.key.epoch == epoch
     }
@@ -299,20 +298,40 @@
 
 def _failure_factor(old, new):
     strata = [
-        Stratum(old[tier].calls, old[tier].failures, cell.calls, cell.failures)
-        for tier, cell in new.items()
-        if old.get(tier)
+        Stratum(old[at].calls, old[at].failures, cell.calls, cell.failures)
+        for at, cell in new.items()
+        if at in old
     ]
     return mixture_factor(strata, FAILURE_TOLERANCE)
 
 
+def _afterwards_factor(old, new):
+    """Compare the whole share's calls with the old version's before.
+
+    Nothing of the old version runs in the same hours any more, so that a
+    caller's storm may look like a fault: far more evidence is asked for.
+    """
+    strata = [
+        Stratum(
+            sum(cell.calls for cell in old.values()),
+            sum(cell.failures for cell in old.values()),
+            cell.calls,
+            cell.failures,
+        )
+        for (_, _, stage), cell in new.items()
+        if stage == WHOLE_STAGE
+    ]
+    factor = mixture_factor(strata, AFTERWARDS_TOLERANCE)
+    return factor / AFTERWARDS_DOUBT
+
+
 def _latency_factor(old, new):
     factors = [
         mixture_factor(
             [
-                _slow_stratum(old[tier].latency, cell.latency, quantile)
-                for tier, cell in new.items()
-                if old.get(tier) and old[tier].latency
+                _slow_stratum(old[at].latency, cell.latency, quantile)
+                for at, cell in new.items()
+                if at in old and old[at].latency
             ]
         )
         for quantile in LATENCY_QUANTILES
@@ -347,8 +366,15 @@
 
 
 def find_fault(move_id, cells, threshold, now, found_by):
-    """Return a Verdict when a route's evidence passes the threshold."""
-    for finding in examine_move(move_id, cells):
+    """Return a Verdict when some evidence passes the threshold.
+
+    Each route is tested, and all of them together, which finds a small
+    fault that is spread over routes sooner.
+    """
+    own = [cell for cell in cells if cell.key.move_id == move_id]
+    together = _examine_route(ALL_ROUTES, own)
+    findings = [*examine_move(move_id, own), *([together] if together else [])]
+    for finding in findings:
         pairs = (
             ('failures', finding.failure_factor),
             ('latency', finding.latency_factor),
--- a/poplarrack/moves.py
+++ b/poplarrack/moves.py
@@ -16,7 +16,8 @@
 LOG_LINES = 24
 MAX_LOG_TEXT = 200
 
-# Part of the time given at which each share begins.
+# Part of the time given at which each share begins. The last one leaves
+# some calls on the old version, to compare with up to the end.
 SCHEDULE = (
     (0.00, 0.01),
     (0.12, 0.02),
@@ -24,8 +25,9 @@
     (0.46, 0.10),
     (0.60, 0.25),
     (0.72, 0.50),
-    (0.82, 1.00),
+    (0.82, 0.90),
 )
+LAST_SHARE = SCHEDULE[-1][1]
 COMPLETE_AT_PART = 0.95
 LAST_CALL_PART = 0.88
 WATCH_PART = 0.5
@@ -59,19 +61,19 @@
 @move_policy
 def take_back_first():
     """Prefer taking a version back; hold when evidence is thin."""
-    return Policy('take_back_first', 300.0, 50, False)
+    return Policy('take_back_first', 1_000.0, 50, False)
 
 
 @move_policy
 def done_in_time():
     """Prefer being done in time; finish when evidence is thin."""
-    return Policy('done_in_time', 3_000.0, 20, True)
+    return Policy('done_in_time', 5_000.0, 20, True)
 
 
 @move_policy
 def balanced():
     """Stand between the two; hold when evidence is thin."""
-    return Policy('balanced', 1_000.0, 30, False)
+    return Policy('balanced', 2_000.0, 30, False)
 
 
 @dataclass(frozen=True)
@@ -148,7 +150,7 @@
             return _wait(move, 'too few warm servers', now, facts)
     if wanted > move.share:
         return _step(move, wanted, policy, facts, now)
-    if move.share >= 1.0 and _may_complete(move, now):
+    if move.share >= LAST_SHARE and _may_complete(move, now):
         return _complete(move, policy, facts, now)
     if move.state is not MoveState.ADVANCING:
         return _change(
