--- a/poplarrack/backend_servers.py
+++ b/poplarrack/backend_servers.py
@@ -49,7 +49,5 @@
     """Announce the leave, serve what still comes, finish, end."""
     await asyncio.to_thread(announcer.announce, draining=True)
     await asyncio.sleep(DRAIN_SECONDS)
-    server.announce_drain()
-    server.drain()
-    while not server.drained:
-        await asyncio.sleep(0.05)
+    await server.drain(asyncio.get_running_loop())
+    await server.await_drained()
--- a/poplarrack/bench_calls.py
+++ b/poplarrack/bench_calls.py
@@ -1,6 +1,12 @@
 """Measure the call path on real processes."""
 
+from collections import Counter
+from itertools import count
 from json import dumps
+from random import Random
+import signal
+from threading import Event
+from threading import Thread
 import time
 
 from poplarrack.benches import bench_case
@@ -14,6 +20,7 @@
 CALLS_PER_SECOND = 120
 WARM_UP_CALLS = 200
 ADDED_P99_MS = 0.48
+REFUSED_PAUSE_SECONDS = 0.05
 
 SETTINGS = {
     'bench/services/front': {
@@ -90,3 +97,138 @@
         figures['through_p99_ms'] - figures['direct_p99_ms']
     )
     return Result(figures, {'added_p99_ms': Bound(most=ADDED_P99_MS)})
+
+
+class Caller(Thread):
+    """Calls one address until told to end, and counts what came of it."""
+
+    def __init__(self, address, ended, keys):
+        super().__init__(daemon=True)
+        self.client = CallClient(address)
+        self.ended = ended
+        self.keys = keys
+        self.counts = Counter()
+
+    def run(self):
+        """Call; a connection that is refused sent nothing."""
+        while not self.ended.is_set():
+            key = next(self.keys)
+            try:
+                status, _ = self.client.call(
+                    '/payments', f'x-call-key: k{key}\r\n'
+                )
+            except ConnectionRefusedError:
+                self.counts['refused'] += 1
+                time.sleep(REFUSED_PAUSE_SECONDS)
+            except OSError:
+                self.counts['lost'] += 1
+            else:
+                self.counts[status] += 1
+
+
+def run_callers(address, number, keys):
+    """Start callers; return them and the event that ends them."""
+    ended = Event()
+    callers = [Caller(address, ended, keys) for _ in range(number)]
+    for caller in callers:
+        caller.start()
+    return callers, ended
+
+
+def end_callers(callers, ended):
+    """End callers and add up what they counted."""
+    ended.set()
+    total = Counter()
+    for caller in callers:
+        caller.join(10)
+        total += caller.counts
+    return total
+
+
+@bench_case('drain')
+def drain(seed, callers=16):
+    """SIGTERM to a node, then to a server, under load: none lost."""
+    keys = count()
+    with Mesh('bench') as mesh:
+        node, _ = start_small_mesh(mesh, delay=0.02, slots=40)
+        other = mesh.start_node('a-2', 'south', 'a', [node.peer_address])
+        backend = mesh.start_backend(other, 'front', 'v1', slots=40)
+        mesh.await_servers('a-1', 2)
+        running, ended = run_callers(node.call_address, callers, keys)
+        time.sleep(1 + seed % 3 * 0.1)
+        backend.send_signal(signal.SIGTERM)
+        backend.wait(15)
+        server_exit = backend.returncode
+        counts = end_callers(running, ended)
+        # A leaving node's own server leaves with it: keep another.
+        mesh.start_backend(other, 'front', 'v1', delay=0.02, slots=40)
+        mesh.await_servers('a-1', 2)
+        running, ended = run_callers(node.call_address, callers, keys)
+        time.sleep(1 + seed % 7 * 0.1)
+        began = time.monotonic()
+        node.process.send_signal(signal.SIGTERM)
+        node.process.wait(20)
+        took = time.monotonic() - began
+        counts += end_callers(running, ended)
+        figures = {
+            'answered': counts[200],
+            'lost': counts['lost'],
+            'failed': sum(
+                number
+                for status, number in counts.items()
+                if isinstance(status, int) and status != 200
+            ),
+            'node_exit': node.process.returncode,
+            'server_exit': server_exit,
+            'node_seconds_to_end': took,
+        }
+    bounds = {
+        'lost': Bound(most=0),
+        'failed': Bound(most=0),
+        'node_exit': Bound(most=0),
+        'server_exit': Bound(most=0),
+        'answered': Bound(least=1),
+    }
+    return Result(figures, bounds)
+
+
+@bench_case('at-most-once')
+def at_most_once(seed, callers=8, seconds=12):
+    """Servers and nodes killed under load: nothing runs twice."""
+    random, keys = Random(seed), count()
+    with Mesh('bench') as mesh:
+        node, _ = start_small_mesh(mesh, delay=0.01, slots=4)
+        other = mesh.start_node('a-2', 'south', 'a', [node.peer_address])
+        server = mesh.start_backend(other, 'front', 'v1', slots=4)
+        mesh.await_servers('a-1', 2)
+        (kept,) = [
+            address
+            for address, item in mesh.dump('a-2')['servers'].items()
+            if address != mesh.dump('a-2')['node']['endpoint']['address']
+        ]
+        running, ended = run_callers(node.call_address, callers, keys)
+        kills = 0
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            time.sleep(random.uniform(0.5, 2.0))
+            server.kill()
+            server.wait(5)
+            kills += 1
+            server = mesh.start_backend(other, 'front', 'v1', slots=4)
+        counts = end_callers(running, ended)
+        ran = mesh.fetch(kept, '/_counts')
+    figures = {
+        'calls': sum(counts.values()),
+        'answered': counts[200],
+        'told_not_run': counts[503],
+        'told_unknown': counts[502] + counts[504],
+        'servers_killed': kills,
+        'ran_twice': ran['doubled'],
+        'sent_but_unanswered': counts['lost'],
+    }
+    bounds = {
+        'ran_twice': Bound(most=0),
+        'sent_but_unanswered': Bound(most=0),
+        'servers_killed': Bound(least=1),
+    }
+    return Result(figures, bounds)
--- a/poplarrack/bench_capacity.py
+++ b/poplarrack/bench_capacity.py
@@ -51,6 +51,9 @@
 CALLS_PER_SECOND_A_NODE = 120
 TICKS_PER_SECOND = 10
 
+# A line of progress a second, with what HTTP and TCP add, about.
+WATCH_BYTES_PER_SECOND = 170
+
 CONTROL_CPU_SHARE = 0.02
 CONTROL_MB = 32
 CONTROL_BYTES_PER_SECOND = 3000
@@ -242,6 +245,7 @@
         mesh = await start_mesh(clock, seed, nodes, ZONES, build_changes())
         messages = mesh.tally.messages.copy()
         sent = mesh.tally.bytes.copy()
+        asked = {name: item.bytes for name, item in mesh.clients.items()}
         link = mesh.tally.link_bytes
         calls = sum(mesh.stand_in.counts.values())
         await asyncio.sleep(seconds)
@@ -251,7 +255,9 @@
             group.append(
                 (
                     (mesh.tally.messages[name] - messages[name]) / seconds,
-                    (mesh.tally.bytes[name] - sent[name]) / seconds,
+                    (mesh.tally.bytes[name] - sent[name]) / seconds
+                    + (mesh.clients[name].bytes - asked[name]) / seconds
+                    + WATCH_BYTES_PER_SECOND * node.facts.topology.is_fetcher,
                 )
             )
         link = (mesh.tally.link_bytes - link) / seconds
--- a/poplarrack/callers.py
+++ b/poplarrack/callers.py
@@ -1,6 +1,8 @@
 """Take calls over HTTP/1.1 from callers on the node's call address."""
 
+import asyncio
 from collections import deque
+import socket
 
 from httptools import HttpParserError
 from httptools import HttpParserUpgrade
@@ -16,6 +18,8 @@
 MAX_PIPELINED = 16
 READ_TIMEOUT_SECONDS = 10.0
 IDLE_TIMEOUT_SECONDS = 75.0
+DRAIN_SILENCE_SECONDS = 1.0
+DRAIN_POLL_SECONDS = 0.05
 
 
 class CallerConnection(SharedBufferProtocol):
@@ -135,8 +139,6 @@
         elif self.waiting:
             self.transport.resume_reading()
             self._serve(self.waiting.popleft())
-        elif self.server.draining:
-            self.transport.close()
 
     def _refuse(self, kind, detail):
         """Answer a request that can't be read, and close."""
@@ -174,32 +176,61 @@
         self.connections = set()
         self.draining = False
         self.listener = None
+        self.socket = None
 
     async def listen(self, loop, host, port):
         """Listen; returns the port in use."""
+        self.socket = socket.create_server((host, port), backlog=1024)
+        self.socket.setblocking(False)
         self.listener = await loop.create_server(
-            lambda: CallerConnection(self), host, port, backlog=1024
+            self._build_connection, sock=self.socket.dup()
         )
-        return self.listener.sockets[0].getsockname()[1]
+        return self.socket.getsockname()[1]
+
+    def _build_connection(self):
+        return CallerConnection(self)
 
     def announce_drain(self):
         """Close each connection after its next answer."""
         self.dispatcher.draining = True
 
-    def drain(self):
-        """Take no new connection; close idle ones, the others after."""
+    async def drain(self, loop):
+        """Take no new connection; end the others without cutting a call.
+
+        What the kernel accepted already is served, and an open connection
+        may still bring a call that was under way to here.
+        """
+        self.announce_drain()
         self.draining = True
-        self.dispatcher.draining = True
         self.listener.close()
+        while True:
+            try:
+                accepted, _ = self.socket.accept()
+            except BlockingIOError:
+                break
+            await loop.connect_accepted_socket(
+                self._build_connection, accepted
+            )
+        self.socket.close()
+
+    def end_silent(self, now):
+        """Close connections that brought nothing for a while."""
         for connection in list(self.connections):
-            if not connection.busy:
+            silent = now - connection.last_read
+            if not connection.busy and silent > DRAIN_SILENCE_SECONDS:
                 connection.transport.close()
 
     @property
     def drained(self):
-        """Say whether every call was answered."""
+        """Say whether every connection ended."""
         return not self.connections
 
+    async def await_drained(self):
+        """Wait until the callers are gone or silent."""
+        while not self.drained:
+            self.end_silent(self.clock())
+            await asyncio.sleep(DRAIN_POLL_SECONDS)
+
     def expire(self, now):
         """Close slow and idle connections."""
         for connection in list(self.connections):
--- a/poplarrack/node_servers.py
+++ b/poplarrack/node_servers.py
@@ -125,9 +125,8 @@
         self.node.leave()
         self.call_server.announce_drain()
         await asyncio.sleep(self.settings.calls.drain_seconds)
-        self.call_server.drain()
-        while not self.call_server.drained:
-            await asyncio.sleep(TICK_SECONDS / 2)
+        await self.call_server.drain(self.loop)
+        await self.call_server.await_drained()
         await self._close()
         logger.info('node_stopped')
 
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -86,6 +86,7 @@
         yield Path(dispatcher, calls, port, servers)
     finally:
         calls.listener.close()
+        calls.socket.close()
         for listener in listeners:
             listener.close()
         for server in servers:
@@ -385,7 +386,7 @@
         while not slow.requests:
             await asyncio.sleep(0)
         path.calls.announce_drain()
-        path.calls.drain()
+        await path.calls.drain(asyncio.get_running_loop())
         assert not path.calls.drained
         gate.set()
         status, headers, body = await under_way
@@ -396,6 +397,21 @@
         listener.close()
 
 
+@run
+async def test_drain_serves_what_was_connected_and_then_only_the_silent_end():
+    async with path_to(lambda *x: OK) as path:
+        early = await path.connect()
+        await path.calls.drain(asyncio.get_running_loop())
+        path.calls.end_silent(path.calls.clock() + 0.5)
+        status, headers, _ = await path.call('/pay', stream=early)
+        assert (status, headers['connection']) == (200, 'close')
+        try:
+            await path.connect()
+        except ConnectionRefusedError:
+            return
+        raise AssertionError('a drained server took a connection')
+
+
 @run
 async def test_shares_add_up_over_many_nodes_with_few_calls():
     went = {Side.OLD: 0, Side.NEW: 0}
