--- a/poplarrack/bench_capacity.py
+++ b/poplarrack/bench_capacity.py
@@ -10,11 +10,8 @@
 import tracemalloc
 
 from poplarrack.balancers import Place
-from poplarrack.bench_configurations import build_changes
-from poplarrack.bench_configurations import change_one
 from poplarrack.bench_configurations import read_plain_memory
 from poplarrack.bench_configurations import start_real_nodes
-from poplarrack.bench_configurations import ZONES
 from poplarrack.benches import bench_case
 from poplarrack.benches import Bound
 from poplarrack.benches import percentile
@@ -38,13 +35,16 @@
 from poplarrack.peers import PeerClient
 from poplarrack.peers import PeerServer
 from poplarrack.peers import PeerTraffic
+from poplarrack.scenarios import build_changes
+from poplarrack.scenarios import change_one
+from poplarrack.scenarios import SERVICES
+from poplarrack.scenarios import ZONES
 from poplarrack.snapshots import build_snapshot
 from poplarrack.snapshots import diff_snapshots
 from poplarrack.snapshots import Entry
 from poplarrack.snapshots import Snapshot
 from poplarrack.topologies import derive_topology
 
-SERVICES = 51
 CHANGES_A_DAY = 640
 REPLACEMENTS_A_DAY = 64
 SECONDS_A_DAY = 86_400
--- a/poplarrack/bench_moves.py
+++ b/poplarrack/bench_moves.py
@@ -6,6 +6,7 @@
 
 from bisect import bisect
 from dataclasses import dataclass
+from dataclasses import replace
 from random import Random
 
 from poplarrack.benches import bench_case
@@ -187,8 +188,6 @@
     moved = decide_move(move, facts, now) or move
     if moved.state.ended:
         return moved
-    from dataclasses import replace
-
     return replace(moved, share=share, state=MoveState.ADVANCING)
 
 
--- a/poplarrack/benches.py
+++ b/poplarrack/benches.py
@@ -15,6 +15,8 @@
 CASE_MODULES = (
     'poplarrack.bench_calls',
     'poplarrack.bench_configurations',
+    'poplarrack.bench_faults',
+    'poplarrack.bench_writers',
     'poplarrack.bench_moves',
     'poplarrack.bench_capacity',
 )
--- a/poplarrack/commands.py
+++ b/poplarrack/commands.py
@@ -1,5 +1,6 @@
 """Offer the operators' commands, for ``poplarrack-ctl``."""
 
+from dataclasses import replace
 from datetime import datetime
 from datetime import timedelta
 from getpass import getuser
@@ -187,8 +188,6 @@
         self._set_hold(service, False)
 
     def _set_hold(self, service, wanted):
-        from dataclasses import replace
-
         def change(move):
             if move.state.ended:
                 raise PoplarrackError(
--- a/poplarrack/dispatchers.py
+++ b/poplarrack/dispatchers.py
@@ -67,6 +67,7 @@
     sent_at: float = 0.0
     call_id: bytes = b''
     version: str = ''
+    stage: int = 0
     queue: CallQueue | None = None
     timer: object = None
     pool: UpstreamPool | None = None
@@ -244,10 +245,15 @@
         queue = self.queues.get(service)
         if queue is None or not queue.size:
             return
-        call = queue.take()
-        call.queue = None
-        self._leave_queue(call)
-        self._attempt(call)
+        while queue.size:
+            call = queue.take()
+            call.queue = None
+            self._leave_queue(call)
+            self._attempt(call)
+            if call.queue is not None:
+                # No room after all: it goes first the next time.
+                queue.put_first(call, call.route.priority)
+                return
 
     def _send(self, call, load, now):
         endpoint = load.endpoint
@@ -255,6 +261,7 @@
         call.tried = (*call.tried, endpoint.address)
         call.load = load
         call.sent_at = now
+        call.stage = self._stage_of(endpoint.service)
         self.next_call += 1
         call.call_id = b'%s-%d' % (self.node_id.encode(), self.next_call)
         load.in_flight += 1
@@ -339,18 +346,23 @@
 
     def _count_evidence(self, call, load, failed, latency, now):
         move = self.table.moves.get(load.endpoint.service)
-        if move is None or not move.counted:
+        if move is None or not move.counted or call.attempts > 1:
+            # A retry goes where it can: its side was not drawn.
             return
         version = load.endpoint.version
         if version not in (move.from_version, move.to_version):
             return
         side = Side.NEW if version == move.to_version else Side.OLD
         telling = not failed and not load.is_cold(now)
-        stage = round(move.share * 1000)
-        key = (move.move_id, call.route.name, side, load.tier, stage)
+        key = (move.move_id, call.route.name, side, load.tier, call.stage)
         told = latency if telling else None
         self.evidence.record(key, failed, told, now)
 
+    def _stage_of(self, service):
+        """Return the share that a call was drawn by, in thousandths."""
+        move = self.table.moves.get(service)
+        return 0 if move is None else round(move.share * 1000)
+
     def _retries(self, call, failure, now):
         """Try again where that is allowed; say whether it was."""
         attempted = Attempted(
--- a/poplarrack/limits.py
+++ b/poplarrack/limits.py
@@ -66,6 +66,12 @@
         self.size += 1
         return True
 
+    def put_first(self, call, priority):
+        """Move a call that was just offered again to the front."""
+        waiting = self.waiting[priority]
+        waiting.remove(call)
+        waiting.appendleft(call)
+
     def take(self):
         """Remove and return the call to serve next, or None."""
         for priority in PRIORITIES:
--- a/tests/support.py
+++ b/tests/support.py
@@ -39,9 +39,21 @@
             }
             function(**built)
 
-    case = FunctionTestCase(run, description=function.__doc__)
-    case.id = lambda: f'{module_name}.{function.__name__}'
-    return case
+    return NamedCase(run, f'{module_name}.{function.__name__}')
+
+
+class NamedCase(FunctionTestCase):
+    """A test function's case, known by the function's dotted name."""
+
+    def __init__(self, run, name):
+        super().__init__(run)
+        self.name = name
+
+    def id(self):
+        """Return the name that KNOWN-RED.txt lists a test by."""
+        return self.name
+
+    __str__ = id
 
 
 def _fixtures_of(function):
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from contextlib import asynccontextmanager
+from dataclasses import replace
 from random import Random
 import time
 
@@ -248,8 +249,6 @@
         listener = await asyncio.start_server(late.serve, '127.0.0.1', 0)
         port = listener.sockets[0].getsockname()[1]
         table = path.dispatcher.table
-        from dataclasses import replace
-
         only = (Candidate(endpoint(f'127.0.0.1:{port}'), 0),)
         path.dispatcher.put_in_force(
             replace(table, candidates={('front', 'v1'): only})
@@ -376,8 +375,6 @@
         slow = Slow(None)
         listener = await asyncio.start_server(slow.serve, '127.0.0.1', 0)
         port = listener.sockets[0].getsockname()[1]
-        from dataclasses import replace
-
         only = (Candidate(endpoint(f'127.0.0.1:{port}'), 0),)
         path.dispatcher.put_in_force(
             replace(path.dispatcher.table, candidates={('front', 'v1'): only})
@@ -412,6 +409,65 @@
         raise AssertionError('a drained server took a connection')
 
 
+@run
+async def test_waiting_calls_are_all_served_when_room_comes():
+    gate = asyncio.Event()
+
+    class Gated(Server):
+        async def serve(self, reader, writer):
+            self.requests.append(await reader.readuntil(b'\r\n\r\n'))
+            await gate.wait()
+            writer.write(OK)
+
+    async with path_to(lambda *x: OK) as path:
+        gated = Gated(None)
+        listener = await asyncio.start_server(gated.serve, '127.0.0.1', 0)
+        port = listener.sockets[0].getsockname()[1]
+        one = endpoint(f'127.0.0.1:{port}', slots=2)
+        held = path.dispatcher.table.candidates
+        table = path.dispatcher.table
+        path.dispatcher.put_in_force(
+            replace(table, candidates={('front', 'v1'): (Candidate(one, 0),)})
+        )
+        calls = [asyncio.ensure_future(path.call('/pay')) for _ in range(9)]
+        queues = path.dispatcher.queues
+        while not queues or queues['front'].size < 7:
+            await asyncio.sleep(0)
+        path.dispatcher.put_in_force(replace(table, candidates=held))
+        assert queues['front'].size == 0, 'all go to the new server at once'
+        gate.set()
+        answers = await asyncio.gather(*calls)
+        assert [status for status, _, _ in answers] == [200] * 9
+        listener.close()
+
+
+@run
+async def test_a_retry_is_no_evidence_since_nobody_drew_its_side():
+    move = {'front': ServedMove('m', 'v1', 'v2', 0.999, True)}
+    async with path_to(lambda *x: None, lambda *x: OK) as path:
+        ((_, (bad, good)),) = path.dispatcher.table.candidates.items()
+        path.dispatcher.put_in_force(
+            replace(
+                path.dispatcher.table,
+                moves=move,
+                candidates={
+                    ('front', 'v1'): (good,),
+                    ('front', 'v2'): (
+                        replace(
+                            bad, endpoint=replace(bad.endpoint, version='v2')
+                        ),
+                    ),
+                },
+            )
+        )
+        for _ in range(3):
+            assert (await path.call('/jars'))[0] == 200
+        cells = path.dispatcher.evidence.cells({'m'}, time.time())
+        assert {cell.key.side for cell in cells} == {Side.NEW}
+        assert {cell.key.stage for cell in cells} == {999}
+        assert all(cell.failures == cell.calls == 3 for cell in cells)
+
+
 @run
 async def test_shares_add_up_over_many_nodes_with_few_calls():
     went = {Side.OLD: 0, Side.NEW: 0}
@@ -427,8 +483,6 @@
 async def test_a_braked_version_gets_no_call_even_without_the_old():
     move = {'front': ServedMove('m', 'v1', 'v2', 0.0, True)}
     async with path_to(lambda *x: OK) as path:
-        from dataclasses import replace
-
         (held,) = path.dispatcher.table.candidates.values()
         table = replace(
             path.dispatcher.table,
--- a/tests/test_knowledge.py
+++ b/tests/test_knowledge.py
@@ -1,5 +1,7 @@
 """Check what holds after any updates, in any order."""
 
+from dataclasses import replace
+
 from hypothesis import given
 from hypothesis import seed
 from hypothesis import settings
@@ -71,8 +73,6 @@
         return offer_snapshot(knowledge, VERSIONS[target])
     delta = diff_snapshots(VERSIONS[base], VERSIONS[target])
     if truncated:
-        from dataclasses import replace
-
         delta = replace(delta, changed=delta.changed[1:])
     return absorb(knowledge, Updates('x', delta)).knowledge
 
--- a/tests/test_nodes.py
+++ b/tests/test_nodes.py
@@ -1,6 +1,7 @@
 """Check nodes on fakes: joins, cuts, deaths, herds and moves."""
 
 import asyncio
+from dataclasses import replace
 
 from poplarrack.blackboards import Blackboard
 from poplarrack.blackboards import ChildReport
@@ -196,8 +197,6 @@
 
 @on_fakes
 async def test_an_outage_at_the_change_and_a_death_together(mesh):
-    from dataclasses import replace
-
     stand_in = mesh.stand_in
     stand_in.faults = replace(stand_in.faults, outage=True)
     revision = change(mesh, 2)
--- a/tests/test_platforms.py
+++ b/tests/test_platforms.py
@@ -1,6 +1,7 @@
 """Check the platform's client against the stand-in over real sockets."""
 
 from contextlib import contextmanager
+from dataclasses import replace
 from random import Random
 from threading import Thread
 
@@ -49,8 +50,6 @@
 
     def set_faults(self, **faults):
         """Set faults as over the stand-in's own page."""
-        from dataclasses import replace
-
         self.stand_in.faults = replace(self.stand_in.faults, **faults)
 
 
--- a/tests/test_snapshots.py
+++ b/tests/test_snapshots.py
@@ -1,5 +1,7 @@
 """Check snapshots, deltas and their digests."""
 
+from dataclasses import replace
+
 from poplarrack.errors import ErrorKind
 from poplarrack.snapshots import apply_delta
 from poplarrack.snapshots import build_snapshot
@@ -36,8 +38,6 @@
 
 
 def test_a_truncated_delta_is_refused():
-    from dataclasses import replace
-
     delta = diff_snapshots(OLD, NEW)
     cut = replace(delta, changed=delta.changed[:1])
     raises(ErrorKind.STALE_DELTA, apply_delta, OLD, cut)
