Let an ended move leave the word to the service

Cause: read as an operator would. A completed move went on to decide where calls go, whatever the service's record said since; taking a completed move back left the service's record on the bad version.

Change: a move that ended is served only while it is watched and agrees with the service; ctl's withdraw writes move and service in one transaction, and refuses a move that is no longer watched.

--- a/poplarrack/benches.py
+++ b/poplarrack/benches.py
@@ -14,6 +14,7 @@
 CASES = {}
 CASE_MODULES = (
     'poplarrack.bench_calls',
+    'poplarrack.bench_policies',
     'poplarrack.bench_configurations',
     'poplarrack.bench_faults',
     'poplarrack.bench_writers',
--- a/poplarrack/call_tables.py
+++ b/poplarrack/call_tables.py
@@ -10,6 +10,7 @@
 from poplarrack.balancers import SAME_ZONE
 from poplarrack.moves import effective_share
 from poplarrack.moves import is_live
+from poplarrack.resources import MoveState
 from poplarrack.routers import Router
 
 
@@ -52,6 +53,7 @@
             is_live(move, now),
         )
         for service, move in configuration.moves.items()
+        if is_served(move, services[service], now)
     }
     members = knowledge.members.members.values()
     callers = count_callers(services, members, place)
@@ -64,6 +66,17 @@
     )
 
 
+def is_served(move, service, now):
+    """Say whether a move decides where its service's calls go.
+
+    Once it ended the service's own record does, which was written with
+    the end and which operators may have changed since.
+    """
+    if move.state is MoveState.COMPLETED:
+        return is_live(move, now) and service.version == move.to_version
+    return move.state is not MoveState.WITHDRAWN
+
+
 def count_callers(services, members, place):
     """Count the nodes that call each service, in all and in the own zone.
 
--- a/poplarrack/commands.py
+++ b/poplarrack/commands.py
@@ -18,7 +18,6 @@
 from poplarrack.editors import check_edit
 from poplarrack.editors import Edit
 from poplarrack.editors import Editor
-from poplarrack.editors import withdraw_by_operator
 from poplarrack.errors import ErrorKind
 from poplarrack.errors import PoplarrackError
 from poplarrack.moves import is_live
@@ -203,12 +202,10 @@
 
     def withdraw(self, service):
         """Take a move back now."""
-        operator = self._session.operator
-
-        def change(move):
-            return withdraw_by_operator(move, operator, time.time())
-
-        revision = self._session.editor.change_move(service, change)
+        session = self._session
+        revision = session.editor.withdraw_move(
+            service, session.operator, time.time()
+        )
         self._session.say(
             {'revision': revision, 'state': 'withdrawn'},
             f'{service}: taken back, revision {revision}',
--- a/poplarrack/editors.py
+++ b/poplarrack/editors.py
@@ -11,6 +11,7 @@
 from poplarrack.errors import PoplarrackError
 from poplarrack.fetchers import HEAD_KEY
 from poplarrack.fetchers import snapshot_of
+from poplarrack.moves import is_live
 from poplarrack.platforms import CONFIGURATION_PREFIX
 from poplarrack.platforms import ZONE_PREFIX
 from poplarrack.resources import decode_resource
@@ -158,6 +159,33 @@
                     raise
         raise PoplarrackError(ErrorKind.CONFLICT, f'{path}: kept changing')
 
+    def withdraw_move(self, service, operator, now):
+        """Take a move back, and the service's version with it.
+
+        :returns: the revision of the change.
+        """
+        for _ in range(EDIT_ATTEMPTS):
+            try:
+                return self.write(self._withdrawal(service, operator, now))
+            except PoplarrackError as error:
+                if error.kind is not ErrorKind.CONFLICT:
+                    raise
+        raise PoplarrackError(ErrorKind.CONFLICT, f'{service}: kept changing')
+
+    def _withdrawal(self, service, operator, now):
+        entries = self.read().snapshot.entries
+        entry, move = self.read_move(service)
+        path = f'{self.team}/services/{service}'
+        record = decode_resource(path, entries[path].value)
+        changed = withdraw_by_operator(move, operator, now)
+        changes = {entry.path: encode_resource(changed)}
+        expected = {entry.path: entry.revision}
+        if record.version == move.to_version:
+            old = replace(record, version=move.from_version)
+            changes[path] = encode_resource(old)
+            expected[path] = entries[path].revision
+        return Edit(changes, expected)
+
     def read_move(self, service):
         """Return the entry and the record of a service's move."""
         path = f'{self.team}/moves/{service}'
@@ -197,12 +225,19 @@
 def withdraw_by_operator(move, operator, now):
     """Return a move taken back by an operator.
 
-    :raises PoplarrackError: MOVE_WITHDRAWN when it is already.
+    :raises PoplarrackError: MOVE_WITHDRAWN when it is already, USAGE when
+        it was completed too long ago.
     """
     if move.state is MoveState.WITHDRAWN:
         raise PoplarrackError(
             ErrorKind.MOVE_WITHDRAWN, f'{move.service}: {move.reason}'
         )
+    if not is_live(move, now):
+        raise PoplarrackError(
+            ErrorKind.USAGE,
+            f'{move.service}: completed, and no longer watched; start a '
+            f'move to {move.from_version} instead',
+        )
     reason = f'taken back by {operator or "an operator"}'
     line = f'{now:.1f} withdrawn 0%: {reason}'
     return replace(
--- a/tests/test_editors.py
+++ b/tests/test_editors.py
@@ -3,6 +3,7 @@
 from contextlib import contextmanager
 from random import Random
 
+from poplarrack.call_tables import is_served
 from poplarrack.commands import read_time
 from poplarrack.commands import read_value
 from poplarrack.editors import Edit
@@ -13,6 +14,7 @@
 from poplarrack.platform_stand_ins import PlatformStandIn
 from poplarrack.resources import encode_resource
 from poplarrack.resources import MoveState
+from poplarrack.resources import Service
 from tests.samples import CHANGES
 from tests.samples import move
 from tests.samples import route
@@ -106,13 +108,38 @@
     mine = editor(stand_in)
     value = encode_resource(move(state=MoveState.ADVANCING, share=0.5))
     mine.write(Edit({**CHANGES, 't/moves/front': value}))
-    mine.change_move('front', lambda m: withdraw_by_operator(m, 'jo', 5.0))
+    mine.withdraw_move('front', 'jo', 5.0)
     _, record = mine.read_move('front')
     assert record.state is MoveState.WITHDRAWN and record.share == 0
     assert 'jo' in record.reason
     raises(ErrorKind.MOVE_WITHDRAWN, withdraw_by_operator, record, 'jo', 6.0)
 
 
+def test_a_completed_move_is_taken_back_with_its_service(stand_in):
+    mine = editor(stand_in)
+    done = move(state=MoveState.COMPLETED, share=1.0, ended_at=950.0)
+    changes = {
+        **CHANGES,
+        't/services/front': service(version='v2', slots=7),
+        't/moves/front': encode_resource(done),
+    }
+    mine.write(Edit(changes))
+    raises(ErrorKind.USAGE, mine.withdraw_move, 'front', 'jo', 9999.0)
+    mine.withdraw_move('front', 'jo', 960.0)
+    value = mine.read().snapshot.entries['t/services/front'].value
+    assert b'"v1"' in value and b'"slots":7' in value, value
+
+
+def test_an_ended_move_leaves_the_word_to_the_service():
+    current = Service('front', 'v2')
+    done = move(state=MoveState.COMPLETED, ended_at=950.0)
+    assert is_served(done, current, 960.0)
+    assert not is_served(done, current, 9999.0)
+    assert not is_served(done, Service('front', 'v3'), 960.0)
+    assert not is_served(move(state=MoveState.WITHDRAWN), current, 1.0)
+    assert is_served(move(state=MoveState.HOLDING), current, 1.0)
+
+
 def test_history_goes_back_as_far_as_the_platform_keeps_it(stand_in):
     mine = editor(stand_in)
     mine.write(Edit(CHANGES))
