Check that each answer is its own caller's

Cause: crossed answers were tested on the call path in one process only.

Change: the bench's callers mark each call and compare the mark of the answer; case crossed-answers holds answers around the deadline.

--- a/poplarrack/bench_calls.py
+++ b/poplarrack/bench_calls.py
@@ -41,6 +41,12 @@
         'priority': 'critical',
         'timeout_seconds': 1.0,
     },
+    'bench/routes/deadline': {
+        'name': 'deadline',
+        'prefix': '/deadline',
+        'service': 'front',
+        'timeout_seconds': 0.05,
+    },
     'bench/routes/browse': {
         'name': 'browse',
         'prefix': '/browse',
@@ -140,6 +146,9 @@
                 self.counts['lost'] += 1
             else:
                 self.counts[status] += 1
+                own = b'x-call-key: k%d\r\n' % key
+                crossed = status == 200 and own not in self.client.head
+                self.counts['crossed'] += crossed
 
 
 def run_callers(address, number, keys, path='/payments'):
@@ -234,16 +243,18 @@
         counts = end_callers(running, ended)
         ran = mesh.fetch(kept, '/_counts')
     figures = {
-        'calls': sum(counts.values()),
+        'calls': sum(counts.values()) - counts['crossed'],
         'answered': counts[200],
         'told_not_run': counts[503],
         'told_unknown': counts[502] + counts[504],
         'servers_killed': kills,
         'ran_twice': ran['doubled'],
+        'crossed': counts['crossed'],
         'sent_but_unanswered': counts['lost'],
     }
     bounds = {
         'ran_twice': Bound(most=0),
+        'crossed': Bound(most=0),
         'sent_but_unanswered': Bound(most=0),
         'servers_killed': Bound(least=1),
     }
@@ -290,3 +301,29 @@
         bounds[f'critical_answered_share_{times}x'] = Bound(least=0.95)
         bounds[f'untrue_or_lost_{times}x'] = Bound(most=0)
     return Result(figures, bounds)
+
+
+@bench_case('crossed-answers')
+def crossed_answers(seed, callers=12, seconds=8):
+    """Answers around the deadline, early and late: each to its caller."""
+    keys = count()
+    with Mesh('bench') as mesh:
+        node, _ = start_small_mesh(mesh, delay=0.05, slots=30)
+        running, ended = run_callers(
+            node.call_address, callers, keys, '/deadline'
+        )
+        time.sleep(seconds + seed % 10 * 0.1)
+        counts = end_callers(running, ended)
+    figures = {
+        'answered': counts[200],
+        'timed_out': counts[504],
+        'crossed': counts['crossed'],
+        'lost': counts['lost'],
+    }
+    bounds = {
+        'crossed': Bound(most=0),
+        'lost': Bound(most=0),
+        'timed_out': Bound(least=1),
+        'answered': Bound(least=1),
+    }
+    return Result(figures, bounds)
--- a/poplarrack/loads.py
+++ b/poplarrack/loads.py
@@ -10,12 +10,16 @@
 
 
 class CallClient:
-    """A kept connection to one address; one call at a time."""
+    """A kept connection to one address; one call at a time.
+
+    ``head`` holds the head of the latest answer, in lower case.
+    """
 
     def __init__(self, address):
         host, _, port = address.rpartition(':')
         self.address = (host, int(port))
         self.socket = None
+        self.head = b''
 
     def call(self, path='/', headers='', method='GET'):
         """Make a call.
@@ -56,7 +60,7 @@
         while b'\r\n\r\n' not in data:
             data += self._receive()
         head, _, body = data.partition(b'\r\n\r\n')
-        head = head.lower()
+        head = self.head = head.lower()
         length = 0
         for line in head.split(b'\r\n')[1:]:
             if line.startswith(b'content-length:'):
