Measure moves in a cut zone and two at once

Cause: braking in a cut zone and blame between services were tested in parts.

Change: cases move-during-cut and two-moves on nodes on fakes.

Calls are drawn for each service apart: a caller that fails through the service behind it is not covered.

--- a/poplarrack/benches.py
+++ b/poplarrack/benches.py
@@ -19,6 +19,7 @@
     'poplarrack.bench_faults',
     'poplarrack.bench_writers',
     'poplarrack.bench_moves',
+    'poplarrack.bench_cuts',
     'poplarrack.bench_capacity',
 )
 EXIT_MISSED = 3
