Bound connections; let a stand-in's health mislead

Cause: the stand-in server had no bound on connections and told neither health nor load; the end-to-end test's calls were checked in a thread, where a failure did not fail the test.

Change: connections over 4,096 (a node) or 110 (a stand-in) are refused; announced health and load lag, and lie where asked to; the statuses of the end-to-end test's calls are checked after the thread ended.

--- a/poplarrack/backend_servers.py
+++ b/poplarrack/backend_servers.py
@@ -21,6 +21,7 @@
             'version': version,
             'address': address,
             'slots': behaviour.slots,
+            'max_connections': behaviour.connections,
         },
     )
     asyncio.run(_serve(version, address, behaviour, announcer))
@@ -32,11 +33,12 @@
     loop.add_signal_handler(signal.SIGTERM, stopping.set)
     loop.add_signal_handler(signal.SIGINT, stopping.set)
     dispatcher = BackendDispatcher(version, behaviour, time.monotonic)
-    server = CallServer(dispatcher, time.monotonic)
+    server = CallServer(dispatcher, time.monotonic, behaviour.connections)
     host, _, port = address.rpartition(':')
     await server.listen(loop, host, int(port))
     while not stopping.is_set():
-        await asyncio.to_thread(announcer.announce)
+        health = dispatcher.report_health()
+        await asyncio.to_thread(announcer.announce, **health)
         try:
             async with asyncio.timeout(ANNOUNCE_SECONDS):
                 await stopping.wait()
--- a/poplarrack/backends.py
+++ b/poplarrack/backends.py
@@ -32,10 +32,12 @@
 
     A fault shows only ``bad_after`` seconds from the start, with at least
     ``bad_in_flight`` calls in flight, on targets beginning with
-    ``bad_prefix``.
+    ``bad_prefix``. Announced load lags by one announcement, and health
+    too; one that ``lies`` says the reverse of its health.
     """
 
     slots: int = 10
+    connections: int = 110
     queue: int = 0
     delay: float = 0.002
     body_bytes: int = 1024
@@ -46,6 +48,7 @@
     bad_after: float = 0.0
     bad_in_flight: int = 0
     bad_prefix: str = '/'
+    lies: bool = False
 
 
 class BackendDispatcher:
@@ -62,6 +65,8 @@
         self.counts = Counter()
         self.executions = Counter()
         self.draining = False
+        self.failed_before = 0
+        self.told = {'healthy': True, 'load': 0.0}
 
     def start(self, request, respond):
         """Start a call; answers at once when no slot is free."""
@@ -87,6 +92,17 @@
             call.timer.cancel()
             self._free_slot()
 
+    def report_health(self):
+        """Return health and load as the next announcement tells them."""
+        told = self.told
+        well = self.counts['failed'] == self.failed_before
+        self.failed_before = self.counts['failed']
+        self.told = {
+            'healthy': well != self.behaviour.lies,
+            'load': self.in_flight / self.behaviour.slots,
+        }
+        return told
+
     def _counts(self):
         most = max(self.executions.values(), default=0)
         doubled = sum(1 for n in self.executions.values() if n > 1)
--- a/poplarrack/bench_policies.py
+++ b/poplarrack/bench_policies.py
@@ -59,7 +59,12 @@
             seeds = [node.peer_address]
             fail_rate = 1.0 if number == 1 + seed % 2 else 0.0
             mesh.start_backend(
-                node, 'front', 'v1', delay=0.01, fail_rate=fail_rate
+                node,
+                'front',
+                'v1',
+                delay=0.01,
+                fail_rate=fail_rate,
+                lies=True,
             )
         mesh.await_ready()
         mesh.await_servers('a-0', 3)
--- a/poplarrack/callers.py
+++ b/poplarrack/callers.py
@@ -16,6 +16,7 @@
 MAX_HEADER_BYTES = 32_768
 MAX_BODY_BYTES = 1_000_000
 MAX_PIPELINED = 16
+MAX_CONNECTIONS = 4_096
 READ_TIMEOUT_SECONDS = 10.0
 IDLE_TIMEOUT_SECONDS = 75.0
 DRAIN_SILENCE_SECONDS = 1.0
@@ -41,6 +42,9 @@
         """Register with the server."""
         self.transport = transport
         self.server.connections.add(self)
+        if len(self.server.connections) > self.server.max_connections:
+            self.server.dispatcher.counts['connections_refused'] += 1
+            transport.abort()
 
     def connection_lost(self, error):
         """Cancel the call that nobody waits for any more."""
@@ -170,8 +174,9 @@
 class CallServer:
     """Accept callers until it is drained."""
 
-    def __init__(self, dispatcher, clock):
+    def __init__(self, dispatcher, clock, max_connections=MAX_CONNECTIONS):
         self.dispatcher = dispatcher
+        self.max_connections = max_connections
         self.clock = clock
         self.connections = set()
         self.draining = False
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from contextlib import asynccontextmanager
+from contextlib import suppress
 from dataclasses import replace
 from random import Random
 import time
@@ -350,6 +351,19 @@
         assert len(path.servers[0].requests) == 1
 
 
+@run
+async def test_connections_over_the_bound_are_refused():
+    async with path_to(lambda *x: OK) as path:
+        path.calls.max_connections = 2
+        kept = [await path.connect() for _ in range(2)]
+        for stream in kept:
+            assert (await path.call('/jars', stream=stream))[0] == 200
+        with suppress(ConnectionError, asyncio.IncompleteReadError):
+            await path.call('/jars')
+        assert path.dispatcher.counts['connections_refused'] == 1
+        assert (await path.call('/jars', stream=kept[0]))[0] == 200
+
+
 @run
 async def test_a_slow_caller_is_cut_off():
     async with path_to(lambda *x: OK) as path:
--- a/tests/test_end_to_end.py
+++ b/tests/test_end_to_end.py
@@ -1,5 +1,6 @@
 """Drive the whole path on real processes over real sockets."""
 
+from collections import Counter
 from json import dumps
 from threading import Event
 from threading import Thread
@@ -39,8 +40,8 @@
         assert answer.status == 200
         assert answer.headers['x-served-by'] == 'v1'
 
-        ended = Event()
-        caller = Thread(target=_call_until, args=(mesh, one, ended))
+        ended, statuses = Event(), Counter()
+        caller = Thread(target=_call_until, args=(mesh, one, ended, statuses))
         caller.start()
         try:
             mesh.ctl(
@@ -52,6 +53,7 @@
             ended.set()
             caller.join()
         assert moved['state'] == 'completed', moved
+        assert set(statuses) == {200}, statuses
         status = mesh.ctl('move', 'status', 'front')
         assert status['share'] == 1.0, status
         for node in (one, two):
@@ -68,6 +70,6 @@
     return mesh.pool.request('GET', f'http://{node.call_address}/menu')
 
 
-def _call_until(mesh, node, ended):
+def _call_until(mesh, node, ended, statuses):
     while not ended.wait(0.002):
-        assert _call(mesh, node).status == 200
+        statuses[_call(mesh, node).status] += 1
