Share the set-up of the call path's tests

Cause: three tests started a server and put it in force by the same lines.

Change: Path.serve_by and put_candidates, GatedServer; an unused constant goes. The tests keep their assertions.

Conclusion: shorter, nothing else.

--- a/poplarrack/bench_capacity.py
+++ b/poplarrack/bench_capacity.py
@@ -48,7 +48,6 @@
 CHANGES_A_DAY = 640
 REPLACEMENTS_A_DAY = 64
 SECONDS_A_DAY = 86_400
-CALLS_PER_SECOND_A_NODE = 120
 TICKS_PER_SECOND = 10
 
 # A line of progress a second, with what HTTP and TCP add, about.
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -65,6 +65,20 @@
             writer.close()
 
 
+class GatedServer(Server):
+    """A server that answers one request once its gate is opened."""
+
+    def __init__(self):
+        super().__init__(None)
+        self.gate = asyncio.Event()
+
+    async def serve(self, reader, writer):
+        self.writers.add(writer)
+        self.requests.append(await reader.readuntil(b'\r\n\r\n'))
+        await self.gate.wait()
+        writer.write(OK)
+
+
 @asynccontextmanager
 async def path_to(*scripts, **table):
     """Run a node's call path in front of scripted servers."""
@@ -85,7 +99,7 @@
     calls = CallServer(dispatcher, time.monotonic)
     port = await calls.listen(asyncio.get_running_loop(), '127.0.0.1', 0)
     try:
-        yield Path(dispatcher, calls, port, servers)
+        yield Path(dispatcher, calls, port, servers, listeners)
     finally:
         calls.listener.close()
         calls.socket.close()
@@ -102,12 +116,29 @@
 class Path:
     """The call path under test and a caller of it."""
 
-    def __init__(self, dispatcher, calls, port, servers):
+    def __init__(self, dispatcher, calls, port, servers, listeners):
+        self.listeners = listeners
         self.dispatcher = dispatcher
         self.calls = calls
         self.port = port
         self.servers = servers
 
+    async def serve_by(self, server, **more):
+        """Put one more server in force, alone."""
+        listener = await asyncio.start_server(server.serve, '127.0.0.1', 0)
+        self.servers.append(server)
+        self.listeners.append(listener)
+        port = listener.sockets[0].getsockname()[1]
+        only = Candidate(endpoint(f'127.0.0.1:{port}', **more), 0)
+        self.put_candidates({('front', 'v1'): (only,)})
+
+    def put_candidates(self, candidates, **more):
+        """Put other candidates in force."""
+        table = self.dispatcher.table
+        self.dispatcher.put_in_force(
+            replace(table, candidates=candidates, **more)
+        )
+
     async def connect(self):
         return await asyncio.open_connection('127.0.0.1', self.port)
 
@@ -247,19 +278,12 @@
 
     async with path_to(lambda *x: OK) as path:
         late = Late(None)
-        listener = await asyncio.start_server(late.serve, '127.0.0.1', 0)
-        port = listener.sockets[0].getsockname()[1]
-        table = path.dispatcher.table
-        only = (Candidate(endpoint(f'127.0.0.1:{port}'), 0),)
-        path.dispatcher.put_in_force(
-            replace(table, candidates={('front', 'v1'): only})
-        )
+        await path.serve_by(late)
         status, headers, _ = await path.call('/quick')
         assert status == 504 and headers['poplarrack-ran'] == 'unknown'
         release.set()
         assert (await path.call('/jars'))[2] == b'ok'
         assert late.connections == 2
-        listener.close()
 
 
 @run
@@ -377,35 +401,21 @@
 
 @run
 async def test_drain_answers_what_is_under_way_and_closes():
-    gate = asyncio.Event()
-
-    class Slow(Server):
-        async def serve(self, reader, writer):
-            self.requests.append(await reader.readuntil(b'\r\n\r\n'))
-            await gate.wait()
-            writer.write(OK)
-
     async with path_to(lambda *x: OK) as path:
-        slow = Slow(None)
-        listener = await asyncio.start_server(slow.serve, '127.0.0.1', 0)
-        port = listener.sockets[0].getsockname()[1]
-        only = (Candidate(endpoint(f'127.0.0.1:{port}'), 0),)
-        path.dispatcher.put_in_force(
-            replace(path.dispatcher.table, candidates={('front', 'v1'): only})
-        )
+        slow = GatedServer()
+        await path.serve_by(slow)
         under_way = asyncio.ensure_future(path.call('/pay'))
         while not slow.requests:
             await asyncio.sleep(0)
         path.calls.announce_drain()
         await path.calls.drain(asyncio.get_running_loop())
         assert not path.calls.drained
-        gate.set()
+        slow.gate.set()
         status, headers, body = await under_way
         assert (status, body) == (200, b'ok')
         assert headers['connection'] == 'close'
         while not path.calls.drained:
             await asyncio.sleep(0)
-        listener.close()
 
 
 @run
@@ -425,54 +435,29 @@
 
 @run
 async def test_waiting_calls_are_all_served_when_room_comes():
-    gate = asyncio.Event()
-
-    class Gated(Server):
-        async def serve(self, reader, writer):
-            self.requests.append(await reader.readuntil(b'\r\n\r\n'))
-            await gate.wait()
-            writer.write(OK)
-
     async with path_to(lambda *x: OK) as path:
-        gated = Gated(None)
-        listener = await asyncio.start_server(gated.serve, '127.0.0.1', 0)
-        port = listener.sockets[0].getsockname()[1]
-        one = endpoint(f'127.0.0.1:{port}', slots=2)
-        held = path.dispatcher.table.candidates
-        table = path.dispatcher.table
-        path.dispatcher.put_in_force(
-            replace(table, candidates={('front', 'v1'): (Candidate(one, 0),)})
-        )
+        roomy = path.dispatcher.table.candidates
+        gated = GatedServer()
+        await path.serve_by(gated, slots=2)
         calls = [asyncio.ensure_future(path.call('/pay')) for _ in range(9)]
         queues = path.dispatcher.queues
         while not queues or queues['front'].size < 7:
             await asyncio.sleep(0)
-        path.dispatcher.put_in_force(replace(table, candidates=held))
+        path.put_candidates(roomy)
         assert queues['front'].size == 0, 'all go to the new server at once'
-        gate.set()
+        gated.gate.set()
         answers = await asyncio.gather(*calls)
         assert [status for status, _, _ in answers] == [200] * 9
-        listener.close()
 
 
 @run
 async def test_a_retry_is_no_evidence_since_nobody_drew_its_side():
     move = {'front': ServedMove('m', 'v1', 'v2', 0.999, True)}
     async with path_to(lambda *x: None, lambda *x: OK) as path:
-        ((_, (bad, good)),) = path.dispatcher.table.candidates.items()
-        path.dispatcher.put_in_force(
-            replace(
-                path.dispatcher.table,
-                moves=move,
-                candidates={
-                    ('front', 'v1'): (good,),
-                    ('front', 'v2'): (
-                        replace(
-                            bad, endpoint=replace(bad.endpoint, version='v2')
-                        ),
-                    ),
-                },
-            )
+        ((bad, good),) = path.dispatcher.table.candidates.values()
+        bad = replace(bad, endpoint=replace(bad.endpoint, version='v2'))
+        path.put_candidates(
+            {('front', 'v1'): (good,), ('front', 'v2'): (bad,)}, moves=move
         )
         for _ in range(3):
             assert (await path.call('/jars'))[0] == 200
@@ -498,11 +483,6 @@
     move = {'front': ServedMove('m', 'v1', 'v2', 0.0, True)}
     async with path_to(lambda *x: OK) as path:
         (held,) = path.dispatcher.table.candidates.values()
-        table = replace(
-            path.dispatcher.table,
-            moves=move,
-            candidates={('front', 'v2'): held},
-        )
-        path.dispatcher.put_in_force(table)
+        path.put_candidates({('front', 'v2'): held}, moves=move)
         status, headers, _ = await path.call('/jars')
         assert (status, headers['poplarrack-error']) == (503, 'no_endpoint')
