Push again when no answer came

Change: a push without an answer is made again, three times in all.

Tests of nodes green.

Conclusion: three attempts kept; a dead child costs two more timeouts until it is suspected.

--- a/poplarrack/nodes.py
+++ b/poplarrack/nodes.py
@@ -44,6 +44,7 @@
 TOPOLOGY_SECONDS = 1.0
 SPREAD_DELAY_SECONDS = 0.01
 REBUILD_DELAY_SECONDS = 0.05
+PUSH_ATTEMPTS = 3
 
 
 @dataclass(frozen=True)
@@ -393,14 +394,20 @@
                 self.start_task(self._push(node_id, news))
 
     async def _push(self, node_id, news):
-        """Push news to a node; once more, fitted, when its base differs."""
-        try:
-            answer = await self.call(node_id, 'Push', news)
-            if answer.stale:
-                address = self.address_of(node_id)
-                await self.push_if_behind(address, answer.digests)
-        except PoplarrackError as error:
-            logger.debug('push_failed', extra={'detail': error.detail})
+        """Push news to a node, again when no answer came.
+
+        A whole subtree waits for it; what is pushed twice is no news.
+        """
+        for _ in range(PUSH_ATTEMPTS):
+            try:
+                answer = await self.call(node_id, 'Push', news)
+                if answer.stale:
+                    address = self.address_of(node_id)
+                    await self.push_if_behind(address, answer.digests)
+            except PoplarrackError as error:
+                logger.debug('push_failed', extra={'detail': error.detail})
+            else:
+                return
 
     async def push_if_behind(self, address, other):
         """Send a node the version in force if its digests are behind."""
