Call a refused connection a platform that is away

Cause: the client let its library wrap a refused connection, so that a command against a platform that is away exited 19, outcome unknown, though nothing was sent; found by running the command by hand.

Measured: the new test fails before and passes now; poplarrack-ctl list against a closed port exits 18 (19 before).

--- a/poplarrack/platforms.py
+++ b/poplarrack/platforms.py
@@ -11,8 +11,8 @@
 from uuid import uuid4
 
 from urllib3 import PoolManager
-from urllib3 import Retry
 from urllib3 import Timeout
+from urllib3.exceptions import ConnectTimeoutError
 from urllib3.exceptions import HTTPError
 from urllib3.exceptions import NewConnectionError
 
@@ -85,7 +85,7 @@
         self.lock = Lock()
         self.pool = PoolManager(
             maxsize=4,
-            retries=Retry(0, redirect=0),
+            retries=False,
             timeout=Timeout(CONNECT_TIMEOUT_SECONDS, CALL_TIMEOUT_SECONDS),
         )
 
@@ -234,7 +234,7 @@
                 headers={'Content-Type': 'application/json'},
                 **options,
             )
-        except NewConnectionError as error:
+        except (ConnectTimeoutError, NewConnectionError) as error:
             raise PoplarrackError(
                 ErrorKind.PLATFORM_UNAVAILABLE, str(error)
             ) from error
--- a/tests/test_platforms.py
+++ b/tests/test_platforms.py
@@ -128,6 +128,15 @@
     assert client.read_key(KEY) is None
 
 
+def test_a_platform_that_takes_no_connection_is_unavailable(platform):
+    client = platform.client()
+    platform.stand_in.stop()
+    platform.server.stop()
+    raises(ErrorKind.PLATFORM_UNAVAILABLE, client.read_key, KEY)
+    error = raises(ErrorKind.PLATFORM_UNAVAILABLE, put, client)
+    assert error.answer.exit_code == 18, 'nothing was sent, so it is sure'
+
+
 def test_rates_over_the_platforms_are_refused(platform):
     client = platform.client()
     platform.stand_in.read_limit.per_second = 3
