Build a summary and a raced edit in one place

Cause: read over once more. A zone's report was built by the controller and again by the performer, whose signature might be of later facts; holding and withdrawing a move had the same loop twice, and withdrawing read the configuration twice.

Change: WriteSummary carries its signature; one loop writes an edit built anew after each race, from one read. What the building itself refuses is still raised at once.

Conclusion: behaviour stays.

--- a/poplarrack/blackboards.py
+++ b/poplarrack/blackboards.py
@@ -68,7 +68,7 @@
     report: Report | None = None
     report_at: float = 0.0
     report_receivers: tuple[str, ...] = ()
-    summary_revision: int = -1
+    summary_signature: int = -1
     summary_at: float = 0.0
     compared_at: float = 0.0
     compare_turn: int = 0
--- a/poplarrack/controllers.py
+++ b/poplarrack/controllers.py
@@ -381,8 +381,8 @@
     report = build_report(facts, now, own_zone_only=True)
     due = since >= facts.settings.platform.summary_seconds
     signature = summary_signature(facts, report)
-    if due or signature != facts.sent.summary_revision:
-        yield WriteSummary(build_summary(facts, report, now))
+    if due or signature != facts.sent.summary_signature:
+        yield WriteSummary(build_summary(facts, report, now), signature)
 
 
 def summary_signature(facts, report):
--- a/poplarrack/decisions.py
+++ b/poplarrack/decisions.py
@@ -71,9 +71,13 @@
 
 @dataclass(frozen=True)
 class WriteSummary:
-    """Write the zone's summary to the platform."""
+    """Write the zone's summary to the platform.
+
+    ``signature`` changes when operators would want to know.
+    """
 
     summary: ZoneSummary
+    signature: int
 
 
 @dataclass(frozen=True)
--- a/poplarrack/editors.py
+++ b/poplarrack/editors.py
@@ -147,34 +147,41 @@
         :param change: a function from a Move to the changed Move.
         :returns: the revision of the change.
         """
-        path = f'{self.team}/moves/{service}'
-        for _ in range(EDIT_ATTEMPTS):
+
+        def build():
             entry, move = self.read_move(service)
             value = encode_resource(change(move))
-            edit = Edit({path: value}, {path: entry.revision})
-            try:
-                return self.write(edit)
-            except PoplarrackError as error:
-                if error.kind is not ErrorKind.CONFLICT:
-                    raise
-        raise PoplarrackError(ErrorKind.CONFLICT, f'{path}: kept changing')
+            return Edit({entry.path: value}, {entry.path: entry.revision})
+
+        return self._write_when_raced(build, service)
 
     def withdraw_move(self, service, operator, now):
         """Take a move back, and the service's version with it.
 
         :returns: the revision of the change.
         """
+
+        def build():
+            return self._build_withdrawal(service, operator, now)
+
+        return self._write_when_raced(build, service)
+
+    def _write_when_raced(self, build, service):
+        """Write an edit, built anew from what is held after each race."""
         for _ in range(EDIT_ATTEMPTS):
+            edit = build()
             try:
-                return self.write(self._withdrawal(service, operator, now))
+                return self.write(edit)
             except PoplarrackError as error:
                 if error.kind is not ErrorKind.CONFLICT:
                     raise
-        raise PoplarrackError(ErrorKind.CONFLICT, f'{service}: kept changing')
+        raise PoplarrackError(
+            ErrorKind.CONFLICT, f'the move of {service} kept changing'
+        )
 
-    def _withdrawal(self, service, operator, now):
+    def _build_withdrawal(self, service, operator, now):
         entries = self.read().snapshot.entries
-        entry, move = self.read_move(service)
+        entry, move = self._find_move(entries, service)
         path = f'{self.team}/services/{service}'
         record = decode_resource(path, entries[path].value)
         changed = withdraw_by_operator(move, operator, now)
@@ -188,8 +195,11 @@
 
     def read_move(self, service):
         """Return the entry and the record of a service's move."""
+        return self._find_move(self.read().snapshot.entries, service)
+
+    def _find_move(self, entries, service):
         path = f'{self.team}/moves/{service}'
-        entry = self.read().snapshot.entries.get(path)
+        entry = entries.get(path)
         if entry is None:
             raise PoplarrackError(ErrorKind.NOT_FOUND, path)
         return entry, decode_resource(path, entry.value)
--- a/poplarrack/performers.py
+++ b/poplarrack/performers.py
@@ -5,8 +5,6 @@
 from dataclasses import replace
 import logging
 
-from poplarrack.controllers import build_report
-from poplarrack.controllers import summary_signature
 from poplarrack.decisions import Brake
 from poplarrack.decisions import Compare
 from poplarrack.decisions import ForgetEndpoint
@@ -190,10 +188,8 @@
 @performs(WriteSummary)
 async def write_summary(node, decision):
     """Write the zone's summary, under a lease."""
-    now = node.clock()
-    report = build_report(node.facts, now, own_zone_only=True)
     node.write_sent(
-        summary_at=now, summary_revision=summary_signature(node.facts, report)
+        summary_at=node.clock(), summary_signature=decision.signature
     )
     await node.links.run_blocking(_put_summary, node, decision.summary)
 
