--- /dev/null
+++ b/poplarrack/admissions.py
@@ -0,0 +1,88 @@
+"""Decide which request an endpoint runs next, and which it can't in time."""
+
+from bisect import insort
+from dataclasses import dataclass
+from dataclasses import field
+
+# Part of a new observation in the mean time of service.
+SERVICE_TIME_WEIGHT = 0.05
+# Assumed before anything was observed.
+FIRST_SERVICE_SECONDS = 0.05
+# A request whose time left is under this part of the mean time of service
+# would most likely be cut off in the middle.
+USEFUL_PART = 0.5
+
+
+@dataclass(order=True, slots=True)
+class Waiting:
+    """A request that waits for a slot; the order of the queue."""
+
+    rank: int
+    deadline: float
+    number: int
+    ticket: object = field(compare=False, default=None)
+    give_up_at: float = field(compare=False, default=0.0)
+
+
+class Admission:
+    """Hold an endpoint's slots and the queue in front of them."""
+
+    def __init__(self, slots):
+        self.slots = slots
+        self.running = 0
+        self.queue = []
+        self.number = 0
+        self.service_seconds = FIRST_SERVICE_SECONDS
+
+    def observe(self, seconds):
+        """Take in how long the endpoint worked on a request."""
+        delta = seconds - self.service_seconds
+        self.service_seconds += SERVICE_TIME_WEIGHT * delta
+
+    @property
+    def free(self):
+        """Return how many slots nobody uses."""
+        return max(0, self.slots - self.running)
+
+    def expected_wait(self, rank):
+        """Return how many seconds a request of a rank would wait."""
+        if self.free > len(self.queue):
+            return 0.0
+        ahead = sum(1 for item in self.queue if item.rank <= rank)
+        excess = ahead + 1 + max(0, self.running - self.slots)
+        return excess * self.service_seconds / max(1, self.slots)
+
+    def admits(self, rank, patience_seconds):
+        """Say whether a request may wait here."""
+        return self.expected_wait(rank) <= patience_seconds
+
+    def enqueue(self, ticket, rank, deadline, give_up_at):
+        """Add a request to the queue.
+
+        :returns: its place, which ``discard`` takes.
+        """
+        self.number += 1
+        item = Waiting(rank, deadline, self.number, ticket, give_up_at)
+        insort(self.queue, item)
+        return item
+
+    def discard(self, item):
+        """Remove a request that ended while it waited."""
+        if item in self.queue:
+            self.queue.remove(item)
+
+    def take(self, now):
+        """Return the next request to run and those that are too late.
+
+        :returns: the Waiting that got the slot, or None, and a list of
+            those whose time is over or too short to be served.
+        """
+        too_late = []
+        useful = self.service_seconds * USEFUL_PART
+        while self.queue and self.free:
+            item = self.queue.pop(0)
+            if now >= item.give_up_at or item.deadline - now < useful:
+                too_late.append(item)
+                continue
+            return item, too_late
+        return None, too_late
--- a/poplarrack/bench_capacity.py
+++ b/poplarrack/bench_capacity.py
@@ -28,13 +28,12 @@
 from poplarrack.members import MemberTable
 from poplarrack.members import merge_members
 from poplarrack.meshes import Mesh
+from poplarrack.messages import CODECS
 from poplarrack.messages import Digests
 from poplarrack.messages import DigestsAnswer
 from poplarrack.messages import Updates
-from poplarrack.peers import CODECS
 from poplarrack.peers import PeerClient
 from poplarrack.peers import PeerServer
-from poplarrack.peers import PeerTraffic
 from poplarrack.scenarios import build_changes
 from poplarrack.scenarios import change_one
 from poplarrack.scenarios import SERVICES
@@ -44,6 +43,7 @@
 from poplarrack.snapshots import Entry
 from poplarrack.snapshots import Snapshot
 from poplarrack.topologies import derive_topology
+from poplarrack.traffic import PeerTraffic
 
 CHANGES_A_DAY = 640
 REPLACEMENTS_A_DAY = 64
--- a/poplarrack/callers.py
+++ b/poplarrack/callers.py
@@ -12,13 +12,12 @@
 from poplarrack.errors import ErrorKind
 from poplarrack.http_messages import build_error
 from poplarrack.http_messages import HttpRequest
+from poplarrack.resources import CallerLimits
 
-MAX_HEADER_BYTES = 32_768
-MAX_BODY_BYTES = 1_000_000
 MAX_PIPELINED = 16
 MAX_CONNECTIONS = 4_096
-READ_TIMEOUT_SECONDS = 10.0
-IDLE_TIMEOUT_SECONDS = 75.0
+# An idle connection is kept somewhat longer than callers may count on.
+IDLE_SLACK = 1.2
 DRAIN_SILENCE_SECONDS = 1.0
 DRAIN_POLL_SECONDS = 0.05
 
@@ -85,7 +84,7 @@
 
     def _count_header(self, size):
         self.size += size
-        if self.size > MAX_HEADER_BYTES:
+        if self.size > self.server.limits.max_header_bytes:
             self._refuse(ErrorKind.TOO_LARGE, 'headers')
 
     def on_headers_complete(self):
@@ -98,7 +97,7 @@
     def on_body(self, body):
         """Collect a part of the body."""
         self.size += len(body)
-        if self.size > MAX_BODY_BYTES:
+        if self.size > self.server.limits.max_body_bytes:
             self._refuse(ErrorKind.TOO_LARGE, 'body')
             return
         self.chunks.append(body)
@@ -160,9 +159,12 @@
         """Close a connection whose caller is too slow or gone."""
         silent = now - self.last_read
         reading = self.request is not None
-        if reading and silent > READ_TIMEOUT_SECONDS:
+        limits = self.server.limits
+        if reading and silent > limits.header_timeout_seconds:
             self._refuse(ErrorKind.MALFORMED_REQUEST, 'request too slow')
-        elif self.call is None and silent > IDLE_TIMEOUT_SECONDS:
+        elif self.call is None and silent > (
+            IDLE_SLACK * limits.idle_timeout_seconds
+        ):
             self.transport.close()
 
     @property
@@ -178,6 +180,7 @@
         self.dispatcher = dispatcher
         self.max_connections = max_connections
         self.clock = clock
+        self.limits = CallerLimits('callers')
         self.connections = set()
         self.draining = False
         self.listener = None
--- /dev/null
+++ b/poplarrack/clocks.py
@@ -0,0 +1,18 @@
+"""Tell the time without following jumps of the time of day."""
+
+import time
+
+
+class SteadyClock:
+    """Seconds since the epoch as they were at the start, then steady.
+
+    Counts the time that the machine was suspended, so that leases and
+    deadlines do not outlive it.
+    """
+
+    def __init__(self):
+        self.offset = time.time() - time.clock_gettime(time.CLOCK_BOOTTIME)
+
+    def __call__(self):
+        """Return the present time in seconds."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME) + self.offset
--- a/poplarrack/configurations.py
+++ b/poplarrack/configurations.py
@@ -6,6 +6,7 @@
 
 from poplarrack.errors import ErrorKind
 from poplarrack.errors import PoplarrackError
+from poplarrack.resources import CallerLimits
 from poplarrack.resources import decode_resource
 from poplarrack.resources import Move
 from poplarrack.resources import Route
@@ -31,6 +32,9 @@
     routes: tuple[Route, ...] = ()
     moves: Mapping[str, Move] = field(default_factory=dict)
     move_paths: Mapping[str, str] = field(default_factory=dict)
+    caller_limits: CallerLimits = field(
+        default_factory=lambda: CallerLimits('callers')
+    )
 
     @property
     def revision(self):
@@ -83,6 +87,7 @@
 
 def _arrange(snapshot, decoded, faults):
     services, moves, move_paths, routes = {}, {}, {}, []
+    limits = CallerLimits('callers')
     owners = {}
     for path, resource in sorted(decoded.items()):
         team, kind, name = split_path(path)
@@ -94,10 +99,14 @@
         elif kind == 'moves':
             moves[name] = resource
             move_paths[name] = path
+        elif kind == 'limits':
+            limits = resource
         else:
             routes.append(resource)
     routes.sort(key=lambda route: (-len(route.prefix), route.name))
-    return Configuration(snapshot, services, tuple(routes), moves, move_paths)
+    return Configuration(
+        snapshot, services, tuple(routes), moves, move_paths, limits
+    )
 
 
 def _reference_faults(configuration):
@@ -111,8 +120,13 @@
 
 
 def _route_faults(route, services):
-    if route.service not in services:
-        yield f'route {route.name}: no service {route.service!r}'
+    for part in route.weighted_services:
+        if part.service not in services:
+            yield f'route {route.name}: no service {part.service!r}'
+        if part.weight < 0:
+            yield f'route {route.name}: weight {part.weight} is negative'
+    if route.max_attempts < 1:
+        yield f'route {route.name}: max_attempts >= 1'
     if not route.prefix.startswith('/'):
         yield f'route {route.name}: prefix must begin with /'
     if not 0 < route.timeout_seconds <= MAX_TIMEOUT_SECONDS:
--- a/poplarrack/dispatchers.py
+++ b/poplarrack/dispatchers.py
@@ -10,6 +10,7 @@
 from poplarrack.balancers import may_eject
 from poplarrack.balancers import ServerLoad
 from poplarrack.call_tables import CallTable
+from poplarrack.call_tables import derive_call_table
 from poplarrack.errors import ANSWERS
 from poplarrack.errors import ErrorKind
 from poplarrack.errors import Ran
@@ -104,6 +105,10 @@
         self.next_call = 0
         self.draining = False
 
+    def adopt(self, place, knowledge, now):
+        """Take what the node holds as the table in force."""
+        self.put_in_force(derive_call_table(place, knowledge, now))
+
     def put_in_force(self, table):
         """Take a new table; servers that stay keep what was seen."""
         servers = {}
--- a/poplarrack/fakes.py
+++ b/poplarrack/fakes.py
@@ -18,14 +18,15 @@
 from poplarrack.fetchers import apply_events
 from poplarrack.fetchers import read_configuration
 from poplarrack.joiners import join
+from poplarrack.messages import CODECS
 from poplarrack.nodes import Links
 from poplarrack.nodes import Node
 from poplarrack.nodes import TICK_SECONDS
 from poplarrack.peer_handlers import bind_handlers
-from poplarrack.peers import CODECS
 from poplarrack.platform_stand_ins import PlatformStandIn
 from poplarrack.platforms import CONFIGURATION_PREFIX
 from poplarrack.platforms import PlatformClient
+from poplarrack.platforms import raise_for_status
 from poplarrack.settings import NodeSettings
 from poplarrack.settings import PlatformSettings
 
@@ -98,11 +99,11 @@
         self.sleep = lambda seconds: None
         self.cut = False
 
-    def _send(self, path, body, streamed):
+    def _send(self, method, path, body, options):
         if self.cut:
             raise PoplarrackError(ErrorKind.PLATFORM_UNAVAILABLE, 'cut off')
         status, answer = self.stand_in.answer(path, body)
-        self._raise_for_status(path, status)
+        raise_for_status(path, status)
         return _Response(dumps(answer))
 
 
--- /dev/null
+++ b/poplarrack/heartbeats.py
@@ -0,0 +1,96 @@
+"""Decide what an endpoint's heartbeats change, in whatever order they come.
+
+A heartbeat may arrive late, after its sender ended and another start of
+the endpoint registered. The greater birth goes first, then the greater
+sequence number.
+"""
+
+from dataclasses import dataclass
+from dataclasses import replace
+
+from poplarrack.members import Endpoint
+from poplarrack.members import EndpointState
+
+# Heartbeats that may be missed before an endpoint counts as gone.
+MISSED_BEATS = 4
+
+
+@dataclass(frozen=True)
+class Heartbeat:
+    """What an endpoint says of itself; ``born`` 0 when it does not tell.
+
+    ``cold_seconds`` is how much longer it stays slow after its start.
+    """
+
+    instance_id: str
+    service: str
+    address: str
+    version: str
+    zone: str
+    slots: int
+    draining: bool
+    sequence: int
+    born: int = 0
+    cold_seconds: float = 0.0
+
+
+@dataclass(frozen=True)
+class EndpointRecord:
+    """What is held of the endpoint beside a node.
+
+    ``left`` names a start that said good-bye: what it said before is
+    ignored when it arrives late.
+    """
+
+    endpoint: Endpoint | None = None
+    sequence: int = -1
+    heard_at: float = 0.0
+    left: tuple[str, int] | None = None
+
+
+def apply_heartbeat(record, beat, max_connections, now):
+    """Return the record after a heartbeat; the same one if it is old."""
+    start = (beat.instance_id, beat.born)
+    if start == record.left:
+        return record
+    held = record.endpoint
+    if held is not None:
+        if beat.born < held.born:
+            return record
+        same = (held.instance_id, held.born) == start
+        if same and beat.sequence <= record.sequence:
+            return record
+    state = EndpointState.SERVING
+    if beat.draining:
+        state = EndpointState.DRAINING
+    endpoint = Endpoint(
+        beat.service,
+        beat.version,
+        beat.address,
+        beat.slots,
+        max_connections,
+        state,
+        now,
+        beat.instance_id,
+        beat.born,
+    )
+    return replace(
+        record, endpoint=endpoint, sequence=beat.sequence, heard_at=now
+    )
+
+
+def apply_leave(record, instance_id, now):
+    """Return the record after an endpoint said that it ends."""
+    held = record.endpoint
+    if held is None or held.instance_id != instance_id:
+        return record
+    return EndpointRecord(
+        None, record.sequence, now, (held.instance_id, held.born)
+    )
+
+
+def is_silent(record, heartbeat_seconds, now):
+    """Say whether an endpoint has missed too many heartbeats."""
+    silent = now - record.heard_at
+    held = record.endpoint is not None
+    return held and silent > MISSED_BEATS * heartbeat_seconds
--- a/poplarrack/http_messages.py
+++ b/poplarrack/http_messages.py
@@ -132,11 +132,12 @@
     return b''.join(parts)
 
 
-def build_error(kind, detail, call_id, keep_alive):
+def build_error(kind, detail, call_id, keep_alive, retry_after=None):
     """Return the bytes of an error answer by the table of kinds.
 
     :param call_id: the caller's own call id, echoed when it is sure that
         the call was not run.
+    :param retry_after: seconds after which the caller may come back.
     """
     answer = ANSWERS[kind]
     body = encode(
@@ -154,4 +155,6 @@
     ]
     if answer.ran is Ran.NO and call_id:
         headers.append((NOT_RUN_HEADER, call_id))
+    if retry_after is not None:
+        headers.append((b'retry-after', b'%.2f' % retry_after))
     return build_answer(answer.http_status, headers, body, keep_alive)
--- a/poplarrack/logs.py
+++ b/poplarrack/logs.py
@@ -1,11 +1,17 @@
 """Write logs as JSON lines with stable event names."""
 
+from collections import Counter
 import logging
+import os
 import sys
+import time
 
 from pythonjsonlogger.json import JsonFormatter
 
 FORMAT = '%(asctime)s %(levelname)s %(name)s %(message)s'
+# Lines of one event that a process writes in a second; more are counted.
+LINES_A_SECOND = 20
+STDOUT = 1
 
 
 def configure_logs(level, **static):
@@ -14,7 +20,18 @@
     :param level: a level's name, such as ``INFO``.
     :param static: fields that every line carries.
     """
-    handler = logging.StreamHandler(sys.stderr)
+    _install(logging.StreamHandler(sys.stderr), level, static)
+
+
+def configure_bounded_logs(level, **static):
+    """Send JSON lines to standard output, bounded, and never wait for it."""
+    os.set_blocking(STDOUT, False)
+    handler = BoundedHandler()
+    handler.addFilter(handler.limit)
+    _install(handler, level, static)
+
+
+def _install(handler, level, static):
     renamed = {
         'asctime': 'time',
         'levelname': 'level',
@@ -27,3 +44,51 @@
     root = logging.getLogger()
     root.handlers[:] = [handler]
     root.setLevel(level)
+
+
+class LineLimit(logging.Filter):
+    """Pass so many lines of an event in a second; count the others.
+
+    The first line of the next second tells how many were left out.
+    """
+
+    def __init__(self, lines_a_second=LINES_A_SECOND, clock=time.monotonic):
+        super().__init__()
+        self.lines_a_second = lines_a_second
+        self.clock = clock
+        self.second = 0
+        self.written = Counter()
+        self.left_out = Counter()
+
+    def filter(self, record):
+        """Say whether a line is written."""
+        second = int(self.clock())
+        if second != self.second:
+            self.second = second
+            self.written.clear()
+        event = record.msg
+        if self.written[event] >= self.lines_a_second:
+            self.left_out[event] += 1
+            return False
+        self.written[event] += 1
+        if self.left_out[event]:
+            record.left_out = self.left_out.pop(event)
+        return True
+
+
+class BoundedHandler(logging.Handler):
+    """Write lines to standard output; drop what it does not take."""
+
+    def __init__(self):
+        super().__init__()
+        self.limit = LineLimit()
+        self.dropped = 0
+
+    def emit(self, record):
+        """Write one line, or count it as dropped."""
+        try:
+            os.write(STDOUT, self.format(record).encode() + b'\n')
+        except BlockingIOError:
+            self.dropped += 1
+        except OSError:
+            self.handleError(record)
--- a/poplarrack/members.py
+++ b/poplarrack/members.py
@@ -38,6 +38,7 @@
     """A backend server as it announced itself to its node.
 
     ``announced_at`` is in seconds since the epoch, for slow start.
+    ``instance_id`` and ``born`` name one start of it, where it tells them.
     """
 
     service: str
@@ -47,6 +48,22 @@
     max_connections: int
     state: EndpointState = EndpointState.SERVING
     announced_at: float = 0.0
+    instance_id: str = ''
+    born: int = 0
+
+
+def same_start(one, other):
+    """Say whether two records tell of one start of a backend server."""
+    return _start_of(one) == _start_of(other)
+
+
+def _start_of(endpoint):
+    return (
+        endpoint.address,
+        endpoint.version,
+        endpoint.instance_id,
+        endpoint.born,
+    )
 
 
 @dataclass(frozen=True, slots=True)
--- a/poplarrack/messages.py
+++ b/poplarrack/messages.py
@@ -167,3 +167,17 @@
             ErrorKind.TOO_LARGE, f'message over {MAX_MESSAGE_BYTES} bytes'
         )
     return plain
+
+
+# The control methods between nodes: what each takes and answers.
+METHODS = {
+    'Compare': (Digests, DigestsAnswer),
+    'Sync': (SyncRequest, Updates),
+    'Push': (Updates, UpdatesAnswer),
+    'Probe': (ProbeRequest, ProbeAnswer),
+    'Gather': (Report, ReportAnswer),
+}
+CODECS = {
+    name: (Codec(request), Codec(answer))
+    for name, (request, answer) in METHODS.items()
+}
--- a/poplarrack/moves.py
+++ b/poplarrack/moves.py
@@ -128,6 +128,8 @@
     """Return the move's next record, or None when nothing changes."""
     if not is_live(move, now):
         return None
+    if not move.started_at:
+        return _start_ordered(move, facts, now)
     if facts.verdict is not None:
         return _withdraw(move, facts, now)
     if move.state is MoveState.COMPLETED:
@@ -139,6 +141,18 @@
     return _advance(move, facts, now)
 
 
+def _start_ordered(move, facts, now):
+    """Start a move whose order gives the time that it may take."""
+    return _change(
+        move,
+        now,
+        facts,
+        started_at=now,
+        complete_by=now + move.complete_by,
+        reason='started by an order',
+    )
+
+
 def _advance(move, facts, now):
     policy = POLICIES[move.policy]
     wanted, _ = planned_share(move, now)
--- a/poplarrack/node_servers.py
+++ b/poplarrack/node_servers.py
@@ -22,8 +22,8 @@
 from poplarrack.peer_handlers import bind_handlers
 from poplarrack.peers import PeerClient
 from poplarrack.peers import PeerServer
-from poplarrack.peers import PeerTraffic
 from poplarrack.platforms import PlatformClient
+from poplarrack.traffic import PeerTraffic
 
 logger = logging.getLogger(__name__)
 
--- a/poplarrack/nodes.py
+++ b/poplarrack/nodes.py
@@ -16,7 +16,6 @@
 from poplarrack.blackboards import Contact
 from poplarrack.blackboards import Facts
 from poplarrack.blackboards import Lifecycle
-from poplarrack.call_tables import derive_call_table
 from poplarrack.controllers import CONTROLLERS
 from poplarrack.controllers import note_failure
 from poplarrack.controllers import silent_nodes
@@ -29,6 +28,7 @@
 from poplarrack.members import Member
 from poplarrack.members import MemberState
 from poplarrack.members import refute
+from poplarrack.members import same_start
 from poplarrack.messages import Busy
 from poplarrack.messages import Updates
 from poplarrack.moves import is_live
@@ -54,6 +54,8 @@
     ``peers`` has ``call(address, method, message)``; ``platform`` the
     blocking methods of PlatformClient, run through ``run_blocking``;
     ``build_fetcher`` takes functions for snapshots and notes.
+    ``build_dispatcher`` returns what carries calls, None for the
+    Dispatcher that reaches backend servers itself.
     """
 
     peers: object
@@ -62,6 +64,7 @@
     build_fetcher: Callable
     clock: Callable[[], float]
     random: Random
+    build_dispatcher: Callable | None = None
 
 
 class Node:
@@ -89,13 +92,8 @@
         self.history = SnapshotHistory()
         self.fetcher = None
         self.summary_lease = SummaryLease()
-        self.dispatcher = Dispatcher(
-            own.node_id,
-            self.clock,
-            self.random,
-            settings.calls.max_answer_bytes,
-            settings.calls.balancer,
-        )
+        build = links.build_dispatcher or self._build_dispatcher
+        self.dispatcher = build()
         self.pending = Updates(own.node_id)
         self.pending_from = set()
         self.spreading = None
@@ -107,6 +105,15 @@
         self.topology_at = 0.0
         self.topology_basis = (None,)
 
+    def _build_dispatcher(self):
+        return Dispatcher(
+            self.settings.node_id,
+            self.clock,
+            self.random,
+            self.settings.calls.max_answer_bytes,
+            self.settings.calls.balancer,
+        )
+
     @property
     def facts(self):
         """Return the present facts."""
@@ -347,9 +354,7 @@
             self.rebuilding.cancel()
             self.rebuilding = None
         self._refresh_topology()
-        self.dispatcher.put_in_force(
-            derive_call_table(self.place, self.knowledge, self.clock())
-        )
+        self.dispatcher.adopt(self.place, self.knowledge, self.clock())
 
     def _refresh_topology(self):
         """Derive the place anew when what it rests on changed."""
@@ -427,7 +432,7 @@
         facts = self.facts
         self.blackboard.write('membership', announced_at=self.clock())
         held = facts.own.endpoint
-        if held is not None and _same_server(held, endpoint):
+        if held is not None and same_start(held, endpoint):
             endpoint = replace(endpoint, announced_at=held.announced_at)
         if endpoint == held or facts.lifecycle.draining:
             return
@@ -469,7 +474,3 @@
     target = getattr(decision, 'node_id', None)
     target = target or getattr(decision, 'path', None)
     return (type(decision), target or getattr(decision, 'target', None))
-
-
-def _same_server(held, endpoint):
-    return (held.address, held.version) == (endpoint.address, endpoint.version)
--- a/poplarrack/peers.py
+++ b/poplarrack/peers.py
@@ -17,17 +17,8 @@
 
 from poplarrack.errors import ErrorKind
 from poplarrack.errors import PoplarrackError
-from poplarrack.messages import Codec
-from poplarrack.messages import Digests
-from poplarrack.messages import DigestsAnswer
+from poplarrack.messages import CODECS
 from poplarrack.messages import MAX_MESSAGE_BYTES
-from poplarrack.messages import ProbeAnswer
-from poplarrack.messages import ProbeRequest
-from poplarrack.messages import Report
-from poplarrack.messages import ReportAnswer
-from poplarrack.messages import SyncRequest
-from poplarrack.messages import Updates
-from poplarrack.messages import UpdatesAnswer
 
 logger = logging.getLogger(__name__)
 
@@ -35,18 +26,6 @@
 MAX_CHANNELS = 32
 MAX_CONCURRENT_CALLS = 64
 
-METHODS = {
-    'Compare': (Digests, DigestsAnswer),
-    'Sync': (SyncRequest, Updates),
-    'Push': (Updates, UpdatesAnswer),
-    'Probe': (ProbeRequest, ProbeAnswer),
-    'Gather': (Report, ReportAnswer),
-}
-CODECS = {
-    name: (Codec(request), Codec(answer))
-    for name, (request, answer) in METHODS.items()
-}
-
 CHANNEL_OPTIONS = (
     ('grpc.enable_http_proxy', 0),
     ('grpc.use_local_subchannel_pool', 1),
@@ -63,26 +42,6 @@
 )
 
 
-class PeerTraffic:
-    """Count control messages and bytes, in and out."""
-
-    def __init__(self):
-        self.messages_in = 0
-        self.messages_out = 0
-        self.bytes_in = 0
-        self.bytes_out = 0
-
-    def received(self, raw):
-        """Count a message that came."""
-        self.messages_in += 1
-        self.bytes_in += len(raw)
-
-    def sent(self, raw):
-        """Count a message that went out."""
-        self.messages_out += 1
-        self.bytes_out += len(raw)
-
-
 class PeerClient:
     """Call other nodes; channels are kept for those called lately."""
 
--- /dev/null
+++ b/poplarrack/platform/__main__.py
@@ -0,0 +1,42 @@
+"""Run a node on the platform."""
+
+import asyncio
+import sys
+
+from poplarrack.errors import PoplarrackError
+from poplarrack.logs import configure_bounded_logs
+from poplarrack.platform.dialect import DIALECT
+from poplarrack.platform.pages import serve_control
+from poplarrack.platform.pages import serve_ready
+from poplarrack.platform.settings import load_settings
+from poplarrack.platform.store_client import PlatformStoreClient
+from poplarrack.programs import tune_interpreter
+from poplarrack.sidecar_servers import Host
+from poplarrack.sidecar_servers import SidecarServer
+
+
+def main():
+    """Read the settings, build the objects and run."""
+    try:
+        settings = load_settings()
+        configure_bounded_logs(settings.log_level, node=settings.node_id)
+        host = Host(
+            DIALECT,
+            PlatformStoreClient(settings.platform.addresses),
+            serve_control,
+            serve_ready,
+            load_settings,
+        )
+        tune_interpreter()
+        asyncio.run(_serve(settings, host))
+    except PoplarrackError as error:
+        print(f'poplarrack: {error}', file=sys.stderr)
+        sys.exit(error.answer.exit_code)
+
+
+async def _serve(settings, host):
+    await SidecarServer(settings, host).run()
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/poplarrack/platform/configurations.py
@@ -0,0 +1,157 @@
+"""Translate the operator's configuration and roll-outs into settings.
+
+One value of the store holds all routes and services; the product keeps
+one setting a path. A roll-out order and the product's record of it
+together make one move.
+"""
+
+from msgspec.json import decode
+from msgspec.json import encode
+
+from poplarrack.fetchers import HEAD_KEY
+from poplarrack.platform.settings import parse_duration
+from poplarrack.platforms import CONFIGURATION_PREFIX
+from poplarrack.resources import CallerLimits
+from poplarrack.resources import decode_resource
+from poplarrack.resources import encode_resource
+from poplarrack.resources import Move
+from poplarrack.resources import MoveState
+from poplarrack.resources import Route
+from poplarrack.resources import Service
+from poplarrack.resources import WeightedService
+from poplarrack.stores import KeyValue
+
+TEAM = 'mesh'
+# A prefix that the operator's keys and the product's records share, so
+# that one watch covers both.
+WATCHED_PREFIX = 'o'
+CONFIGURATION_KEY = 'op/config'
+ORDER_PREFIX = 'op/rollout/'
+RECORD_PREFIX = 'own/moves/'
+STATUS_PREFIX = 'status/rollout/'
+MOVES_PREFIX = f'{CONFIGURATION_PREFIX}{TEAM}/moves/'
+MOVE_POLICY = 'replace_at_end'
+
+STATUS_OF_STATE = {
+    MoveState.COMPLETED: 'completed',
+    MoveState.WITHDRAWN: 'rolled_back',
+}
+
+
+class Translator:
+    """Turn the store's items into the product's settings."""
+
+    def __init__(self):
+        self.revision = 0
+        self.settings = {}
+
+    def translate(self, items):
+        """Return the product's items by key.
+
+        :param items: the store's items under the watched prefix, by key.
+        """
+        present = {
+            key: item for key, item in items.items() if item.value is not None
+        }
+        translated = dict(self._configuration(present.get(CONFIGURATION_KEY)))
+        for key, item in present.items():
+            if key.startswith(ORDER_PREFIX):
+                service = key.removeprefix(ORDER_PREFIX)
+                record = present.get(RECORD_PREFIX + service)
+                moved = _translate_move(service, item, record)
+                translated[moved.key] = moved
+        head = max((item.mod_revision for item in items.values()), default=0)
+        if translated:
+            translated[HEAD_KEY] = KeyValue(HEAD_KEY, b'', head, head)
+        return translated
+
+    def _configuration(self, item):
+        if item is None:
+            return {}
+        if item.mod_revision != self.revision:
+            self.settings = _translate_configuration(decode(item.value))
+            self.revision = item.mod_revision
+        return self.settings
+
+
+def _translate_configuration(raw):
+    resources = {
+        f'routes/{name}': _translate_route(name, route)
+        for name, route in raw['routes'].items()
+    }
+    for name, service in raw['services'].items():
+        resources[f'services/{name}'] = Service(
+            name, '', max_connections=service['max_connections']
+        )
+    limits = raw.get('limits')
+    if limits:
+        resources['limits/callers'] = CallerLimits(
+            'callers',
+            limits['max_header_bytes'],
+            limits['max_body_bytes'],
+            parse_duration(limits['header_timeout']),
+            parse_duration(limits['idle_timeout']),
+        )
+    keys = (
+        (f'{CONFIGURATION_PREFIX}{TEAM}/{path}', encode_resource(resource))
+        for path, resource in resources.items()
+    )
+    # The revision is left out, so that what did not change in a version
+    # makes no difference.
+    return {key: KeyValue(key, value, 0, 0) for key, value in keys}
+
+
+def _translate_route(name, raw):
+    backends = tuple(
+        WeightedService(part['service'], part['weight'])
+        for part in raw.get('backends') or ()
+    )
+    return Route(
+        name,
+        raw['prefix'],
+        raw.get('service') or backends[0].service,
+        repeatable=raw['route_type'] == 'safe',
+        timeout_seconds=parse_duration(raw['timeout']),
+        host=raw['host'].lower(),
+        backends=backends,
+        max_attempts=raw['max_attempts'],
+        target_latency_seconds=parse_duration(raw['target_latency']),
+        rank=raw['priority'],
+    )
+
+
+def _translate_move(service, order, record):
+    """Return the move of an order: its record, or one not yet begun."""
+    key = MOVES_PREFIX + service
+    move_id = f'{service}-{order.mod_revision}'
+    if record is not None:
+        held = decode_resource(f'{TEAM}/moves/{service}', record.value)
+        if held.move_id == move_id:
+            return KeyValue(key, record.value, 0, record.mod_revision)
+    raw = decode(order.value)
+    move = Move(
+        service,
+        '',
+        raw['target_version'],
+        # Counted from when the worker starts it.
+        parse_duration(raw['duration']),
+        move_id,
+        0.0,
+        MOVE_POLICY,
+    )
+    revision = record.mod_revision if record is not None else 0
+    return KeyValue(key, encode_resource(move), 0, revision)
+
+
+def record_key_of(key):
+    """Return where the store keeps a move's record, or nothing."""
+    if key.startswith(MOVES_PREFIX):
+        return RECORD_PREFIX + key.removeprefix(MOVES_PREFIX)
+    return ''
+
+
+def build_status(move):
+    """Return key and value of what the operator reads of a move."""
+    state = STATUS_OF_STATE.get(move.state, 'running')
+    value = {'state': state, 'target_version': move.to_version}
+    return STATUS_PREFIX + move.service, encode(value)
--- /dev/null
+++ b/poplarrack/platform/dialect.py
@@ -0,0 +1,16 @@
+"""Name the headers of the platform's callers and endpoints."""
+
+from poplarrack.dialects import Dialect
+
+DIALECT = Dialect(
+    request_id=b'request-id',
+    deadline_ms=b'deadline-ms',
+    not_run=b'not-executed',
+    instance=b'expect-instance',
+    caller_service=b'caller-service',
+    # Endpoints stamp each answer that they made themselves.
+    proof=b'server-stamp',
+    load=b'server-load',
+    # Misdirected: the address belongs to another endpoint by now.
+    not_run_statuses=frozenset((421,)),
+)
--- /dev/null
+++ b/poplarrack/platform/pages.py
@@ -0,0 +1,44 @@
+"""Answer the endpoint's reports and the platform's question for readiness."""
+
+import logging
+
+from poplarrack.errors import PoplarrackError
+from poplarrack.platform.heartbeats import decode_heartbeat
+from poplarrack.platform.heartbeats import INSTANCE_PATH
+
+logger = logging.getLogger(__name__)
+
+JSON = b'application/json'
+TEXT = b'text/plain'
+READY_PATH = '/-/ready'
+
+
+def serve_control(server, request):
+    """Take a heartbeat or a good-bye of the endpoint of this machine."""
+    path = request.target.partition('?')[0]
+    instance_id = path.removeprefix(INSTANCE_PATH)
+    if not path.startswith(INSTANCE_PATH) or not instance_id:
+        return 404, TEXT, b''
+    if request.method == 'PUT':
+        return _take_heartbeat(server, instance_id, request.body)
+    if request.method == 'DELETE':
+        server.on_leave(instance_id)
+        return 200, JSON, b'{}'
+    return 405, TEXT, b''
+
+
+def _take_heartbeat(server, instance_id, body):
+    try:
+        beat = decode_heartbeat(instance_id, body)
+    except PoplarrackError as error:
+        logger.warning('heartbeat_rejected', extra={'detail': error.detail})
+        return error.answer.http_status, TEXT, error.detail.encode()
+    server.on_heartbeat(beat)
+    return 200, JSON, b'{}'
+
+
+def serve_ready(server, request):
+    """Say whether requests of this machine are carried."""
+    if request.target.partition('?')[0] != READY_PATH:
+        return 404, TEXT, b''
+    return (200 if server.node.ready else 503), TEXT, b''
--- /dev/null
+++ b/poplarrack/platform/settings.py
@@ -0,0 +1,94 @@
+"""Read the platform's settings file into the product's settings."""
+
+import os
+from pathlib import Path
+import tomllib
+
+from poplarrack.errors import ErrorKind
+from poplarrack.errors import PoplarrackError
+from poplarrack.settings import CallSettings
+from poplarrack.settings import PlatformSettings
+from poplarrack.settings import SidecarSettings
+
+PATH_VARIABLE = 'POPLARRACK_NODE_FILE'
+# The port of the metrics page, which deploy/system.toml names too.
+METRICS_PORT = 9464
+UNITS = (('ms', 0.001), ('s', 1.0))
+
+
+def load_settings():
+    """Read the file that the environment names.
+
+    :raises PoplarrackError: INVALID_SETTINGS with what is wrong.
+    """
+    path = os.environ.get(PATH_VARIABLE)
+    if not path:
+        raise PoplarrackError(
+            ErrorKind.INVALID_SETTINGS, f'{PATH_VARIABLE} is not set'
+        )
+    try:
+        text = Path(path).read_text(encoding='utf-8')
+    except (OSError, UnicodeDecodeError) as error:
+        raise PoplarrackError(
+            ErrorKind.INVALID_SETTINGS, f'{path}: {error}'
+        ) from error
+    return parse_settings(text, path)
+
+
+def parse_settings(text, source='settings'):
+    """Decode the text of a settings file; unknown fields are ignored.
+
+    :raises PoplarrackError: INVALID_SETTINGS with what is wrong.
+    """
+    try:
+        return _translate(tomllib.loads(text))
+    except tomllib.TOMLDecodeError as error:
+        detail = f'{source}: {error}'
+    except KeyError as error:
+        detail = f'{source}: {error.args[0]} is missing'
+    except (TypeError, ValueError, AttributeError) as error:
+        detail = f'{source}: {error}'
+    raise PoplarrackError(ErrorKind.INVALID_SETTINGS, detail)
+
+
+def _translate(raw):
+    listen, bounds = raw['listen'], raw['bounds']
+    return SidecarSettings(
+        node_id=raw['node_name'],
+        region=raw['region'],
+        zone=raw['zone'],
+        # Where other nodes reach this one's endpoint.
+        peer_address=listen['inbound'],
+        # Where the callers of this machine send to.
+        call_address=listen['outbound'],
+        announce_address=listen['control'],
+        operator_address=listen['ready'],
+        platform=PlatformSettings((raw['platform']['address'],)),
+        seeds=tuple(raw.get('seeds', ())),
+        calls=CallSettings(max_answer_bytes=MAX_ANSWER_BYTES),
+        service=raw['service'],
+        server_address=raw['app_addr'],
+        metrics_address=f'{raw["ip"]}:{METRICS_PORT}',
+        heartbeat_seconds=parse_duration(raw['heartbeat']),
+        retry_budget_ratio=float(bounds['retry_budget_ratio']),
+        retry_budget_slack=float(bounds['retry_budget_slack']),
+        exposure_share=float(bounds['exposure_share']),
+        exposure_slack=float(bounds['exposure_slack']),
+        grace_seconds=parse_duration(bounds['grace']),
+        machine_memory_bytes=int(raw['limits']['memory_mb'] * 1_000_000),
+    )
+
+
+# Answers are held whole in memory, two nodes long.
+MAX_ANSWER_BYTES = 32_000_000
+
+
+def parse_duration(text):
+    """Return the seconds of a duration such as ``1500ms`` or ``2.5s``.
+
+    :raises ValueError: for any other text.
+    """
+    for unit, factor in UNITS:
+        if text.endswith(unit):
+            return float(text.removesuffix(unit)) * factor
+    raise ValueError(f'{text!r} is no duration')
--- /dev/null
+++ b/poplarrack/platform/store_client.py
@@ -0,0 +1,216 @@
+"""Call the platform's store the way the product calls any."""
+
+from collections import OrderedDict
+from json import loads
+import time
+from urllib.parse import urlencode
+
+from urllib3 import Timeout
+
+from poplarrack.errors import ErrorKind
+from poplarrack.errors import PoplarrackError
+from poplarrack.platform.configurations import build_status
+from poplarrack.platform.configurations import record_key_of
+from poplarrack.platform.configurations import TEAM
+from poplarrack.platform.configurations import Translator
+from poplarrack.platform.configurations import WATCHED_PREFIX
+from poplarrack.platform.settings import parse_duration
+from poplarrack.platforms import CONFIGURATION_PREFIX
+from poplarrack.platforms import CONNECT_TIMEOUT_SECONDS
+from poplarrack.platforms import RangeAnswer
+from poplarrack.platforms import StoreClient
+from poplarrack.platforms import WatchBatch
+from poplarrack.resources import decode_resource
+from poplarrack.stores import KeyValue
+from poplarrack.wire import pack
+from poplarrack.wire import unpack
+
+# How long a watch waits for an event; a connection that went silent is
+# found out when it is over.
+WATCH_WAIT_SECONDS = 4.0
+WATCH_MARGIN_SECONDS = 1.0
+# Pause between watches, so that changes in quick succession are read
+# together.
+WATCH_GAP_SECONDS = 0.25
+HEADER_BYTES = 300
+STATES_KEPT = 8
+
+
+class PlatformStoreClient(StoreClient):
+    """A blocking client with the methods of PlatformClient."""
+
+    def __init__(self, addresses, sleep=time.sleep):
+        super().__init__(addresses)
+        self.sleep = sleep
+        self.translator = Translator()
+        # What the store held at the revisions that a watch may go on from.
+        self.states = OrderedDict()
+
+    def read_prefix(self, prefix, revision=0):
+        """Read all keys under a prefix; ``revision`` is not supported."""
+        if prefix != CONFIGURATION_PREFIX:
+            items, revision = self._read_range(prefix)
+            return RangeAnswer(revision, tuple(items))
+        items, revision = self._read_range(WATCHED_PREFIX)
+        held = {item.key: item for item in items}
+        self._keep(revision, held)
+        return RangeAnswer(
+            revision, tuple(self.translator.translate(held).values())
+        )
+
+    def write(self, compares, operations, lease_id=0):
+        """Write a move's record where it is still as it was read.
+
+        :raises PoplarrackError: CONFLICT when it is not, OUTCOME_UNKNOWN
+            without an answer; what is read next tells what became of it.
+        """
+        expected, puts = [], []
+        for compare in compares:
+            key = record_key_of(compare.key)
+            if key:
+                expected.append({'key': key, 'revision': compare.mod_revision})
+        for operation in operations:
+            key = record_key_of(operation.key)
+            if key:
+                puts.append(_put(key, operation.value))
+                puts.append(_put(*build_status(_decode_move(operation))))
+        return self._transact(expected, puts)
+
+    def put_unguarded(self, operation):
+        """Put a value that the next put replaces anyway, once."""
+        put = _put(operation.key, operation.value, operation.lease_id)
+        self._transact([], [put])
+
+    def grant_lease(self, ttl_seconds):
+        """Grant a lease and return its number."""
+        body = {'ttl_time': f'{int(ttl_seconds * 1000)}ms'}
+        return int(self._call('POST', '/-/kv-lease', body)['lease'])
+
+    def keep_lease(self, lease_id):
+        """Renew a lease; return False when it lapsed."""
+        try:
+            answer = self._call('POST', f'/-/kv-keep/{lease_id}', {})
+        except PoplarrackError as error:
+            if error.kind is ErrorKind.NOT_FOUND:
+                return False
+            raise
+        return parse_duration(answer['ttl_time']) > 0
+
+    def watch(self, prefix, revision):
+        """Yield batches of the product's events after a revision.
+
+        :raises PoplarrackError: COMPACTED when the state at the revision
+            is no longer held, here or there.
+        """
+        held = self.states.get(revision)
+        if held is None:
+            raise PoplarrackError(
+                ErrorKind.COMPACTED, f'revision {revision} is not held'
+            )
+        translated = self.translator.translate(held)
+        while True:
+            answer = self._wait_for_events(revision)
+            events = [_unpack_event(item) for item in answer['events']]
+            revision = max(revision, answer['store_revision'])
+            held = _apply(held, events)
+            changed = self.translator.translate(held) if events else translated
+            self._keep(revision, held)
+            yield WatchBatch(revision, _difference(translated, changed))
+            translated = changed
+            if events:
+                self.sleep(WATCH_GAP_SECONDS)
+
+    def _wait_for_events(self, revision):
+        query = urlencode(
+            {
+                'prefix': WATCHED_PREFIX,
+                'after': revision,
+                'wait_ms': int(WATCH_WAIT_SECONDS * 1000),
+            }
+        )
+        silence = WATCH_WAIT_SECONDS + WATCH_MARGIN_SECONDS
+        return self._call(
+            'GET',
+            f'/-/kv-watch?{query}',
+            timeout=Timeout(CONNECT_TIMEOUT_SECONDS, silence),
+        )
+
+    def _keep(self, revision, held):
+        self.states[revision] = held
+        self.states.move_to_end(revision)
+        while len(self.states) > STATES_KEPT:
+            self.states.popitem(last=False)
+
+    def _read_range(self, prefix):
+        """Return the items under a prefix and the revision to watch from.
+
+        Pages are no snapshot: a watch goes on from the first one's.
+        """
+        items, after, revision = [], '', 0
+        while True:
+            query = {'prefix': prefix}
+            if after:
+                query['after'] = after
+            page = self._call('GET', f'/-/kv-range?{urlencode(query)}')
+            items += [_unpack_item(item) for item in page['items']]
+            revision = revision or page['store_revision']
+            if not page['has_more']:
+                return items, revision
+            after = items[-1].key
+
+    def _transact(self, expected, puts):
+        body = {'expected_revision': expected, 'puts': puts, 'deletes': []}
+        return int(self._call('POST', '/-/kv-txn', body)['revision'])
+
+    def _call(self, method, path, body=None, **options):
+        response = self.open(method, path, body, **options)
+        self.bytes += len(response.data) + HEADER_BYTES
+        try:
+            return loads(response.data)
+        except ValueError as error:
+            raise PoplarrackError(
+                ErrorKind.OUTCOME_UNKNOWN, f'{path}: {error}'
+            ) from error
+
+
+def _put(key, value, lease_id=0):
+    return {'key': key, 'value': pack(value), 'lease': lease_id}
+
+
+def _decode_move(operation):
+    service = operation.key.rpartition('/')[2]
+    return decode_resource(f'{TEAM}/moves/{service}', operation.value)
+
+
+def _unpack_item(item):
+    return KeyValue(
+        item['key'],
+        unpack(item['value']),
+        item['created'],
+        item['revision'],
+        item.get('lease', 0),
+    )
+
+
+def _unpack_event(event):
+    if event.get('deleted'):
+        return KeyValue(event['key'], None, 0, event['revision'])
+    return _unpack_item(event)
+
+
+def _apply(held, events):
+    """Return the items after events; a deletion stays as one of no value.
+
+    Its revision counts, so that a version without it is a newer one.
+    """
+    return {**held, **{event.key: event for event in events}}
+
+
+def _difference(before, after):
+    """Return the events that lead from one set of items to another."""
+    changed = [item for key, item in after.items() if before.get(key) != item]
+    newest = max((item.mod_revision for item in after.values()), default=0)
+    removed = [
+        KeyValue(key, None, 0, newest) for key in before if key not in after
+    ]
+    return (*changed, *removed)
--- a/poplarrack/platforms.py
+++ b/poplarrack/platforms.py
@@ -47,6 +47,7 @@
 
 STATUS_KINDS = {
     404: ErrorKind.NOT_FOUND,
+    412: ErrorKind.CONFLICT,
     410: ErrorKind.COMPACTED,
     413: ErrorKind.TOO_LARGE,
     429: ErrorKind.RATE_LIMITED,
@@ -70,16 +71,14 @@
     events: tuple[KeyValue, ...]
 
 
-class PlatformClient:
-    """A blocking client; a node runs it on threads of its own."""
+class StoreClient:
+    """Make HTTP calls to the store, with a circuit; used from threads."""
 
     def __init__(self, addresses, random=None, clock=time.monotonic):
         self.addresses = tuple(addresses)
         self.random = random or Random()
         self.clock = clock
-        self.sleep = time.sleep
         self.circuit = Circuit()
-        self.backoff = Backoff()
         self.calls = 0
         self.bytes = 0
         self.lock = Lock()
@@ -89,6 +88,72 @@
             timeout=Timeout(CONNECT_TIMEOUT_SECONDS, CALL_TIMEOUT_SECONDS),
         )
 
+    def open(self, method, path, body=None, **options):
+        """Make one call, unless the circuit is open.
+
+        :param body: what is sent as JSON, or None.
+        :param options: more arguments for the pool's request.
+        :returns: the response, of status 200.
+        :raises PoplarrackError: by the status, OUTCOME_UNKNOWN when no
+            answer came, PLATFORM_UNAVAILABLE when nothing was sent.
+        """
+        now = self.clock()
+        with self.lock:
+            if not self.circuit.allows(now):
+                raise PoplarrackError(
+                    ErrorKind.PLATFORM_UNAVAILABLE, 'circuit is open'
+                )
+            self.calls += 1
+        try:
+            response = self._send(method, path, body, options)
+        except PoplarrackError as error:
+            self._record(error.kind not in _TRY_AGAIN)
+            raise
+        self._record(True)
+        return response
+
+    def _record(self, succeeded):
+        with self.lock:
+            self.circuit = self.circuit.record(succeeded, self.clock())
+
+    def _send(self, method, path, body, options):
+        address = self.random.choice(self.addresses)
+        raw = None if body is None else dumps(body).encode()
+        try:
+            response = self.pool.request(
+                method,
+                f'http://{address}{path}',
+                body=raw,
+                headers={'Content-Type': 'application/json'},
+                **options,
+            )
+        except (ConnectTimeoutError, NewConnectionError) as error:
+            raise PoplarrackError(
+                ErrorKind.PLATFORM_UNAVAILABLE, str(error)
+            ) from error
+        except HTTPError as error:
+            raise PoplarrackError(
+                ErrorKind.OUTCOME_UNKNOWN, f'{path}: {error}'
+            ) from error
+        raise_for_status(path, response.status)
+        return response
+
+
+def raise_for_status(path, status):
+    """Raise the error that a status of the store stands for."""
+    if status != 200:
+        kind = STATUS_KINDS.get(status, ErrorKind.OUTCOME_UNKNOWN)
+        raise PoplarrackError(kind, f'{path}: status {status}')
+
+
+class PlatformClient(StoreClient):
+    """A blocking client; a node runs it on threads of its own."""
+
+    def __init__(self, addresses, random=None, clock=time.monotonic):
+        super().__init__(addresses, random, clock)
+        self.sleep = time.sleep
+        self.backoff = Backoff()
+
     def read_prefix(self, prefix, revision=0):
         """Read all keys under a prefix."""
         body = {'key': pack(prefix), 'range_end': pack(prefix_end(prefix))}
@@ -158,7 +223,13 @@
             'start_revision': str(revision + 1),
             'progress_notify': True,
         }
-        response = self._open('/v3/watch', {'create_request': request}, True)
+        response = self.open(
+            'POST',
+            '/v3/watch',
+            {'create_request': request},
+            preload_content=False,
+            timeout=Timeout(CONNECT_TIMEOUT_SECONDS, WATCH_SILENCE_SECONDS),
+        )
         try:
             for line in _lines(response):
                 self.bytes += len(line) + CHUNK_BYTES
@@ -194,62 +265,10 @@
         )
 
     def _call(self, path, body):
-        response = self._open(path, body, False)
+        response = self.open('POST', path, body)
         self.bytes += len(dumps(body)) + len(response.data) + HEADER_BYTES
         return loads(response.data)
 
-    def _open(self, path, body, streamed):
-        now = self.clock()
-        with self.lock:
-            if not self.circuit.allows(now):
-                raise PoplarrackError(
-                    ErrorKind.PLATFORM_UNAVAILABLE, 'circuit is open'
-                )
-            self.calls += 1
-        try:
-            response = self._send(path, body, streamed)
-        except PoplarrackError as error:
-            down = error.kind in _TRY_AGAIN
-            self._record(not down)
-            raise
-        self._record(True)
-        return response
-
-    def _record(self, succeeded):
-        with self.lock:
-            self.circuit = self.circuit.record(succeeded, self.clock())
-
-    def _send(self, path, body, streamed):
-        address = self.random.choice(self.addresses)
-        options = {'preload_content': not streamed}
-        if streamed:
-            options['timeout'] = Timeout(
-                CONNECT_TIMEOUT_SECONDS, WATCH_SILENCE_SECONDS
-            )
-        try:
-            response = self.pool.request(
-                'POST',
-                f'http://{address}{path}',
-                body=dumps(body).encode(),
-                headers={'Content-Type': 'application/json'},
-                **options,
-            )
-        except (ConnectTimeoutError, NewConnectionError) as error:
-            raise PoplarrackError(
-                ErrorKind.PLATFORM_UNAVAILABLE, str(error)
-            ) from error
-        except HTTPError as error:
-            raise PoplarrackError(
-                ErrorKind.OUTCOME_UNKNOWN, f'{path}: {error}'
-            ) from error
-        self._raise_for_status(path, response.status)
-        return response
-
-    def _raise_for_status(self, path, status):
-        if status != 200:
-            kind = STATUS_KINDS.get(status, ErrorKind.OUTCOME_UNKNOWN)
-            raise PoplarrackError(kind, f'{path}: status {status}')
-
 
 _TRY_AGAIN = (
     ErrorKind.OUTCOME_UNKNOWN,
--- a/poplarrack/resources.py
+++ b/poplarrack/resources.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 from enum import Enum
+from functools import lru_cache
 
 from msgspec import convert
 from msgspec import ValidationError
@@ -19,6 +20,9 @@
 MAX_VALUE_BYTES = 1_000_000
 MAX_PATH_BYTES = 256
 
+# Decoded resources kept, so that a change decodes only what is new.
+DECODED_KEPT = 8_192
+
 KINDS = {}
 
 
@@ -60,7 +64,8 @@
 class Service:
     """A service, the version in force, and the services that it calls.
 
-    ``calls`` must not form a cycle over all services.
+    ``calls`` must not form a cycle over all services. An empty ``version``
+    stands for whatever version its backend servers run.
     """
 
     name: str
@@ -71,12 +76,26 @@
     warm_up_seconds: float = 5.0
 
 
+@dataclass(frozen=True)
+class WeightedService:
+    """A service that gets a route's calls in proportion to ``weight``."""
+
+    service: str
+    weight: float
+
+
 @resource_kind('routes')
 @dataclass(frozen=True)
 class Route:
     """Send calls whose path begins with ``prefix`` to ``service``.
 
-    ``repeatable`` says that running a call twice does no harm.
+    ``repeatable`` says that running a call twice does no harm. Only calls
+    to ``host`` match, where one is given. ``backends`` split the calls
+    over several services and go before ``service``. ``max_attempts``
+    bounds the backend servers that one call is sent to.
+    ``target_latency_seconds`` is what an answer is wanted within, 0 for
+    the timeout. ``rank`` orders calls that wait, 0 first, and goes before
+    ``priority``.
     """
 
     name: str
@@ -86,6 +105,37 @@
     repeatable: bool = False
     priority: Priority = Priority.NORMAL
     timeout_seconds: float = 5.0
+    host: str = ''
+    backends: tuple[WeightedService, ...] = ()
+    max_attempts: int = 3
+    target_latency_seconds: float = 0.0
+    rank: int | None = None
+
+    @property
+    def weighted_services(self):
+        """Return the services that get calls, and their weights."""
+        if self.backends:
+            return self.backends
+        return (WeightedService(self.service, 1.0),)
+
+    @property
+    def queue_rank(self):
+        """Return the place among calls that wait, 0 first."""
+        if self.rank is not None:
+            return self.rank
+        return tuple(Priority).index(self.priority)
+
+
+@resource_kind('limits')
+@dataclass(frozen=True)
+class CallerLimits:
+    """What callers may send, and how long they may take or stay idle."""
+
+    name: str
+    max_header_bytes: int = 32_768
+    max_body_bytes: int = 1_000_000
+    header_timeout_seconds: float = 10.0
+    idle_timeout_seconds: float = 75.0
 
 
 @dataclass(frozen=True)
@@ -107,7 +157,9 @@
     """A move of a service's traffic to another version by a time.
 
     Times are seconds since the epoch; ``share`` is the part of calls, 0 to
-    1, that goes to ``to_version``.
+    1, that goes to ``to_version``. An empty ``from_version`` stands for
+    every other version. A move ordered with a duration alone has
+    ``started_at`` 0 until its worker starts it.
     """
 
     service: str
@@ -126,6 +178,12 @@
     evidence: tuple[RouteEvidence, ...] = ()
     log: tuple[str, ...] = field(default=())
 
+    def is_old(self, version):
+        """Say whether a version is one that calls move away from."""
+        if self.from_version:
+            return version == self.from_version
+        return version != self.to_version
+
 
 def split_path(path):
     """Split a path into team, kind and name.
@@ -149,6 +207,7 @@
     return parts
 
 
+@lru_cache(maxsize=DECODED_KEPT)
 def decode_resource(path, value):
     """Decode the JSON text at a path into its kind's data class.
 
--- a/poplarrack/routers.py
+++ b/poplarrack/routers.py
@@ -1,10 +1,10 @@
-"""Match a call's method and path to a route."""
+"""Match a call's host, method and path to a route."""
 
 from poplarrack.resources import Route
 
 
 class Router:
-    """Routes by first path segment, longest prefix first within one."""
+    """Routes by host and first path segment, longest prefix first."""
 
     def __init__(self, routes=()):
         self.by_segment = {}
@@ -12,21 +12,26 @@
         for route in routes:
             segment = _first_segment(route.prefix)
             if segment:
-                self.by_segment.setdefault(segment, []).append(route)
+                key = (route.host, segment)
+                self.by_segment.setdefault(key, []).append(route)
             else:
                 self.rest.append(route)
 
-    def match(self, method, target) -> Route | None:
+    def match(self, method, target, host='') -> Route | None:
         """Return the route of a call, or None.
 
         :param target: the request target, with or without a query.
+        :param host: the host that the caller named, in lower case.
         """
         path = target.partition('?')[0]
-        for route in self.by_segment.get(_first_segment(path), ()):
-            if _matches(route, method, path):
-                return route
+        segment = _first_segment(path)
+        for key in ((host, segment), ('', segment)):
+            for route in self.by_segment.get(key, ()):
+                if _matches(route, method, path):
+                    return route
         for route in self.rest:
-            if _matches(route, method, path):
+            of_host = route.host in ('', host)
+            if of_host and _matches(route, method, path):
                 return route
         return None
 
--- /dev/null
+++ b/poplarrack/routing_tables.py
@@ -0,0 +1,84 @@
+"""Derive what requests are routed by from what a node holds."""
+
+from dataclasses import dataclass
+from dataclasses import field
+
+from poplarrack.balancers import FAR_REGION
+from poplarrack.balancers import SAME_REGION
+from poplarrack.balancers import SAME_ZONE
+from poplarrack.call_tables import ServedMove
+from poplarrack.members import EndpointState
+from poplarrack.moves import effective_share
+from poplarrack.moves import is_live
+from poplarrack.placements import Door
+from poplarrack.placements import Tier
+from poplarrack.resources import CallerLimits
+from poplarrack.routers import Router
+
+TIERS = {
+    SAME_ZONE: Tier.ZONE,
+    SAME_REGION: Tier.REGION,
+    FAR_REGION: Tier.FAR,
+}
+
+
+@dataclass(frozen=True)
+class RoutingTable:
+    """All that requests are routed by; replaced whole with each change.
+
+    ``revision`` 0 says that no configuration is known yet.
+    """
+
+    revision: int = 0
+    router: Router = field(default_factory=Router)
+    services: frozenset = frozenset()
+    doors: dict = field(default_factory=dict)
+    moves: dict = field(default_factory=dict)
+    limits: CallerLimits = field(
+        default_factory=lambda: CallerLimits('callers')
+    )
+
+
+def derive_routing_table(place, knowledge, now):
+    """Derive the table in force at a node's place."""
+    configuration = knowledge.configuration
+    moves = {
+        service: ServedMove(
+            move.move_id,
+            move.from_version,
+            move.to_version,
+            effective_share(move, knowledge.verdicts),
+            is_live(move, now),
+        )
+        for service, move in configuration.moves.items()
+    }
+    return RoutingTable(
+        configuration.revision,
+        Router(configuration.routes),
+        frozenset(configuration.services),
+        _derive_doors(place, knowledge.members.members.values()),
+        moves,
+        configuration.caller_limits,
+    )
+
+
+def _derive_doors(place, members):
+    doors = {}
+    for member in members:
+        endpoint = member.endpoint
+        usable = member.present and endpoint is not None
+        if usable and endpoint.state is EndpointState.SERVING:
+            door = Door(
+                member.node_id,
+                member.peer_address,
+                endpoint,
+                _tier_of(place, member),
+            )
+            doors.setdefault(endpoint.service, []).append(door)
+    return doors
+
+
+def _tier_of(place, member):
+    if member.node_id == place.node_id:
+        return Tier.OWN
+    return TIERS[place.tier(member)]
--- /dev/null
+++ b/poplarrack/senders.py
@@ -0,0 +1,580 @@
+"""Carry callers' requests to the nodes beside the endpoints.
+
+The sending node routes a request, chooses an endpoint, offers the request
+to that endpoint's node, and decides whether it may be offered again: what
+may not be repeated goes on only while it is certain that it did not run.
+"""
+
+import asyncio
+from collections import Counter
+from dataclasses import dataclass
+from dataclasses import field
+import logging
+
+from poplarrack.dialects import Dialect
+from poplarrack.errors import ANSWERS
+from poplarrack.errors import ErrorKind
+from poplarrack.errors import Ran
+from poplarrack.evidence import EvidenceCounter
+from poplarrack.evidence import Side
+from poplarrack.exchanges import Delivery
+from poplarrack.exchanges import RoutedRequest
+from poplarrack.exchanges import Verdict
+from poplarrack.histograms import Histogram
+from poplarrack.http_messages import build_answer
+from poplarrack.http_messages import build_error
+from poplarrack.http_messages import connection_names
+from poplarrack.http_messages import HttpRequest
+from poplarrack.http_messages import is_end_to_end
+from poplarrack.placements import choose_door
+from poplarrack.placements import DoorState
+from poplarrack.placements import may_eject
+from poplarrack.placements import Placement
+from poplarrack.placements import Tier
+from poplarrack.placements import Wish
+from poplarrack.resources import Route
+from poplarrack.retries import RetryBudget
+from poplarrack.routing_tables import derive_routing_table
+from poplarrack.routing_tables import RoutingTable
+
+logger = logging.getLogger(__name__)
+
+# Nodes that one request is offered to at most, refusals included.
+MAX_OFFERS = 6
+# A node that said that it can't serve a service is left alone so long.
+AWAY_SECONDS = 0.3
+# Asked of callers that found no room; the least that makes a difference.
+RETRY_AFTER_SECONDS = 0.15
+# Part of the platform's retry budget that is given out, since requests
+# that endpoints repeat on their own count too.
+BUDGET_PART = 0.5
+# Retries that a node may spend in one go.
+BUDGET_RESERVE = 3.0
+DEADLINE_DIGITS = 9
+# An answer to the caller is due so long before its deadline.
+ANSWER_MARGIN_SECONDS = 0.002
+
+
+@dataclass(slots=True, eq=False)
+class Call:
+    """A caller's request on its way through the sending node."""
+
+    request: HttpRequest
+    respond: object
+    began: float
+    request_id: bytes = b''
+    route: Route | None = None
+    service: str = ''
+    version: str | None = None
+    stage: int = 0
+    deadline: float = 0.0
+    target: float = 0.0
+    offers: int = 0
+    arrivals: int = 0
+    tried: set = field(default_factory=set)
+    busy: set = field(default_factory=set)
+    may_have_run: bool = False
+    last_failure: Delivery | None = None
+    task: object = None
+    withdraw: object = None
+    ended: bool = False
+
+
+class Sender:
+    """Carries calls by the table in force.
+
+    :param receiver: the Receiver of this node, for its own endpoint.
+    :param streams: PeerStreams to the other nodes.
+    :param clock: a function to steady seconds.
+    """
+
+    def __init__(self, settings, dialect, receiver, streams, clock, random):
+        self.settings = settings
+        self.dialect: Dialect = dialect
+        self.receiver = receiver
+        self.streams = streams
+        self.clock = clock
+        self.random = random
+        self.table = RoutingTable()
+        self.states = {}
+        self.by_service = {}
+        self.phases = {}
+        self.evidence = EvidenceCounter()
+        self.budgets = {}
+        self.counts = Counter()
+        self.latencies = Histogram()
+        self.in_flight = 0
+        self.draining = False
+        self.warm_start = True
+
+    def adopt(self, place, knowledge, now):
+        """Take what the node holds as the table in force."""
+        self.put_in_force(derive_routing_table(place, knowledge, now))
+
+    def put_in_force(self, table):
+        """Take a new table; endpoints that stay keep what was seen."""
+        now = self.clock()
+        states, by_service = {}, {}
+        for service, doors in table.doors.items():
+            group = [self._state_for(door, now) for door in doors]
+            by_service[service] = group
+            states.update((state_key(state.door), state) for state in group)
+        if states:
+            # Only what joins later is taken for cold.
+            self.warm_start = False
+        self.states = states
+        self.by_service = by_service
+        self.table = table
+
+    def _state_for(self, door, now):
+        held = self.states.get(state_key(door))
+        if held is None:
+            return DoorState(door, now, self.warm_start)
+        held.door = door
+        return held
+
+    def start(self, request, respond):
+        """Start a call; ``respond`` takes the answer's bytes once.
+
+        :returns: the Call, which ``cancel`` takes.
+        """
+        now = self.clock()
+        call = Call(request, respond, now)
+        call.request_id = request.header(self.dialect.request_id) or b''
+        self.in_flight += 1
+        self.counts['calls'] += 1
+        if not self._route(call, now):
+            return call
+        call.task = asyncio.get_running_loop().create_task(self._carry(call))
+        return call
+
+    def _route(self, call, now):
+        request = call.request
+        host = (request.header(b'host') or b'').decode('latin-1').lower()
+        host = host.partition(':')[0]
+        route = self.table.router.match(request.method, request.target, host)
+        if route is None:
+            if self.table.revision:
+                self._refuse(call, ErrorKind.NO_ROUTE, request.target)
+            else:
+                self._refuse(call, ErrorKind.NO_ENDPOINT, 'no configuration')
+            return False
+        call.route = route
+        call.service = self._draw_service(route)
+        given = _read_number(request.header(self.dialect.deadline_ms))
+        allowed = route.timeout_seconds
+        if given is not None:
+            allowed = min(allowed, given / 1000)
+        call.deadline = now + allowed - ANSWER_MARGIN_SECONDS
+        call.target = now + min(
+            allowed, route.target_latency_seconds or allowed
+        )
+        self.budget_of(call.service).record_call()
+        return True
+
+    def budget_of(self, service):
+        """Return the retry budget of a service."""
+        budget = self.budgets.get(service)
+        if budget is None:
+            share = self.settings.retry_budget_ratio * BUDGET_PART
+            budget = RetryBudget(share, BUDGET_RESERVE)
+            self.budgets[service] = budget
+        return budget
+
+    def _draw_service(self, route):
+        """Draw a service so that any run of calls holds the weights."""
+        parts = route.weighted_services
+        if len(parts) == 1:
+            return parts[0].service
+        total = sum(part.weight for part in parts) or 1.0
+        credits = self.phases.setdefault(
+            (route.name, parts), [self.random.random() for _ in parts]
+        )
+        for at, part in enumerate(parts):
+            credits[at] += part.weight / total
+        chosen = max(
+            (at for at, part in enumerate(parts) if part.weight > 0),
+            key=credits.__getitem__,
+            default=0,
+        )
+        credits[chosen] -= 1.0
+        return parts[chosen].service
+
+    # Carrying.
+
+    async def _carry(self, call):
+        try:
+            while not call.ended:
+                await self._attempt(call)
+        except Exception:
+            # A caller is answered also where the code is at fault.
+            logger.exception('request_failed_inside')
+            call.may_have_run = True
+            self._refuse(call, ErrorKind.INTERNAL, call.service)
+
+    async def _attempt(self, call):
+        now = self.clock()
+        if now >= call.deadline:
+            self._give_up(call)
+            return
+        placement = self._place(call, now)
+        if placement is None:
+            self._refuse_unplaced(call)
+            return
+        call.offers += 1
+        state = placement.state
+        state.in_flight += 1
+        sent_at = now
+        try:
+            delivery = await self._offer(call, placement, now)
+        finally:
+            state.in_flight -= 1
+        now = self.clock()
+        if delivery.occupancy is not None:
+            state.on_occupancy(delivery.occupancy, now)
+        HANDLERS[delivery.verdict](self, call, state, delivery, sent_at, now)
+
+    def _place(self, call, now):
+        if call.offers >= MAX_OFFERS:
+            return None
+        states = self._states_for(call)
+        wish = Wish(call.target - now, call.deadline - now)
+        placement = choose_door(
+            states, wish, call.tried | call.busy, now, self.random
+        )
+        if placement is None and call.busy:
+            # All are busy: wait where it takes the least time.
+            call.busy.clear()
+            wish = Wish(0.0, call.deadline - now)
+            placement = choose_door(states, wish, call.tried, now, self.random)
+        return placement
+
+    def _states_for(self, call):
+        """Return the endpoints of the version that the call goes to."""
+        states = self.by_service.get(call.service, ())
+        move = self.table.moves.get(call.service)
+        if move is None:
+            return states
+        new = [
+            state
+            for state in states
+            if state.door.endpoint.version == move.to_version
+        ]
+        old = [
+            state
+            for state in states
+            if state.door.endpoint.version != move.to_version
+        ]
+        if move.share <= 0 or not new:
+            return old
+        if move.share >= 1 or not old:
+            return new
+        if call.version is None:
+            goes_new = self._draw_side(move)
+            call.version = move.to_version if goes_new else ''
+            call.stage = round(move.share * 1000)
+        return new if call.version and not call.arrivals else old
+
+    def _draw_side(self, move):
+        """Draw a side so that any run of calls holds the share exactly.
+
+        Each node starts at a random phase, so that many nodes with few
+        calls add up to the share too.
+        """
+        phase = self.phases.get(move.move_id)
+        if phase is None:
+            phase = self.random.random()
+        phase += move.share
+        goes_new = phase >= 1.0
+        self.phases[move.move_id] = phase - 1.0 if goes_new else phase
+        return goes_new
+
+    async def _offer(self, call, placement: Placement, now):
+        loop = asyncio.get_running_loop()
+        future = loop.create_future()
+
+        def done(delivery):
+            if not future.done():
+                future.set_result(delivery)
+
+        routed = self._routed(call, placement, now)
+        door = placement.state.door
+        if door.tier is Tier.OWN:
+            ticket = self.receiver.take(routed, done)
+
+            def withdraw():
+                self.receiver.cancel(ticket)
+
+        else:
+            withdraw = self.streams.deliver(
+                door.peer_address, routed, call.deadline - now, done
+            )
+        try:
+            return await future
+        except asyncio.CancelledError:
+            withdraw()
+            raise
+
+    def _routed(self, call, placement, now):
+        request = call.request
+        named = connection_names(request.headers)
+        overwritten = self.dialect.overwritten
+        headers = [
+            (name, value)
+            for name, value in request.headers
+            if is_end_to_end(name)
+            and name not in named
+            and name not in overwritten
+        ]
+        route = call.route
+        return RoutedRequest(
+            call.request_id,
+            request.method,
+            request.target,
+            headers,
+            request.body,
+            call.service,
+            placement.state.door.endpoint.instance_id,
+            self.settings.service,
+            max(1, int((call.deadline - now) * 1000)),
+            int(placement.patience_seconds * 1000),
+            route.queue_rank,
+            route.repeatable,
+        )
+
+    # What came of an attempt.
+
+    def _on_answered(self, call, state, delivery, sent_at, now):
+        failed = delivery.status >= 500
+        self._count_evidence(call, state, failed, now - sent_at, now)
+        call.arrivals += 1
+        state.on_answer(failed, now - sent_at, now)
+        self._eject_if_failing(state, now)
+        if failed and self._may_repeat(call, now):
+            call.may_have_run = True
+            call.last_failure = delivery
+            self._log_retry(call, state, delivery)
+            call.tried.add(state.door.endpoint.instance_id)
+            return
+        self._respond(call, state, delivery, now)
+
+    def _on_not_run(self, call, state, delivery, sent_at, now):
+        instance = state.door.endpoint.instance_id
+        if delivery.reason == 'busy':
+            call.busy.add(instance)
+        else:
+            call.tried.add(instance)
+            state.away_until = now + AWAY_SECONDS
+        self.counts[f'offer {delivery.reason}'] += 1
+
+    def _on_refused(self, call, state, delivery, sent_at, now):
+        call.arrivals += 1
+        call.tried.add(state.door.endpoint.instance_id)
+        if self._has_attempts(call) and self._take_retry(call):
+            self._log_retry(call, state, delivery)
+            return
+        self._refuse(call, ErrorKind.REFUSED_BY_SERVER, delivery.reason)
+
+    def _on_lost(self, call, state, delivery, sent_at, now):
+        call.arrivals += 1
+        call.may_have_run = True
+        call.tried.add(state.door.endpoint.instance_id)
+        if now >= call.deadline:
+            self._refuse(call, ErrorKind.DEADLINE_EXCEEDED, delivery.reason)
+            return
+        self._count_evidence(call, state, True, None, now)
+        state.on_answer(True, 0.0, now)
+        self._eject_if_failing(state, now)
+        if self._may_repeat(call, now):
+            self._log_retry(call, state, delivery)
+            return
+        self._refuse(call, ErrorKind.ANSWER_LOST, delivery.reason)
+
+    def _on_timed_out(self, call, state, delivery, sent_at, now):
+        call.may_have_run = True
+        self._count_evidence(call, state, True, None, now)
+        state.on_answer(True, 0.0, now)
+        self._refuse(call, ErrorKind.DEADLINE_EXCEEDED, delivery.reason)
+
+    def _eject_if_failing(self, state, now):
+        group = self.by_service.get(state.door.endpoint.service, ())
+        if may_eject(state, group, now):
+            state.eject(now)
+            self.counts['ejections'] += 1
+            logger.info(
+                'endpoint_ejected',
+                extra={
+                    'instance': state.door.endpoint.instance_id,
+                    'until': round(state.ejected_until, 3),
+                    'failure_rate': round(state.failure_rate, 3),
+                },
+            )
+
+    def _has_attempts(self, call):
+        return call.arrivals < call.route.max_attempts
+
+    def _take_retry(self, call):
+        taken = self.budget_of(call.service).take()
+        self.counts['retries' if taken else 'retries_over_budget'] += 1
+        return taken
+
+    def _may_repeat(self, call, now):
+        """Say whether a call that may have run goes on to another."""
+        return (
+            call.route.repeatable
+            and self._has_attempts(call)
+            and now < call.deadline
+            and bool(self._others(call))
+            and self._take_retry(call)
+        )
+
+    def _others(self, call):
+        return [
+            state
+            for state in self._states_for(call)
+            if state.door.endpoint.instance_id not in call.tried
+        ]
+
+    def _count_evidence(self, call, state, failed, latency, now):
+        move = self.table.moves.get(call.service)
+        if move is None or not move.counted or call.arrivals:
+            # A retry goes where it can: its side was not drawn.
+            return
+        version = state.door.endpoint.version
+        side = Side.NEW if version == move.to_version else Side.OLD
+        telling = not failed and now >= state.warm_at
+        key = (
+            move.move_id,
+            call.route.name,
+            side,
+            int(state.door.tier),
+            call.stage,
+        )
+        self.evidence.record(key, failed, latency if telling else None, now)
+
+    # Answering.
+
+    def _give_up(self, call):
+        if call.last_failure is not None:
+            self._respond(call, None, call.last_failure, self.clock())
+            return
+        kind = ErrorKind.OVERLOADED
+        if call.may_have_run:
+            kind = ErrorKind.DEADLINE_EXCEEDED
+        self._refuse(call, kind, 'time is over')
+
+    def _refuse_unplaced(self, call):
+        if call.last_failure is not None:
+            self._respond(call, None, call.last_failure, self.clock())
+        elif self.by_service.get(call.service):
+            self._refuse(call, ErrorKind.OVERLOADED, call.service)
+        else:
+            self._refuse(call, ErrorKind.NO_ENDPOINT, call.service)
+
+    def _refuse(self, call, kind, detail):
+        if call.ended:
+            return
+        if call.may_have_run and ANSWERS[kind].ran is Ran.NO:
+            kind = ErrorKind.ANSWER_LOST
+        self.counts[f'refused_{kind.value}'] += 1
+        self._log_end(call, kind.value, detail)
+        self._end(call)
+        keep_alive = call.request.keep_alive and not self.draining
+        retry_after = None
+        if ANSWERS[kind].http_status == 503:
+            retry_after = RETRY_AFTER_SECONDS * (1 + self.random.random())
+        raw = build_error(
+            kind, detail, call.request_id, keep_alive, retry_after
+        )
+        call.respond(raw, keep_alive)
+
+    def _respond(self, call, state, delivery, now):
+        if call.ended:
+            return
+        self.counts['answers'] += 1
+        self.latencies.observe(now - call.began)
+        instance = state.door.endpoint.instance_id if state else ''
+        self._log_end(call, f'status {delivery.status}', instance)
+        self._end(call)
+        keep_alive = call.request.keep_alive and not self.draining
+        raw = build_answer(
+            delivery.status,
+            delivery.headers,
+            delivery.body,
+            keep_alive,
+            call.request.method == 'HEAD',
+        )
+        call.respond(raw, keep_alive)
+
+    def _log_retry(self, call, state, delivery):
+        logger.info(
+            'request_retried',
+            extra={
+                'request': call.request_id.decode('latin-1'),
+                'instance': state.door.endpoint.instance_id,
+                'verdict': delivery.verdict.name.lower(),
+                'reason': delivery.reason or f'status {delivery.status}',
+                'arrivals': call.arrivals,
+            },
+        )
+
+    def _log_end(self, call, outcome, detail):
+        logger.info(
+            'request_ended',
+            extra={
+                'request': call.request_id.decode('latin-1'),
+                'route': call.route.name if call.route else '',
+                'service': call.service,
+                'outcome': outcome,
+                'detail': detail,
+                'may_have_run': call.may_have_run,
+                'offers': call.offers,
+                'arrivals': call.arrivals,
+                'revision': self.table.revision,
+                'ms': round((self.clock() - call.began) * 1000, 1),
+            },
+        )
+
+    def _end(self, call):
+        if not call.ended:
+            call.ended = True
+            self.in_flight -= 1
+
+    def cancel(self, call):
+        """End a call whose caller went away."""
+        if call.ended:
+            return
+        self.counts['cancelled'] += 1
+        self._end(call)
+        call.task.cancel()
+
+    def busy(self):
+        """Return calls in flight by service and version."""
+        busy = Counter()
+        for state in self.states.values():
+            if state.in_flight:
+                endpoint = state.door.endpoint
+                busy[(endpoint.service, endpoint.version)] += state.in_flight
+        return busy
+
+
+HANDLERS = {
+    Verdict.ANSWERED: Sender._on_answered,
+    Verdict.NOT_RUN: Sender._on_not_run,
+    Verdict.REFUSED: Sender._on_refused,
+    Verdict.LOST: Sender._on_lost,
+    Verdict.TIMED_OUT: Sender._on_timed_out,
+}
+
+
+def state_key(door):
+    """Return what tells one start of an endpoint from another."""
+    endpoint = door.endpoint
+    return (door.node_id, endpoint.instance_id, endpoint.born)
+
+
+def _read_number(raw):
+    """Read a whole number from a header that callers set."""
+    if raw is None or not raw.isdigit() or len(raw) > DEADLINE_DIGITS:
+        return None
+    return int(raw)
--- /dev/null
+++ b/poplarrack/sidecar_servers.py
@@ -0,0 +1,275 @@
+"""Run the process beside an endpoint that only its own machine reaches.
+
+Callers and the endpoint of the machine send to the call address; other
+nodes reach the endpoint through the peer address. The platform's side is
+given as a Host.
+"""
+
+import asyncio
+from dataclasses import dataclass
+import logging
+from random import Random
+import signal
+
+from poplarrack.callers import CallServer
+from poplarrack.clocks import SteadyClock
+from poplarrack.dialects import Dialect
+from poplarrack.errors import ErrorKind
+from poplarrack.errors import PoplarrackError
+from poplarrack.fetchers import Fetcher
+from poplarrack.heartbeats import apply_heartbeat
+from poplarrack.heartbeats import apply_leave
+from poplarrack.heartbeats import EndpointRecord
+from poplarrack.heartbeats import is_silent
+from poplarrack.http_messages import build_answer
+from poplarrack.joiners import join
+from poplarrack.nodes import Links
+from poplarrack.nodes import Node
+from poplarrack.nodes import TICK_SECONDS
+from poplarrack.peer_handlers import bind_handlers
+from poplarrack.receivers import Receiver
+from poplarrack.senders import Sender
+from poplarrack.streams import PeerStreams
+from poplarrack.streams import StreamServer
+from poplarrack.traffic import PeerTraffic
+
+logger = logging.getLogger(__name__)
+
+# How long after SIGTERM new requests are still taken, until callers heard
+# that this node is not ready.
+LINGER_SECONDS = 2.5
+# Kept back from the grace, to close in order.
+GRACE_MARGIN_SECONDS = 0.7
+DRAIN_POLL_SECONDS = 0.05
+EXPIRE_SECONDS = 1.0
+
+
+@dataclass(frozen=True)
+class Host:
+    """What a platform gives to a node.
+
+    ``platform`` has the methods of PlatformClient. ``serve_control`` and
+    ``serve_ready`` take the server and an HttpRequest and return status,
+    content type and body. ``load_settings`` reads the settings anew.
+    """
+
+    dialect: Dialect
+    platform: object
+    serve_control: object
+    serve_ready: object
+    load_settings: object
+
+
+class PageDispatcher:
+    """Answer small requests at once."""
+
+    def __init__(self, serve, counts):
+        self.serve = serve
+        self.counts = counts
+
+    def start(self, request, respond):
+        """Answer a request."""
+        status, content_type, body = self.serve(request)
+        headers = [(b'content-type', content_type)]
+        raw = build_answer(status, headers, body, request.keep_alive)
+        respond(raw, request.keep_alive)
+
+
+class SidecarServer:
+    """The process around a node and its receiving side."""
+
+    def __init__(self, settings, host):
+        self.settings = settings
+        self.host = host
+        self.clock = SteadyClock()
+        self.traffic = PeerTraffic()
+        self.streams = PeerStreams(
+            self.traffic, settings.peers.call_timeout_seconds
+        )
+        self.platform = host.platform
+        self.receiver = Receiver(
+            host.dialect, self.clock, settings.calls.max_answer_bytes
+        )
+        self.sender = Sender(
+            settings,
+            host.dialect,
+            self.receiver,
+            self.streams,
+            self.clock,
+            Random(),
+        )
+        links = Links(
+            self.streams,
+            host.platform,
+            asyncio.to_thread,
+            self._build_fetcher,
+            self.clock,
+            Random(),
+            lambda: self.sender,
+        )
+        self.node = Node(settings, links)
+        self.stream_server = StreamServer(
+            self.traffic, self.receiver, bind_handlers(self.node)
+        )
+        self.call_server = CallServer(self.sender, self.clock)
+        self.page_servers = []
+        self.record = EndpointRecord()
+        self.loop = None
+        self.stopping = None
+        self.expired_at = 0.0
+
+    async def run(self):
+        """Serve until told to stop, then drain."""
+        self.loop = asyncio.get_running_loop()
+        self.stopping = asyncio.Event()
+        await self._listen()
+        self._handle_signals()
+        self.node.update_own(self.node.facts.own)
+        joining = self.loop.create_task(join(self.node))
+        logger.info('node_started', extra={'node': self.settings.node_id})
+        while not self.stopping.is_set():
+            self._tick()
+            await self._pause(TICK_SECONDS)
+        joining.cancel()
+        await self._drain()
+
+    def _handle_signals(self):
+        for number in (signal.SIGTERM, signal.SIGINT):
+            self.loop.add_signal_handler(number, self.stopping.set)
+        self.loop.add_signal_handler(signal.SIGHUP, self.reload)
+
+    def reload(self):
+        """Read the settings anew; a faulty file changes nothing."""
+        try:
+            settings = self.host.load_settings()
+        except PoplarrackError as error:
+            logger.error('settings_rejected', extra={'detail': error.detail})
+            return
+        changed = settings != self.settings
+        self.settings = settings
+        self.sender.settings = settings
+        logger.info('settings_reloaded', extra={'changed': changed})
+
+    def _tick(self):
+        self.node.tick()
+        now = self.clock()
+        self.streams.check(self.loop.time())
+        if is_silent(self.record, self.settings.heartbeat_seconds, now):
+            logger.warning('endpoint_silent')
+            self._put_record(EndpointRecord(None, -1, now))
+        if now - self.expired_at >= EXPIRE_SECONDS:
+            self.expired_at = now
+            self._expire(now)
+
+    def _expire(self, now):
+        self.call_server.limits = self.sender.table.limits
+        self.call_server.expire(now)
+        self.receiver.close_idle(self.loop.time())
+        members = self.node.knowledge.members.members.values()
+        self.streams.keep_only(member.peer_address for member in members)
+
+    async def _pause(self, seconds):
+        try:
+            async with asyncio.timeout(seconds):
+                await self.stopping.wait()
+        except TimeoutError:
+            return
+
+    async def _listen(self):
+        settings = self.settings
+        try:
+            await self.stream_server.listen(settings.peer_address)
+            await self._listen_pages(
+                settings.announce_address, self.host.serve_control
+            )
+            await self._listen_pages(
+                settings.operator_address, self.host.serve_ready
+            )
+            host, _, port = settings.call_address.rpartition(':')
+            await self.call_server.listen(self.loop, host, int(port))
+        except OSError as error:
+            raise PoplarrackError(
+                ErrorKind.INVALID_SETTINGS, f'cannot listen: {error}'
+            ) from error
+
+    async def _listen_pages(self, address, serve):
+        dispatcher = PageDispatcher(
+            lambda request: serve(self, request), self.sender.counts
+        )
+        server = CallServer(dispatcher, self.clock)
+        host, _, port = address.rpartition(':')
+        await server.listen(self.loop, host, int(port))
+        self.page_servers.append(server)
+
+    # The endpoint beside this node.
+
+    def on_heartbeat(self, beat):
+        """Take a heartbeat of the endpoint beside this node."""
+        now = self.clock()
+        services = self.node.knowledge.configuration.services
+        service = services.get(beat.service)
+        connections = service.max_connections if service else beat.slots * 4
+        record = apply_heartbeat(self.record, beat, connections, now)
+        if record is not self.record:
+            self._put_record(record)
+
+    def on_leave(self, instance_id):
+        """Take the word of the endpoint that it ends."""
+        record = apply_leave(self.record, instance_id, self.clock())
+        if record is not self.record:
+            self._put_record(record)
+
+    def _put_record(self, record):
+        held = self.record.endpoint
+        self.record = record
+        endpoint = record.endpoint
+        self.receiver.put_endpoint(endpoint)
+        if endpoint is not None:
+            self.node.announce(endpoint)
+        elif held is not None:
+            self.node.forget_endpoint()
+
+    # Leaving.
+
+    async def _drain(self):
+        """Leave: tell the peers, finish what is in flight, end.
+
+        Requests that still come are served for a while: callers learn
+        only later that this node is not ready.
+        """
+        logger.info('node_draining')
+        end = self.clock() + self.settings.grace_seconds - GRACE_MARGIN_SECONDS
+        self.node.leave()
+        self.call_server.announce_drain()
+        await self._until(lambda: False, self.clock() + LINGER_SECONDS)
+        self.receiver.closed_to_new = True
+        await self.call_server.drain(self.loop)
+        await self._until(self._drained, end)
+        await self._close()
+        logger.info('node_stopped')
+
+    def _drained(self):
+        self.call_server.end_silent(self.clock())
+        return self.call_server.drained and not self.receiver.in_flight
+
+    async def _until(self, condition, end):
+        while not condition() and self.clock() < end:
+            self.streams.check(self.loop.time())
+            await asyncio.sleep(DRAIN_POLL_SECONDS)
+
+    async def _close(self):
+        await self.streams.close()
+        await self.stream_server.close()
+
+    def _build_fetcher(self, node):
+        """Build a fetcher whose thread hands over to the loop."""
+
+        def offer(snapshot):
+            self.loop.call_soon_threadsafe(node.offer, snapshot)
+
+        def note(succeeded, detail):
+            self.loop.call_soon_threadsafe(
+                node.note_platform, succeeded, detail
+            )
+
+        return Fetcher(self.platform, offer, note)
--- /dev/null
+++ b/poplarrack/traffic.py
@@ -0,0 +1,21 @@
+"""Count the control traffic between nodes."""
+
+
+class PeerTraffic:
+    """Count control messages and bytes, in and out."""
+
+    def __init__(self):
+        self.messages_in = 0
+        self.messages_out = 0
+        self.bytes_in = 0
+        self.bytes_out = 0
+
+    def received(self, raw):
+        """Count a message that came."""
+        self.messages_in += 1
+        self.bytes_in += len(raw)
+
+    def sent(self, raw):
+        """Count a message that went out."""
+        self.messages_out += 1
+        self.bytes_out += len(raw)
--- a/poplarrack/upstreams.py
+++ b/poplarrack/upstreams.py
@@ -2,7 +2,8 @@
 
 One exchange at a time on a connection. A connection whose exchange did
 not end with one whole answer is closed and never used again, so that a
-late answer can't reach another caller.
+late answer can't reach another caller. Where servers echo a request's id,
+an answer with another id is skipped.
 """
 
 from asyncio import get_running_loop
@@ -17,6 +18,12 @@
 from poplarrack.http_messages import HttpAnswer
 
 IDLE_SECONDS = 15.0
+# Kept back from the time that a server keeps an idle connection for, so
+# that a request does not cross its close.
+IDLE_MARGIN_SECONDS = 1.0
+# Answers to other requests that are skipped before a connection is given
+# up as crossed.
+MAX_STRAY_ANSWERS = 2
 MAX_HEADER_BYTES = 65_536
 
 
@@ -33,11 +40,16 @@
 
 @dataclass(slots=True)
 class Exchange:
-    """One request on its way; ``done`` takes outcome and answer."""
+    """One request on its way; ``done`` takes outcome and answer.
 
+    ``echo`` is the name and value of a header that the answer must bear.
+    """
+
+    pool: object
     request: bytes
     bodiless: bool
     done: object
+    echo: tuple[bytes, bytes] | None = None
     timer: object = None
     connection: object = None
     ended: bool = False
@@ -66,7 +78,9 @@
         self.complete = False
         self.reusable = False
         self.idle_since = 0.0
+        self.idle_seconds = IDLE_SECONDS
         self.forgotten = False
+        self.strays = 0
 
     def connection_made(self, transport):
         """Keep the transport."""
@@ -80,6 +94,7 @@
         self.chunks = []
         self.size = 0
         self.complete = False
+        self.strays = 0
         if self.parser is None:
             self.parser = HttpResponseParser(self)
         self.transport.write(exchange.request)
@@ -133,10 +148,44 @@
             # A second answer to one request: the connection is crossed.
             self.reusable = False
             return
+        if self._is_stray():
+            self._skip_stray()
+            return
         self.complete = True
         # The parser forgets this with the end of the message.
         self.reusable = self.parser.should_keep_alive()
 
+    def _is_stray(self):
+        """Say whether the answer belongs to another request."""
+        echo = self.exchange.echo if self.exchange else None
+        return echo is not None and self.answer.header(echo[0]) != echo[1]
+
+    def _skip_stray(self):
+        self.strays += 1
+        self.answer = HttpAnswer(0)
+        self.chunks = []
+        self.size = 0
+        if self.strays > MAX_STRAY_ANSWERS or (
+            not self.parser.should_keep_alive()
+        ):
+            self._fail(Outcome.LOST)
+
+    def eof_received(self):
+        """End an answer without a length, which its connection ends."""
+        answer = self.answer
+        ends_here = (
+            self.exchange is not None
+            and not self.complete
+            and answer.status >= 200
+            and answer.header(b'content-length') is None
+            and answer.header(b'transfer-encoding') is None
+            and not self._is_stray()
+        )
+        if ends_here:
+            self.complete = True
+            self.reusable = False
+            self._succeed()
+
     def connection_lost(self, error):
         """Fail the exchange that was cut short."""
         self.pool.forget(self)
@@ -159,6 +208,7 @@
         exchange, self.exchange = self.exchange, None
         answer = self.answer
         answer.body = b''.join(self.chunks)
+        self.idle_seconds = kept_seconds(answer)
         clean = (
             self.reusable
             and not exchange.bodiless
@@ -171,6 +221,17 @@
         exchange.finish(Outcome.ANSWERED, answer)
 
 
+def kept_seconds(answer):
+    """Return how long a connection may stay idle after an answer."""
+    stated = answer.header(b'keep-alive')
+    for part in (stated or b'').lower().split(b','):
+        name, _, value = part.strip().partition(b'=')
+        if name == b'timeout' and value.isdigit():
+            kept = int(value) - IDLE_MARGIN_SECONDS
+            return min(IDLE_SECONDS, max(0.0, kept))
+    return IDLE_SECONDS
+
+
 class UpstreamPool:
     """Connections to one backend server, the latest used first."""
 
@@ -185,17 +246,19 @@
         self.connects = set()
         self.closed = False
 
-    def start(self, request, bodiless, timeout_seconds, done):
+    def start(self, request, bodiless, timeout_seconds, done, echo=None):
         """Start an exchange.
 
         :param done: called once with an Outcome and an HttpAnswer.
+        :param echo: name and value of a header that the answer must bear.
         :returns: the Exchange, which ``cancel`` takes.
         """
         loop = get_running_loop()
-        exchange = Exchange(request, bodiless, done)
+        exchange = Exchange(self, request, bodiless, done, echo)
         exchange.timer = loop.call_later(
             timeout_seconds, self._expire, exchange
         )
+        self.close_idle(loop.time())
         if self.idle:
             self.idle.pop().send(exchange)
         else:
@@ -254,7 +317,7 @@
     def close_idle(self, now):
         """Close the connections that nobody used for a while."""
         for connection in list(self.idle):
-            if now - connection.idle_since > IDLE_SECONDS:
+            if now - connection.idle_since > connection.idle_seconds:
                 connection.close()
 
     def close(self):
