Finish moves where the old servers stop with them

Change: the policy replace_at_end with late, brief great shares; a move that is ordered by its duration is started by its worker.

--- a/poplarrack/controllers.py
+++ b/poplarrack/controllers.py
@@ -323,7 +323,7 @@
     service_path = f'{team}/services/{service}'
     held = configuration.snapshot.entries.get(service_path)
     record = configuration.services[service]
-    if held is None or record.version == version:
+    if held is None or record.version in ('', version):
         return decision
     return replace(
         decision,
@@ -346,7 +346,7 @@
         if endpoint.version == move.to_version:
             new_servers += 1
             new_slots += endpoint.slots * warm
-        elif endpoint.version == move.from_version:
+        elif move.is_old(endpoint.version):
             old_slots += endpoint.slots
     busy = sum(
         item.in_flight for item in report.busy if item.service == move.service
--- a/poplarrack/heartbeats.py
+++ b/poplarrack/heartbeats.py
@@ -48,8 +48,11 @@
     left: tuple[str, int] | None = None
 
 
-def apply_heartbeat(record, beat, max_connections, now):
-    """Return the record after a heartbeat; the same one if it is old."""
+def apply_heartbeat(record, beat, service, now):
+    """Return the record after a heartbeat; the same one if it is old.
+
+    :param service: the endpoint's Service, as far as it is known.
+    """
     start = (beat.instance_id, beat.born)
     if start == record.left:
         return record
@@ -68,9 +71,10 @@
         beat.version,
         beat.address,
         beat.slots,
-        max_connections,
+        service.max_connections,
         state,
-        now,
+        # Warm from there on, by the service's time to warm up.
+        now + beat.cold_seconds - service.warm_up_seconds,
         beat.instance_id,
         beat.born,
     )
--- a/poplarrack/moves.py
+++ b/poplarrack/moves.py
@@ -27,7 +27,18 @@
     (0.72, 0.50),
     (0.82, 0.90),
 )
-LAST_SHARE = SCHEDULE[-1][1]
+
+# Where the old servers stop at the end: a bad version must not see over a
+# tenth of the calls, so that the greater shares come late and briefly, and
+# the whole share before the end, so that the old ones are idle by then.
+REPLACE_SCHEDULE = (
+    (0.00, 0.02),
+    (0.15, 0.04),
+    (0.60, 0.08),
+    (0.72, 0.20),
+    (0.79, 0.50),
+    (0.85, 1.00),
+)
 COMPLETE_AT_PART = 0.95
 LAST_CALL_PART = 0.88
 WATCH_PART = 0.5
@@ -42,13 +53,23 @@
     ``fault_threshold`` is the factor of evidence that withdraws a move;
     ``calls_a_step`` is how many calls to the new version a step wants.
     ``finish_when_thin`` says what happens at the deadline when fewer were
-    seen: finish, or hold for an operator.
+    seen: finish, or hold for an operator. ``schedule`` pairs parts of the
+    time given with the share that begins there. ``final`` says that the
+    old backend servers stop with the move's completion, so that nothing is
+    watched or taken back afterwards.
     """
 
     name: str
     fault_threshold: float
     calls_a_step: int
     finish_when_thin: bool
+    schedule: tuple[tuple[float, float], ...] = SCHEDULE
+    final: bool = False
+
+    @property
+    def last_share(self):
+        """Return the share of the schedule's last step."""
+        return self.schedule[-1][1]
 
 
 def move_policy(build):
@@ -76,6 +97,14 @@
     return Policy('balanced', 2_000.0, 30, False)
 
 
+@move_policy
+def replace_at_end():
+    """Finish in time where the old servers stop with the move."""
+    return Policy(
+        'replace_at_end', 1_000.0, 20, True, REPLACE_SCHEDULE, final=True
+    )
+
+
 @dataclass(frozen=True)
 class MoveFacts:
     """What the worker of a move knows when it decides.
@@ -94,6 +123,8 @@
 
 def watch_ends(move):
     """Return until when a completed move is still watched."""
+    if POLICIES[move.policy].final:
+        return move.ended_at
     window = move.complete_by - move.started_at
     return move.ended_at + max(MIN_WATCH_SECONDS, WATCH_PART * window)
 
@@ -107,9 +138,12 @@
 
 def effective_share(move, verdicts):
     """Return the share that a node gives to the new version now."""
+    completed = move.state is MoveState.COMPLETED
+    if completed and POLICIES[move.policy].final:
+        return 1.0
     if move.move_id in verdicts or move.state is MoveState.WITHDRAWN:
         return 0.0
-    return 1.0 if move.state is MoveState.COMPLETED else move.share
+    return 1.0 if completed else move.share
 
 
 def planned_share(move, now):
@@ -117,7 +151,7 @@
     window = max(1e-9, move.complete_by - move.started_at)
     part = (now - move.started_at) / window
     share = 0.0
-    for begins, step_share in SCHEDULE:
+    for begins, step_share in POLICIES[move.policy].schedule:
         if part < begins:
             return share, move.started_at + begins * window
         share = step_share
@@ -128,7 +162,7 @@
     """Return the move's next record, or None when nothing changes."""
     if not is_live(move, now):
         return None
-    if not move.started_at:
+    if move.ordered_seconds:
         return _start_ordered(move, facts, now)
     if facts.verdict is not None:
         return _withdraw(move, facts, now)
@@ -148,7 +182,8 @@
         now,
         facts,
         started_at=now,
-        complete_by=now + move.complete_by,
+        complete_by=now + move.ordered_seconds,
+        ordered_seconds=0.0,
         reason='started by an order',
     )
 
@@ -159,12 +194,12 @@
     wanted = max(wanted, move.share)
     roomy = _room(facts)
     if wanted > roomy and wanted > move.share:
-        wanted = max(move.share, _floor_step(roomy))
+        wanted = max(move.share, _floor_step(policy, roomy))
         if wanted <= move.share:
             return _wait(move, 'too few warm servers', now, facts)
     if wanted > move.share:
         return _step(move, wanted, policy, facts, now)
-    if move.share >= LAST_SHARE and _may_complete(move, now):
+    if move.share >= policy.last_share and _may_complete(move, now):
         return _complete(move, policy, facts, now)
     if move.state is not MoveState.ADVANCING:
         return _change(
@@ -178,7 +213,7 @@
 
 
 def _step(move, wanted, policy, facts, now):
-    steps = [share for _, share in SCHEDULE if share > move.share]
+    steps = [share for _, share in policy.schedule if share > move.share]
     if move.share > 0 and not _seen_enough(policy, facts):
         late = wanted > steps[0] or now >= _part_at(move, LAST_CALL_PART)
         if not (late and policy.finish_when_thin):
@@ -289,14 +324,18 @@
 
 
 def _room(facts):
-    """Return the share that the new version's warm slots can take."""
-    if facts.busy_slots <= 0:
+    """Return the share that the new version's warm slots can take.
+
+    As many slots as before take all: that more is busy is overload.
+    """
+    enough = facts.new_slots >= SLOTS_HEADROOM * facts.old_slots > 0
+    if facts.busy_slots <= 0 or enough:
         return 1.0
     return facts.new_slots * SLOTS_HEADROOM / facts.busy_slots
 
 
-def _floor_step(share):
-    steps = [step for _, step in SCHEDULE if step <= share]
+def _floor_step(policy, share):
+    steps = [step for _, step in policy.schedule if step <= share]
     return steps[-1] if steps else 0.0
 
 
--- a/poplarrack/platform/configurations.py
+++ b/poplarrack/platform/configurations.py
@@ -133,11 +133,11 @@
         service,
         '',
         raw['target_version'],
-        # Counted from when the worker starts it.
-        parse_duration(raw['duration']),
+        0.0,
         move_id,
         0.0,
         MOVE_POLICY,
+        ordered_seconds=parse_duration(raw['duration']),
     )
     revision = record.mod_revision if record is not None else 0
     return KeyValue(key, encode_resource(move), 0, revision)
--- a/poplarrack/platform/settings.py
+++ b/poplarrack/platform/settings.py
@@ -7,12 +7,15 @@
 from poplarrack.errors import ErrorKind
 from poplarrack.errors import PoplarrackError
 from poplarrack.settings import CallSettings
+from poplarrack.settings import PeerSettings
 from poplarrack.settings import PlatformSettings
 from poplarrack.settings import SidecarSettings
 
 PATH_VARIABLE = 'POPLARRACK_NODE_FILE'
 # The port of the metrics page, which deploy/system.toml names too.
 METRICS_PORT = 9464
+# Roll-outs last seconds here: evidence goes up the tree twice a second.
+EVIDENCE_SECONDS = 0.5
 UNITS = (('ms', 0.001), ('s', 1.0))
 
 
@@ -65,6 +68,7 @@
         operator_address=listen['ready'],
         platform=PlatformSettings((raw['platform']['address'],)),
         seeds=tuple(raw.get('seeds', ())),
+        peers=PeerSettings(evidence_seconds=EVIDENCE_SECONDS),
         calls=CallSettings(max_answer_bytes=MAX_ANSWER_BYTES),
         service=raw['service'],
         server_address=raw['app_addr'],
--- a/poplarrack/resources.py
+++ b/poplarrack/resources.py
@@ -158,8 +158,8 @@
 
     Times are seconds since the epoch; ``share`` is the part of calls, 0 to
     1, that goes to ``to_version``. An empty ``from_version`` stands for
-    every other version. A move ordered with a duration alone has
-    ``started_at`` 0 until its worker starts it.
+    every other version. ``ordered_seconds`` is the time given to a move
+    that its worker has not started yet.
     """
 
     service: str
@@ -177,6 +177,7 @@
     ended_at: float = 0.0
     evidence: tuple[RouteEvidence, ...] = ()
     log: tuple[str, ...] = field(default=())
+    ordered_seconds: float = 0.0
 
     def is_old(self, version):
         """Say whether a version is one that calls move away from."""
--- a/poplarrack/senders.py
+++ b/poplarrack/senders.py
@@ -382,7 +382,6 @@
         if now >= call.deadline:
             self._refuse(call, ErrorKind.DEADLINE_EXCEEDED, delivery.reason)
             return
-        self._count_evidence(call, state, True, None, now)
         state.on_answer(True, 0.0, now)
         self._eject_if_failing(state, now)
         if self._may_repeat(call, now):
--- a/poplarrack/sidecar_servers.py
+++ b/poplarrack/sidecar_servers.py
@@ -28,6 +28,7 @@
 from poplarrack.nodes import TICK_SECONDS
 from poplarrack.peer_handlers import bind_handlers
 from poplarrack.receivers import Receiver
+from poplarrack.resources import Service
 from poplarrack.senders import Sender
 from poplarrack.streams import PeerStreams
 from poplarrack.streams import StreamServer
@@ -208,8 +209,8 @@
         now = self.clock()
         services = self.node.knowledge.configuration.services
         service = services.get(beat.service)
-        connections = service.max_connections if service else beat.slots * 4
-        record = apply_heartbeat(self.record, beat, connections, now)
+        service = service or Service(beat.service, '')
+        record = apply_heartbeat(self.record, beat, service, now)
         if record is not self.record:
             self._put_record(record)
 
