Make room for callers' new connections; end without waiting for threads

Threads that wait for the store held up the end of 2 processes beyond the grace. Change: the bound on connections follows the descriptors, the longest idle make room for new ones, a refusal closes its connection, and the process ends once it is drained. Measured: test_callers fails without the change.

--- a/poplarrack/callers.py
+++ b/poplarrack/callers.py
@@ -18,6 +18,10 @@
 MAX_CONNECTIONS = 4_096
 # An idle connection is kept somewhat longer than callers may count on.
 IDLE_SLACK = 1.2
+# How long a connection must have been idle to make room for a new one.
+EVICTED_IDLE_SECONDS = 0.5
+# Idle connections closed at a time, the longest idle first.
+EVICTED_AT_ONCE = 64
 DRAIN_SILENCE_SECONDS = 1.0
 DRAIN_POLL_SECONDS = 0.05
 
@@ -41,7 +45,9 @@
         """Register with the server."""
         self.transport = transport
         self.server.connections.add(self)
-        if len(self.server.connections) > self.server.max_connections:
+        if self.server.is_full:
+            self.server.evict_idle(self.last_read)
+        if self.server.is_full:
             self.server.dispatcher.counts['connections_refused'] += 1
             transport.abort()
 
@@ -198,6 +204,24 @@
     def _build_connection(self):
         return CallerConnection(self)
 
+    @property
+    def is_full(self):
+        """Say whether there are more connections than allowed."""
+        return len(self.connections) > self.max_connections
+
+    def evict_idle(self, now):
+        """Close the connections that were idle the longest."""
+        idle = [
+            connection
+            for connection in self.connections
+            if not connection.busy
+            and now - connection.last_read > EVICTED_IDLE_SECONDS
+        ]
+        idle.sort(key=lambda connection: connection.last_read)
+        for connection in idle[:EVICTED_AT_ONCE]:
+            self.connections.discard(connection)
+            connection.transport.close()
+
     def announce_drain(self):
         """Close each connection after its next answer."""
         self.dispatcher.draining = True
--- a/poplarrack/platform/__main__.py
+++ b/poplarrack/platform/__main__.py
@@ -1,6 +1,7 @@
 """Run a node on the platform."""
 
 import asyncio
+import os
 import sys
 
 from poplarrack.errors import PoplarrackError
@@ -36,6 +37,9 @@
 
 async def _serve(settings, host):
     await SidecarServer(settings, host).run()
+    # Threads that wait for the store must not hold up the end.
+    sys.stdout.flush()
+    os._exit(0)
 
 
 if __name__ == '__main__':
--- a/poplarrack/platform/settings.py
+++ b/poplarrack/platform/settings.py
@@ -16,6 +16,8 @@
 METRICS_PORT = 9464
 # Roll-outs last seconds here: evidence goes up the tree twice a second.
 EVIDENCE_SECONDS = 0.5
+# Descriptors kept for files, other nodes, the endpoint and the store.
+RESERVED_FDS = 900
 UNITS = (('ms', 0.001), ('s', 1.0))
 
 
@@ -79,7 +81,7 @@
         exposure_share=float(bounds['exposure_share']),
         exposure_slack=float(bounds['exposure_slack']),
         grace_seconds=parse_duration(bounds['grace']),
-        machine_memory_bytes=int(raw['limits']['memory_mb'] * 1_000_000),
+        max_connections=raw['limits']['max_fds'] - RESERVED_FDS,
     )
 
 
--- a/poplarrack/senders.py
+++ b/poplarrack/senders.py
@@ -481,6 +481,8 @@
         keep_alive = call.request.keep_alive and not self.draining
         retry_after = None
         if ANSWERS[kind].http_status == 503:
+            # Callers come back on a new connection: this one would idle.
+            keep_alive = False
             retry_after = RETRY_AFTER_SECONDS * (1 + self.random.random())
         raw = build_error(
             kind, detail, call.request_id, keep_alive, retry_after
--- a/poplarrack/settings.py
+++ b/poplarrack/settings.py
@@ -97,7 +97,7 @@
     exposure_share: float = 0.1
     exposure_slack: float = 50.0
     grace_seconds: float = 6.0
-    machine_memory_bytes: int = 300_000_000
+    max_connections: int = 4_096
 
 
 @dataclass(frozen=True)
--- a/poplarrack/sidecar_servers.py
+++ b/poplarrack/sidecar_servers.py
@@ -112,7 +112,9 @@
         self.stream_server = StreamServer(
             self.traffic, self.receiver, bind_handlers(self.node)
         )
-        self.call_server = CallServer(self.sender, self.clock)
+        self.call_server = CallServer(
+            self.sender, self.clock, settings.max_connections
+        )
         self.page_servers = []
         self.record = EndpointRecord()
         self.loop = None
--- /dev/null
+++ b/tests/test_callers.py
@@ -0,0 +1,53 @@
+"""Check how connections of callers are taken, kept and given up."""
+
+import asyncio
+
+from poplarrack.callers import CallServer
+from poplarrack.http_messages import build_answer
+from tests.support import suite_of
+
+load_tests = suite_of(__name__)
+
+REQUEST = b'GET / HTTP/1.1\r\nhost: a\r\n\r\n'
+
+
+class Echo:
+    """Answer each request at once."""
+
+    def __init__(self):
+        self.counts = {}
+
+    def start(self, request, respond):
+        keep_alive = request.keep_alive
+        respond(build_answer(200, [], b'ok', keep_alive), keep_alive)
+
+
+class Clock:
+    def __init__(self):
+        self.now = 100.0
+
+    def __call__(self):
+        return self.now
+
+
+def test_idle_connections_make_room_for_new_ones():
+    async def crowd():
+        clock = Clock()
+        server = CallServer(Echo(), clock, max_connections=10)
+        loop = asyncio.get_running_loop()
+        port = await server.listen(loop, '127.0.0.1', 0)
+        opened = []
+        for _ in range(30):
+            clock.now += 1.0
+            reader, writer = await asyncio.open_connection('127.0.0.1', port)
+            writer.write(REQUEST)
+            answer = await reader.readuntil(b'ok')
+            opened.append((reader, writer))
+            assert answer.startswith(b'HTTP/1.1 200'), answer
+            assert len(server.connections) <= 10
+        for _, writer in opened:
+            writer.close()
+        server.listener.close()
+        server.socket.close()
+
+    asyncio.run(crowd())
