Wait near by, spill far only into free slots, estimate from the door

Change: spare part of slots asked for far requests, the door tells its mean time of service, a first offer is always made, silent nodes are avoided 0.25 s after their last word.

--- a/poplarrack/admissions.py
+++ b/poplarrack/admissions.py
@@ -52,8 +52,15 @@
         excess = ahead + 1 + max(0, self.running - self.slots)
         return excess * self.service_seconds / max(1, self.slots)
 
-    def admits(self, rank, patience_seconds):
-        """Say whether a request may wait here."""
+    def admits(self, rank, patience_seconds, spare_part=0.0):
+        """Say whether a request is taken, at once or after a wait.
+
+        :param spare_part: part of the slots that must be free for it.
+        """
+        if spare_part and self.free - len(self.queue) <= (
+            spare_part * self.slots
+        ):
+            return False
         return self.expected_wait(rank) <= patience_seconds
 
     def enqueue(self, ticket, rank, deadline, give_up_at):
--- a/poplarrack/exchanges.py
+++ b/poplarrack/exchanges.py
@@ -30,8 +30,9 @@
     """A request on its way to the node beside an endpoint.
 
     ``time_left_ms`` is what is left of the caller's deadline,
-    ``patience_ms`` how long it may wait for a slot, ``rank`` its
-    priority, 0 first, ``instance_id`` the endpoint that it is meant for.
+    ``patience_ms`` how long it may wait for a slot, ``spare_part`` the part
+    of the slots that must be free for it, ``rank`` its priority, 0 first,
+    ``instance_id`` the endpoint that it is meant for.
     """
 
     request_id: bytes
@@ -46,18 +47,21 @@
     patience_ms: int
     rank: int
     repeatable: bool
+    spare_part: float = 0.0
 
 
 class Occupancy(Struct, frozen=True, array_like=True):
     """How busy an endpoint is, as its own node counts.
 
-    ``wait_ms`` is how long a request of the lowest rank would wait now.
+    ``wait_ms`` is how long a request of the lowest rank would wait now,
+    ``service_ms`` how long the endpoint works on one.
     """
 
     running: int = 0
     waiting: int = 0
     slots: int = 0
     wait_ms: int = 0
+    service_ms: float = 0.0
 
 
 class Delivery(Struct, frozen=True, array_like=True):
--- a/poplarrack/logs.py
+++ b/poplarrack/logs.py
@@ -9,7 +9,7 @@
 from pythonjsonlogger.json import JsonFormatter
 
 FORMAT = '%(asctime)s %(levelname)s %(name)s %(message)s'
-# Lines of one event that a process writes in a second; more are counted.
+# Lines of one event and outcome that a process writes in a second.
 LINES_A_SECOND = 20
 STDOUT = 1
 
@@ -47,9 +47,10 @@
 
 
 class LineLimit(logging.Filter):
-    """Pass so many lines of an event in a second; count the others.
+    """Pass so many lines of an event and outcome in a second.
 
-    The first line of the next second tells how many were left out.
+    The others are counted: the first line of the next second tells how
+    many were left out.
     """
 
     def __init__(self, lines_a_second=LINES_A_SECOND, clock=time.monotonic):
@@ -66,13 +67,13 @@
         if second != self.second:
             self.second = second
             self.written.clear()
-        event = record.msg
-        if self.written[event] >= self.lines_a_second:
-            self.left_out[event] += 1
+        key = (record.msg, getattr(record, 'outcome', ''))
+        if self.written[key] >= self.lines_a_second:
+            self.left_out[key] += 1
             return False
-        self.written[event] += 1
-        if self.left_out[event]:
-            record.left_out = self.left_out.pop(event)
+        self.written[key] += 1
+        if self.left_out[key]:
+            record.left_out = self.left_out.pop(key)
         return True
 
 
--- a/poplarrack/placements.py
+++ b/poplarrack/placements.py
@@ -6,10 +6,10 @@
 from dataclasses import dataclass
 from enum import IntEnum
 
+from poplarrack.admissions import FIRST_SERVICE_SECONDS
 from poplarrack.members import Endpoint
 
-# Weight of a new observation in the mean latency and failure rate.
-LATENCY_WEIGHT = 0.1
+# Weight of a new observation in the failure rate.
 FAILURE_WEIGHT = 0.15
 # Failures in a row, or rate of failures, that leave an endpoint out.
 EJECT_FAILURES = 5
@@ -22,11 +22,12 @@
 # A new endpoint is slow at first: it gets part of its slots for so long.
 WARM_UP_SECONDS = 3.0
 COLD_PART = 0.4
-# Part of the target latency that a request may wait for a slot where one
-# may be free elsewhere.
+# Part of the time left that a request may wait for a slot where one may be
+# free elsewhere.
 PATIENCE_PART = 0.2
-# Assumed latency before any answer.
-FIRST_LATENCY_SECONDS = 0.05
+# Part of the time left that the wait and the answer together may take
+# where every endpoint is busy.
+QUEUE_PART = 0.9
 
 
 class Tier(IntEnum):
@@ -45,6 +46,9 @@
     Tier.REGION: 0.003,
     Tier.FAR: 0.061,
 }
+# Part of an endpoint's slots that must be free for requests from there, so
+# that two busy places do not trade their requests over dear links.
+SPARE_PART = {Tier.OWN: 0.0, Tier.ZONE: 0.0, Tier.REGION: 0.0, Tier.FAR: 0.1}
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,7 +72,7 @@
         self.told_running = 0
         self.told_wait = 0.0
         self.told_at = -1.0
-        self.latency = 0.0
+        self.service_seconds = FIRST_SERVICE_SECONDS
         self.failure_rate = 0.0
         self.failures_in_row = 0
         self.ejections = 0
@@ -79,19 +83,17 @@
         """Take in what the endpoint's node told."""
         self.told_running = occupancy.running + occupancy.waiting
         self.told_wait = occupancy.wait_ms / 1000
+        self.service_seconds = occupancy.service_ms / 1000
         self.told_at = now
 
-    def on_answer(self, failed, latency, now):
-        """Take in an answer of the endpoint."""
+    def on_answer(self, failed):
+        """Take in an answer of the endpoint, or that there was none."""
         if failed:
             self.failures_in_row += 1
             self.failure_rate += FAILURE_WEIGHT * (1 - self.failure_rate)
             return
         self.failures_in_row = 0
         self.failure_rate *= 1 - FAILURE_WEIGHT
-        if not self.latency:
-            self.latency = latency
-        self.latency += LATENCY_WEIGHT * (latency - self.latency)
 
     def running(self, now):
         """Return the estimated number of requests at the endpoint."""
@@ -109,20 +111,18 @@
         excess = self.running(now) + 1 - self.usable_slots(now)
         if excess <= 0:
             return 0.0
-        latency = self.latency or FIRST_LATENCY_SECONDS
-        guessed = excess * latency / self.door.endpoint.slots
+        guessed = excess * self.service_seconds / self.door.endpoint.slots
         if now - self.told_at <= OCCUPANCY_AGE_SECONDS:
             return max(guessed, self.told_wait)
         return guessed
 
     def expected_seconds(self, now):
         """Return when an answer from there may be expected."""
-        latency = self.latency or FIRST_LATENCY_SECONDS
         load = self.running(now) / max(1.0, self.usable_slots(now))
         return (
             ROUND_TRIP_SECONDS[self.door.tier]
             + self.expected_wait(now)
-            + latency * (1 + 0.5 * load + 2 * self.failure_rate)
+            + self.service_seconds * (1 + 0.5 * load + 2 * self.failure_rate)
         )
 
     def eject(self, now):
@@ -148,10 +148,14 @@
 
 @dataclass(frozen=True)
 class Placement:
-    """Where a request goes, and how long it may wait there."""
+    """Where a request goes, and how long it may wait there.
+
+    ``spare_part`` is the part of the slots that must be free for it.
+    """
 
     state: DoorState
     patience_seconds: float
+    spare_part: float = 0.0
 
 
 def may_eject(state, group, now):
@@ -171,24 +175,15 @@
     """Choose the endpoint for a request's next attempt.
 
     The nearest tier that can answer within the target goes first, so that
-    bytes stay near; where none can, the one that is done soonest.
+    bytes stay near.
 
     :param states: the DoorStates of the service.
     :param tried: instances that the request was offered to before.
     :param random: a ``random.Random`` to break ties by.
-    :returns: a Placement, or None when nobody is left.
+    :returns: a Placement, or None when nobody can run it soon.
     """
-    open_states = [
-        state
-        for state in states
-        if state.door.endpoint.instance_id not in tried
-        and now >= state.away_until
-    ]
-    healthy = [item for item in open_states if item.ejected_until <= now]
-    open_states = healthy or open_states
-    if not open_states:
-        return None
-    patience = max(0.0, wish.target) * PATIENCE_PART
+    open_states = _open(states, tried, now)
+    patience = max(0.0, wish.left) * PATIENCE_PART
     for tiers in ((Tier.OWN, Tier.ZONE), (Tier.REGION,), (Tier.FAR,)):
         near = [
             state
@@ -198,15 +193,42 @@
             and state.expected_seconds(now) <= max(wish.target, 0.0)
         ]
         if near:
-            return Placement(_best(near, now, random), patience)
+            spare = SPARE_PART[tiers[0]]
+            return Placement(_best(near, now, random), patience, spare)
+    return None
+
+
+def choose_queue(states, wish, tried, now, random, informed):
+    """Choose where a request waits when nobody can run it soon.
+
+    It may wait as long as the answer still comes in time.
+
+    :param informed: an endpoint's node was asked about this request; else
+        one is, since what is known of their queues may be old.
+    """
+    open_states = _open(states, tried, now)
+    if not open_states:
+        return None
     best = _best(open_states, now, random)
-    seconds = best.expected_seconds(now)
-    most = wish.left - seconds + best.expected_wait(now)
-    if most <= 0:
+    spent = best.service_seconds + ROUND_TRIP_SECONDS[best.door.tier]
+    most = wish.left * QUEUE_PART - spent
+    if most <= 0 or (informed and most < best.expected_wait(now)):
         return None
     return Placement(best, most)
 
 
+def _open(states, tried, now):
+    """Return the endpoints that may be used, the ejected ones at need."""
+    usable = [
+        state
+        for state in states
+        if state.door.endpoint.instance_id not in tried
+        and now >= state.away_until
+    ]
+    healthy = [state for state in usable if state.ejected_until <= now]
+    return healthy or usable
+
+
 def _best(states, now, random):
     return min(
         states,
--- a/poplarrack/receivers.py
+++ b/poplarrack/receivers.py
@@ -101,6 +101,7 @@
             len(admission.queue),
             admission.slots,
             int(wait * 1000),
+            round(admission.service_seconds * 1000, 1),
         )
 
     @property
@@ -143,7 +144,9 @@
         if now < self.unreachable_until:
             return 'endpoint unreachable'
         patience = request.patience_ms / 1000
-        if not self.admission.admits(request.rank, patience):
+        if not self.admission.admits(
+            request.rank, patience, request.spare_part
+        ):
             return 'busy'
         return ''
 
--- a/poplarrack/senders.py
+++ b/poplarrack/senders.py
@@ -40,7 +40,7 @@
 logger = logging.getLogger(__name__)
 
 # Nodes that one request is offered to at most, refusals included.
-MAX_OFFERS = 6
+MAX_OFFERS = 8
 # A node that said that it can't serve a service is left alone so long.
 AWAY_SECONDS = 0.3
 # Asked of callers that found no room; the least that makes a difference.
@@ -73,6 +73,7 @@
     arrivals: int = 0
     tried: set = field(default_factory=set)
     busy: set = field(default_factory=set)
+    queued: bool = False
     may_have_run: bool = False
     last_failure: Delivery | None = None
     task: object = None
@@ -126,6 +127,13 @@
         self.by_service = by_service
         self.table = table
 
+    def avoid_node(self, address):
+        """Leave out the endpoint of a node that does not answer."""
+        until = self.clock() + AWAY_SECONDS
+        for state in self.states.values():
+            if state.door.peer_address == address:
+                state.away_until = until
+
     def _state_for(self, door, now):
         held = self.states.get(state_key(door))
         if held is None:
@@ -340,6 +348,7 @@
             int(placement.patience_seconds * 1000),
             route.queue_rank,
             route.repeatable,
+            placement.spare_part,
         )
 
     # What came of an attempt.
@@ -348,7 +357,7 @@
         failed = delivery.status >= 500
         self._count_evidence(call, state, failed, now - sent_at, now)
         call.arrivals += 1
-        state.on_answer(failed, now - sent_at, now)
+        state.on_answer(failed)
         self._eject_if_failing(state, now)
         if failed and self._may_repeat(call, now):
             call.may_have_run = True
@@ -382,7 +391,7 @@
         if now >= call.deadline:
             self._refuse(call, ErrorKind.DEADLINE_EXCEEDED, delivery.reason)
             return
-        state.on_answer(True, 0.0, now)
+        state.on_answer(True)
         self._eject_if_failing(state, now)
         if self._may_repeat(call, now):
             self._log_retry(call, state, delivery)
@@ -392,7 +401,7 @@
     def _on_timed_out(self, call, state, delivery, sent_at, now):
         call.may_have_run = True
         self._count_evidence(call, state, True, None, now)
-        state.on_answer(True, 0.0, now)
+        state.on_answer(True)
         self._refuse(call, ErrorKind.DEADLINE_EXCEEDED, delivery.reason)
 
     def _eject_if_failing(self, state, now):
--- a/poplarrack/sidecar_servers.py
+++ b/poplarrack/sidecar_servers.py
@@ -99,6 +99,7 @@
             self.clock,
             Random(),
         )
+        self.streams.on_silent = self.sender.avoid_node
         links = Links(
             self.streams,
             host.platform,
--- a/poplarrack/streams.py
+++ b/poplarrack/streams.py
@@ -29,11 +29,12 @@
 # Bound on what one frame may hold: a whole body and its headers.
 MAX_FRAME_BYTES = 72_000_000
 CONNECT_TIMEOUT_SECONDS = 0.5
-# Silence with questions open before a probe, and how long it may take;
-# several round trips between regions.
-PROBE_AFTER_SECONDS = 0.4
-PROBE_TIMEOUT_SECONDS = 0.5
-WATCH_TICK_SECONDS = 0.1
+# Silence with questions open before a probe, after which the node is
+# avoided and the connection given up; round trips between regions take
+# 0.06 s, and a lost packet is sent again after 0.2 s and more.
+PROBE_AFTER_SECONDS = 0.15
+AVOID_AFTER_SECONDS = 0.1
+PROBE_TIMEOUT_SECONDS = 0.6
 # A peer that could not be connected to is left alone for so long.
 RECONNECT_SECONDS = 0.25
 
@@ -139,7 +140,10 @@
     def check(self, now):
         """Probe a silent connection, and give up one that stays so."""
         if self.probed_at:
-            if now - self.probed_at > PROBE_TIMEOUT_SECONDS:
+            unanswered = now - self.probed_at
+            if unanswered > AVOID_AFTER_SECONDS:
+                self.peer.on_silent(self.peer.address)
+            if unanswered > PROBE_TIMEOUT_SECONDS:
                 logger.info('peer_silent', extra={'peer': self.peer.address})
                 self.peer.note_failure(now)
                 self.transport.abort()
@@ -151,8 +155,9 @@
 class Peer:
     """The connection to one node, made on demand."""
 
-    def __init__(self, address, traffic):
+    def __init__(self, address, traffic, on_silent):
         self.address = address
+        self.on_silent = on_silent
         host, _, port = address.rpartition(':')
         self.host, self.port = host, int(port)
         self.traffic = traffic
@@ -275,15 +280,20 @@
     def __init__(self, traffic, call_timeout_seconds):
         self.traffic = traffic
         self.call_timeout_seconds = call_timeout_seconds
+        self.on_silent = lambda address: None
         self.peers = {}
 
     def peer(self, address):
         """Return the peer at an address."""
         found = self.peers.get(address)
         if found is None:
-            found = self.peers[address] = Peer(address, self.traffic)
+            found = Peer(address, self.traffic, self._note_silent)
+            self.peers[address] = found
         return found
 
+    def _note_silent(self, address):
+        self.on_silent(address)
+
     async def call(self, address, method, message):
         """Call another node's control method.
 
