--- a/poplarrack/bench_configurations.py
+++ b/poplarrack/bench_configurations.py
@@ -24,6 +24,7 @@
 from poplarrack.scenarios import on_fakes
 from poplarrack.scenarios import platform_calls
 from poplarrack.scenarios import route_change
+from poplarrack.scenarios import timeout_of_turn
 from poplarrack.scenarios import Witness
 from poplarrack.stores import Operation
 
@@ -81,7 +82,7 @@
 
 def _time_change(mesh, turn):
     """Change a route; return seconds until every node serves it."""
-    change = route_change(turn % 4, 6.0 + turn)
+    change = route_change(turn % 4, timeout_of_turn(turn))
     client = DirectWriter(mesh.platform_address)
     began = time.monotonic()
     revision = client.write(change)
--- a/poplarrack/dispatchers.py
+++ b/poplarrack/dispatchers.py
@@ -439,6 +439,22 @@
                 busy[key] += load.in_flight
         return busy
 
+    def dump_servers(self):
+        """Return what was seen of each server, for operators."""
+        return {
+            address: {
+                'service': load.endpoint.service,
+                'version': load.endpoint.version,
+                'tier': load.tier,
+                'in_flight': load.in_flight,
+                'limit': round(load.limit.limit, 2),
+                'latency_seconds': load.latency,
+                'failure_rate': round(load.failure_rate, 4),
+                'ejected_until': load.ejected_until,
+            }
+            for address, load in self.servers.items()
+        }
+
     def close_idle(self, now):
         """Close connections that nobody used for a while."""
         for pool in self.pools.values():
--- a/poplarrack/dumps.py
+++ b/poplarrack/dumps.py
@@ -33,7 +33,7 @@
         'moves': _dump_moves(knowledge),
         'verdicts': to_builtins(dict(knowledge.verdicts)),
         'evidence': to_builtins(facts.cells),
-        'servers': _dump_servers(node.dispatcher),
+        'servers': node.dispatcher.dump_servers(),
         'calls': dict(node.dispatcher.counts),
         'last_decisions': {
             name: {'at': at, 'decision': repr(decision)}
@@ -62,19 +62,3 @@
         }
         for service, move in knowledge.configuration.moves.items()
     }
-
-
-def _dump_servers(dispatcher):
-    return {
-        address: {
-            'service': load.endpoint.service,
-            'version': load.endpoint.version,
-            'tier': load.tier,
-            'in_flight': load.in_flight,
-            'limit': round(load.limit.limit, 2),
-            'latency_seconds': load.latency,
-            'failure_rate': round(load.failure_rate, 4),
-            'ejected_until': load.ejected_until,
-        }
-        for address, load in dispatcher.servers.items()
-    }
--- a/poplarrack/metrics.py
+++ b/poplarrack/metrics.py
@@ -4,6 +4,8 @@
 with the first scrape, so that a node nobody scrapes does not carry it.
 """
 
+import re
+
 from poplarrack.pages import Page
 
 
@@ -63,6 +65,25 @@
             (f'call_{name}', count)
             for name, count in sorted(self.node.dispatcher.counts.items())
         )
+        receiver = getattr(self.server, 'receiver', None)
+        if receiver is not None:
+            counters.update(
+                (f'endpoint_{name}', count)
+                for name, count in sorted(receiver.counts.items())
+            )
+            yield from self._collect_latency()
         for name, value in counters.items():
+            name = re.sub(r'\W', '_', name)
             text = name.replace('_', ' ')
             yield CounterMetricFamily(f'poplarrack_{name}', text, value)
+
+    def _collect_latency(self):
+        from prometheus_client.core import HistogramMetricFamily
+
+        latencies = self.node.dispatcher.latencies
+        yield HistogramMetricFamily(
+            'poplarrack_call_seconds',
+            'time from a call to its answer',
+            latencies.cumulative(),
+            latencies.total_seconds,
+        )
--- a/poplarrack/node_servers.py
+++ b/poplarrack/node_servers.py
@@ -17,8 +17,8 @@
 from poplarrack.nodes import Links
 from poplarrack.nodes import Node
 from poplarrack.nodes import TICK_SECONDS
+from poplarrack.page_servers import PageServer
 from poplarrack.pages import json_page
-from poplarrack.pages import PageServer
 from poplarrack.peer_handlers import bind_handlers
 from poplarrack.peers import PeerClient
 from poplarrack.peers import PeerServer
--- a/poplarrack/platform/pages.py
+++ b/poplarrack/platform/pages.py
@@ -3,13 +3,14 @@
 import logging
 
 from poplarrack.errors import PoplarrackError
+from poplarrack.pages import json_page
+from poplarrack.pages import Page
 from poplarrack.platform.heartbeats import decode_heartbeat
 from poplarrack.platform.heartbeats import INSTANCE_PATH
 
 logger = logging.getLogger(__name__)
 
-JSON = b'application/json'
-TEXT = b'text/plain'
+TEXT = 'text/plain'
 READY_PATH = '/-/ready'
 
 
@@ -18,13 +19,13 @@
     path = request.target.partition('?')[0]
     instance_id = path.removeprefix(INSTANCE_PATH)
     if not path.startswith(INSTANCE_PATH) or not instance_id:
-        return 404, TEXT, b''
+        return Page(404, TEXT, b'')
     if request.method == 'PUT':
         return _take_heartbeat(server, instance_id, request.body)
     if request.method == 'DELETE':
         server.on_leave(instance_id)
-        return 200, JSON, b'{}'
-    return 405, TEXT, b''
+        return json_page({})
+    return Page(405, TEXT, b'')
 
 
 def _take_heartbeat(server, instance_id, body):
@@ -32,13 +33,14 @@
         beat = decode_heartbeat(instance_id, body)
     except PoplarrackError as error:
         logger.warning('heartbeat_rejected', extra={'detail': error.detail})
-        return error.answer.http_status, TEXT, error.detail.encode()
+        status = error.answer.http_status
+        return Page(status, TEXT, error.detail.encode())
     server.on_heartbeat(beat)
-    return 200, JSON, b'{}'
+    return json_page({})
 
 
 def serve_ready(server, request):
     """Say whether requests of this machine are carried."""
     if request.target.partition('?')[0] != READY_PATH:
-        return 404, TEXT, b''
-    return (200 if server.node.ready else 503), TEXT, b''
+        return Page(404, TEXT, b'')
+    return Page(200 if server.node.ready else 503, TEXT, b'')
--- a/poplarrack/scenarios.py
+++ b/poplarrack/scenarios.py
@@ -12,6 +12,8 @@
 NODE_BYTES_PER_SECOND = 3000
 PLATFORM_CALLS_PER_SECOND = 2000
 SERVICES = 51
+# Timeouts of a route stay under the bound of the configuration.
+TIMEOUT_TURNS = 500
 ZONES = (
     ('south', 'a'),
     ('south', 'b'),
@@ -47,7 +49,12 @@
 
 def change_one(mesh, turn):
     """Change one route as an operator would; return the revision."""
-    return mesh.put(route_change(turn % SERVICES, 6.0 + turn))
+    return mesh.put(route_change(turn % SERVICES, timeout_of_turn(turn)))
+
+
+def timeout_of_turn(turn):
+    """Return a valid timeout in seconds that differs from turn to turn."""
+    return 6.0 + turn % TIMEOUT_TURNS
 
 
 class Witness:
--- a/poplarrack/senders.py
+++ b/poplarrack/senders.py
@@ -567,6 +567,27 @@
                 busy[(endpoint.service, endpoint.version)] += state.in_flight
         return busy
 
+    def dump_servers(self):
+        """Return what was seen of each endpoint, for operators."""
+        now = self.clock()
+        return {
+            state.door.endpoint.instance_id: {
+                'node': state.door.node_id,
+                'service': state.door.endpoint.service,
+                'version': state.door.endpoint.version,
+                'tier': state.door.tier.name.lower(),
+                'in_flight': state.in_flight,
+                'running': state.running(now),
+                'occupancy_age_seconds': round(now - state.told_at, 3),
+                'service_seconds': state.service_seconds,
+                'expected_wait_seconds': round(state.expected_wait(now), 4),
+                'failure_rate': round(state.failure_rate, 4),
+                'ejected_until': state.ejected_until,
+                'away_until': state.away_until,
+            }
+            for state in self.states.values()
+        }
+
 
 HANDLERS = {
     Verdict.ANSWERED: Sender._on_answered,
--- a/poplarrack/settings.py
+++ b/poplarrack/settings.py
@@ -16,8 +16,6 @@
 from typing import get_origin
 from typing import get_type_hints
 
-import json5
-
 from poplarrack.errors import ErrorKind
 from poplarrack.errors import PoplarrackError
 
@@ -144,6 +142,9 @@
             ErrorKind.INVALID_SETTINGS,
             f'{source}: over {MAX_SETTINGS_BYTES} bytes',
         )
+    # Loaded here, since a node on a platform reads its file another way.
+    import json5
+
     try:
         raw = json5.loads(text)
     except (ValueError, RecursionError) as error:
--- a/poplarrack/sidecar_servers.py
+++ b/poplarrack/sidecar_servers.py
@@ -14,6 +14,7 @@
 from poplarrack.callers import CallServer
 from poplarrack.clocks import SteadyClock
 from poplarrack.dialects import Dialect
+from poplarrack.dumps import dump_node
 from poplarrack.errors import ErrorKind
 from poplarrack.errors import PoplarrackError
 from poplarrack.fetchers import Fetcher
@@ -23,9 +24,11 @@
 from poplarrack.heartbeats import is_silent
 from poplarrack.http_messages import build_answer
 from poplarrack.joiners import join
+from poplarrack.metrics import build_metrics_page
 from poplarrack.nodes import Links
 from poplarrack.nodes import Node
 from poplarrack.nodes import TICK_SECONDS
+from poplarrack.pages import json_page
 from poplarrack.peer_handlers import bind_handlers
 from poplarrack.receivers import Receiver
 from poplarrack.resources import Service
@@ -43,6 +46,7 @@
 GRACE_MARGIN_SECONDS = 0.7
 DRAIN_POLL_SECONDS = 0.05
 EXPIRE_SECONDS = 1.0
+RELOAD_SECONDS = 5.0
 
 
 @dataclass(frozen=True)
@@ -50,8 +54,8 @@
     """What a platform gives to a node.
 
     ``platform`` has the methods of PlatformClient. ``serve_control`` and
-    ``serve_ready`` take the server and an HttpRequest and return status,
-    content type and body. ``load_settings`` reads the settings anew.
+    ``serve_ready`` take the server and an HttpRequest and return a Page.
+    ``load_settings`` reads the settings anew.
     """
 
     dialect: Dialect
@@ -70,9 +74,9 @@
 
     def start(self, request, respond):
         """Answer a request."""
-        status, content_type, body = self.serve(request)
-        headers = [(b'content-type', content_type)]
-        raw = build_answer(status, headers, body, request.keep_alive)
+        page = self.serve(request)
+        headers = [(b'content-type', page.content_type.encode())]
+        raw = build_answer(page.status, headers, page.body, request.keep_alive)
         respond(raw, request.keep_alive)
 
 
@@ -121,6 +125,7 @@
         self.loop = None
         self.stopping = None
         self.expired_at = 0.0
+        self.reload_at = 0.0
 
     async def run(self):
         """Serve until told to stop, then drain."""
@@ -149,10 +154,10 @@
         except PoplarrackError as error:
             logger.error('settings_rejected', extra={'detail': error.detail})
             return
-        changed = settings != self.settings
-        self.settings = settings
-        self.sender.settings = settings
-        logger.info('settings_reloaded', extra={'changed': changed})
+        if settings != self.settings:
+            self.settings = settings
+            self.sender.settings = settings
+            logger.info('settings_reloaded')
 
     def _tick(self):
         self.node.tick()
@@ -164,6 +169,10 @@
         if now - self.expired_at >= EXPIRE_SECONDS:
             self.expired_at = now
             self._expire(now)
+        if now - self.reload_at >= RELOAD_SECONDS:
+            # The file may change without a signal.
+            self.reload_at = now
+            self.reload()
 
     def _expire(self, now):
         self.call_server.limits = self.sender.table.limits
@@ -189,6 +198,7 @@
             await self._listen_pages(
                 settings.operator_address, self.host.serve_ready
             )
+            await self._listen_pages(settings.metrics_address, _serve_state)
             host, _, port = settings.call_address.rpartition(':')
             await self.call_server.listen(self.loop, host, int(port))
         except OSError as error:
@@ -277,3 +287,13 @@
             )
 
         return Fetcher(self.platform, offer, note)
+
+
+def _serve_state(server, request):
+    """Show metrics and the whole state."""
+    path = request.target.partition('?')[0]
+    if path == '/metrics':
+        return build_metrics_page(server)
+    if path == '/dump':
+        return json_page(dump_node(server.node, server.traffic))
+    return json_page({'error': f'no page {path}'}, 404)
--- a/tests/test_configurations.py
+++ b/tests/test_configurations.py
@@ -4,6 +4,9 @@
 from poplarrack.errors import ErrorKind
 from poplarrack.knowledge import Knowledge
 from poplarrack.knowledge import offer_snapshot
+from poplarrack.scenarios import build_changes
+from poplarrack.scenarios import route_change
+from poplarrack.scenarios import timeout_of_turn
 from tests.samples import CHANGES
 from tests.samples import route
 from tests.samples import service
@@ -83,3 +86,10 @@
     mended = offer_snapshot(after, snapshot(3))
     assert mended.configuration.revision == 3
     assert mended.rejection is None
+
+
+def test_bench_timeouts_are_valid_at_any_seed():
+    for turn in (0, 3, 1001, 90417, 338201, 774013):
+        change = route_change(0, timeout_of_turn(turn))
+        changes = {**build_changes(4), **change}
+        load_configuration(snapshot(1, changes))
--- /dev/null
+++ b/tests/test_heartbeats.py
@@ -0,0 +1,62 @@
+"""Check that heartbeats count whatever order they come in."""
+
+from dataclasses import replace
+
+from poplarrack.heartbeats import apply_heartbeat
+from poplarrack.heartbeats import apply_leave
+from poplarrack.heartbeats import EndpointRecord
+from poplarrack.heartbeats import Heartbeat
+from poplarrack.heartbeats import is_silent
+from poplarrack.members import EndpointState
+from poplarrack.resources import Service
+from tests.support import suite_of
+
+load_tests = suite_of(__name__)
+
+SERVICE = Service('front', '', warm_up_seconds=5.0)
+BEAT = Heartbeat(
+    'i-1', 'front', '10.0.0.1:80', 'v1', 'a', 9, False, 4, born=1000
+)
+
+
+def take(record, beat, now=100.0):
+    return apply_heartbeat(record, beat, SERVICE, now)
+
+
+def test_a_drain_is_not_undone_by_a_late_heartbeat():
+    record = take(EndpointRecord(), replace(BEAT, sequence=6, draining=True))
+    late = take(record, replace(BEAT, sequence=5))
+    assert late is record
+    assert record.endpoint.state is EndpointState.DRAINING
+
+
+def test_another_start_under_the_same_id_counts_anew():
+    record = take(EndpointRecord(), replace(BEAT, sequence=90))
+    reborn = take(record, replace(BEAT, sequence=0, born=2000))
+    assert (reborn.endpoint.born, reborn.sequence) == (2000, 0)
+    assert take(reborn, replace(BEAT, sequence=91)) is reborn
+
+
+def test_a_heartbeat_after_the_leave_is_ignored():
+    record = apply_leave(take(EndpointRecord(), BEAT), 'i-1', 101.0)
+    assert record.endpoint is None
+    assert take(record, replace(BEAT, sequence=9)) is record
+    other = replace(BEAT, instance_id='i-2', born=1500)
+    assert take(record, other).endpoint.instance_id == 'i-2'
+
+
+def test_the_leave_of_another_instance_changes_nothing():
+    record = take(EndpointRecord(), BEAT)
+    assert apply_leave(record, 'i-0', 101.0) is record
+
+
+def test_an_endpoint_is_warm_when_it_says_so():
+    record = take(EndpointRecord(), replace(BEAT, cold_seconds=2.0))
+    assert record.endpoint.announced_at + SERVICE.warm_up_seconds == 102.0
+
+
+def test_missed_heartbeats_make_an_endpoint_silent():
+    record = take(EndpointRecord(), BEAT)
+    assert not is_silent(record, 1.5, 105.0)
+    assert is_silent(record, 1.5, 106.1)
+    assert not is_silent(EndpointRecord(), 1.5, 200.0)
--- /dev/null
+++ b/tests/test_receivers.py
@@ -0,0 +1,238 @@
+"""Check what a receiving node lets through to its endpoint."""
+
+import asyncio
+from contextlib import asynccontextmanager
+from dataclasses import replace
+
+from poplarrack.dialects import Dialect
+from poplarrack.exchanges import RoutedRequest
+from poplarrack.exchanges import Verdict
+from poplarrack.members import EndpointState
+from poplarrack.receivers import Receiver
+from tests.samples import endpoint
+from tests.support import suite_of
+from tests.test_calls import GatedServer
+from tests.test_calls import Server
+
+load_tests = suite_of(__name__)
+
+DIALECT = Dialect(
+    request_id=b'x-id',
+    not_run=b'x-not-run',
+    instance=b'x-instance',
+    proof=b'x-stamp',
+    not_run_statuses=frozenset((421,)),
+)
+
+
+def answer(status=200, body=b'ok', **headers):
+    fields = {'x-id': 'r1', 'x-stamp': 's', 'content-length': len(body)}
+    fields.update({key.replace('_', '-'): v for key, v in headers.items()})
+    lines = ''.join(
+        f'{name}: {value}\r\n'
+        for name, value in fields.items()
+        if value is not None
+    )
+    return f'HTTP/1.1 {status} -\r\n{lines}\r\n'.encode() + body
+
+
+def request(**more):
+    fields = {
+        'request_id': b'r1',
+        'method': 'GET',
+        'target': '/x',
+        'headers': [(b'x-id', b'r1')],
+        'body': b'',
+        'service': 'front',
+        'instance_id': 'i-1',
+        'caller_service': 'shop',
+        'time_left_ms': 5000,
+        'patience_ms': 0,
+        'rank': 1,
+        'repeatable': False,
+        **more,
+    }
+    return RoutedRequest(**fields)
+
+
+@asynccontextmanager
+async def receiver_of(server, slots=1):
+    """Run a receiving node in front of a scripted endpoint."""
+    listener = await asyncio.start_server(server.serve, '127.0.0.1', 0)
+    port = listener.sockets[0].getsockname()[1]
+    loop = asyncio.get_running_loop()
+    receiver = Receiver(DIALECT, loop.time, 1_000_000)
+    receiver.put_endpoint(
+        endpoint(f'127.0.0.1:{port}', instance_id='i-1', slots=slots)
+    )
+    try:
+        yield receiver
+    finally:
+        listener.close()
+        receiver.pool.close()
+        if isinstance(server, GatedServer):
+            server.gate.set()
+        for writer in server.writers:
+            writer.close()
+        await asyncio.sleep(0)
+
+
+async def ask(receiver, **more):
+    """Send a request; return its Delivery."""
+    future = asyncio.get_running_loop().create_future()
+    receiver.take(
+        request(**more),
+        lambda told: future.done() or future.set_result(told),
+    )
+    return await asyncio.wait_for(future, 5)
+
+
+def verdict_of(script, **more):
+    async def run():
+        server = Server(script)
+        async with receiver_of(server) as receiver:
+            return await ask(receiver, **more), server
+
+    return asyncio.run(run())
+
+
+def test_an_answer_comes_with_how_busy_the_endpoint_is():
+    told, server = verdict_of(lambda *x: answer())
+    assert (told.verdict, told.status, told.body) == (
+        Verdict.ANSWERED,
+        200,
+        b'ok',
+    )
+    assert told.occupancy.slots == 1
+    assert b'x-instance: i-1\r\n' in server.requests[0]
+
+
+def test_another_instance_or_service_is_never_reached():
+    for more in ({'instance_id': 'i-2'}, {'service': 'back'}):
+        told, server = verdict_of(lambda *x: answer(), **more)
+        assert told.verdict is Verdict.NOT_RUN
+        assert not server.requests
+
+
+def test_an_endpoint_that_says_so_did_not_run_it():
+    for script in (answer(503, x_not_run='1'), answer(421, x_stamp=None)):
+        told, _ = verdict_of(lambda *x, script=script: script)
+        assert told.verdict is Verdict.REFUSED
+
+
+def test_answers_that_are_cut_short_or_unproven_are_lost():
+    spoiled = (
+        b'HTTP/1.1 200 OK\r\ncontent-length: 9\r\nx-id: r1\r\n\r\ncut',
+        b'garbage cut\r\n\r\n',
+        answer(x_stamp=None),
+        answer(content_encoding='gzip'),
+        None,
+    )
+    for script in spoiled:
+        told, _ = verdict_of(lambda *x, script=script: script)
+        assert told.verdict is Verdict.LOST, script
+
+
+def test_an_answer_to_another_request_is_skipped():
+    stray = answer(body=b'old', x_id='r0')
+    told, _ = verdict_of(lambda *x: stray + answer())
+    assert (told.verdict, told.body) == (Verdict.ANSWERED, b'ok')
+
+
+def test_a_late_answer_does_not_reach_the_next_request():
+    async def run():
+        def script(head, number):
+            if number == 1:
+                return answer() + answer(body=b'late')
+            return answer(x_id='r2')
+
+        async with receiver_of(Server(script)) as receiver:
+            await ask(receiver)
+            headers = [(b'x-id', b'r2')]
+            told = await ask(receiver, request_id=b'r2', headers=headers)
+            return told.body
+
+    assert asyncio.run(run()) == b'ok'
+
+
+def test_an_answer_without_a_length_ends_with_its_connection():
+    raw = b'HTTP/1.1 200 OK\r\nx-id: r1\r\nx-stamp: s\r\n\r\nnot cut off'
+    told, _ = verdict_of(lambda *x: raw)
+    assert (told.verdict, told.body) == (Verdict.ANSWERED, b'not cut off')
+
+
+def test_time_that_is_over_is_told_as_such():
+    told, _ = verdict_of(lambda *x: 'silent', time_left_ms=40)
+    assert told.verdict is Verdict.TIMED_OUT
+
+
+def test_an_endpoint_that_is_gone_ran_nothing():
+    async def run():
+        receiver = Receiver(DIALECT, asyncio.get_running_loop().time, 1000)
+        before = await ask(receiver)
+        gone = endpoint('127.0.0.1:1', instance_id='i-1')
+        receiver.put_endpoint(gone)
+        return before, await ask(receiver)
+
+    for told in asyncio.run(run()):
+        assert told.verdict is Verdict.NOT_RUN
+
+
+def test_slots_are_held_and_the_queue_goes_by_rank():
+    async def run():
+        server = GatedServer()
+        async with receiver_of(server) as receiver:
+            first = asyncio.ensure_future(ask(receiver))
+            while not server.requests:
+                await asyncio.sleep(0)
+            busy = await ask(receiver)
+            order = []
+
+            def note(name):
+                return lambda told: order.append((name, told.verdict))
+
+            receiver.take(request(patience_ms=900, rank=2), note('late'))
+            receiver.take(request(patience_ms=900, rank=0), note('soon'))
+            waiting = receiver.admission.queue[0].rank
+            refused = await ask(receiver, patience_ms=900, spare_part=0.1)
+            first.cancel()
+            return busy, waiting, refused
+
+    busy, waiting, refused = asyncio.run(run())
+    assert (busy.verdict, busy.reason) == (Verdict.NOT_RUN, 'busy')
+    assert waiting == 0
+    assert refused.reason == 'busy'
+
+
+def test_a_draining_endpoint_gets_nothing_new():
+    async def run():
+        server = GatedServer()
+        async with receiver_of(server) as receiver:
+            running = asyncio.ensure_future(ask(receiver))
+            while not server.requests:
+                await asyncio.sleep(0)
+            waiting = asyncio.ensure_future(ask(receiver, patience_ms=900))
+            while not receiver.admission.queue:
+                await asyncio.sleep(0)
+            held = receiver.endpoint
+            receiver.put_endpoint(replace(held, state=EndpointState.DRAINING))
+            told = [await waiting, await ask(receiver)]
+            running.cancel()
+            return told, len(server.requests)
+
+    told, reached = asyncio.run(run())
+    assert [item.reason for item in told] == ['draining', 'draining']
+    assert reached == 1
+
+
+def test_a_cancelled_request_stops_at_the_endpoint():
+    async def run():
+        server = Server(lambda *x: 'silent')
+        async with receiver_of(server) as receiver:
+            ticket = receiver.take(request(), lambda told: None)
+            while not server.requests:
+                await asyncio.sleep(0)
+            receiver.cancel(ticket)
+            return receiver.in_flight, receiver.admission.running
+
+    assert asyncio.run(run()) == (0, 0)
--- /dev/null
+++ b/tests/test_senders.py
@@ -0,0 +1,289 @@
+"""Check what a sending node makes of what other nodes tell it."""
+
+import asyncio
+from dataclasses import replace
+from random import Random
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies
+
+from poplarrack.dialects import Dialect
+from poplarrack.exchanges import Delivery
+from poplarrack.exchanges import Occupancy
+from poplarrack.exchanges import Verdict
+from poplarrack.http_messages import HttpRequest
+from poplarrack.placements import Door
+from poplarrack.placements import Tier
+from poplarrack.resources import Route
+from poplarrack.resources import WeightedService
+from poplarrack.routers import Router
+from poplarrack.routing_tables import RoutingTable
+from poplarrack.senders import Sender
+from poplarrack.settings import PlatformSettings
+from poplarrack.settings import SidecarSettings
+from tests.samples import endpoint
+from tests.support import suite_of
+
+load_tests = suite_of(__name__)
+
+DIALECT = Dialect(
+    request_id=b'x-id', deadline_ms=b'x-deadline', caller_service=b'x-from'
+)
+SETTINGS = SidecarSettings(
+    'n1',
+    'south',
+    'a',
+    '127.0.0.1:1',
+    '127.0.0.1:2',
+    '127.0.0.1:3',
+    '127.0.0.1:4',
+    PlatformSettings(('127.0.0.1:5',)),
+    service='shop',
+)
+ROUTES = (
+    Route('read', '/read/', 'front', repeatable=True, timeout_seconds=2.0),
+    Route('pay', '/pay/', 'front', timeout_seconds=2.0),
+    Route(
+        'split',
+        '/split/',
+        'front',
+        backends=(WeightedService('front', 3), WeightedService('other', 1)),
+    ),
+)
+GOOD = Delivery(Verdict.ANSWERED, 200, [], b'ok')
+BUSY = Delivery(
+    Verdict.NOT_RUN, reason='busy', occupancy=Occupancy(10, 40, 10, 900, 50.0)
+)
+STOPPING = Delivery(Verdict.NOT_RUN, reason='stopping')
+REFUSED = Delivery(Verdict.REFUSED, reason='status 503')
+LOST = Delivery(Verdict.LOST, reason='lost')
+TIMED_OUT = Delivery(Verdict.TIMED_OUT, reason='time is over')
+FAILED = Delivery(Verdict.ANSWERED, 500, [], b'no')
+SURE = (BUSY, STOPPING, REFUSED)
+
+
+class FakeStreams:
+    """Tell deliveries from a script; note what was sent where."""
+
+    def __init__(self, script):
+        self.script = list(script)
+        self.sent = []
+        self.withdrawn = 0
+        self.held = asyncio.Event()
+
+    def deliver(self, address, request, timeout_seconds, done):
+        self.sent.append((address, request))
+        if self.script:
+            told = self.script.pop(0)
+            asyncio.get_running_loop().call_soon(done, told)
+        else:
+            self.held.set()
+        return self._withdraw
+
+    def _withdraw(self):
+        self.withdrawn += 1
+
+
+class Clock:
+    def __init__(self):
+        self.now = 1000.0
+
+    def __call__(self):
+        return self.now
+
+
+def door(number, tier=Tier.ZONE, service='front'):
+    served = replace(
+        endpoint(f'10.0.0.{number}:80', instance_id=f'i-{number}'),
+        service=service,
+    )
+    return Door(f'n{number}', f'10.0.0.{number}:70', served, tier)
+
+
+def build_sender(script, doors=None):
+    streams = FakeStreams(script)
+    sender = Sender(SETTINGS, DIALECT, None, streams, Clock(), Random(7))
+    doors = doors or {'front': [door(2), door(3), door(4)]}
+    sender.put_in_force(
+        RoutingTable(5, Router(ROUTES), frozenset(doors), doors)
+    )
+    return sender, streams
+
+
+async def send(sender, path='/pay/x', headers=()):
+    """Send a request; return status line, head and body."""
+    answers = []
+    request = HttpRequest(
+        'POST', path, [(b'host', b'shop'), (b'x-id', b'r1'), *headers]
+    )
+    call = sender.start(request, lambda raw, keep: answers.append(raw))
+    if call.task is not None:
+        await call.task
+    assert len(answers) == 1, answers
+    head, _, body = answers[0].partition(b'\r\n\r\n')
+    return int(head[9:12]), head, body
+
+
+def status_of(script, path):
+    """Return the status a script leads to, and how often it was sent."""
+
+    async def run():
+        sender, streams = build_sender(script)
+        status, head, _ = await send(sender, path)
+        return status, head, streams
+
+    return asyncio.run(run())
+
+
+def test_an_answer_is_returned():
+    status, _, streams = status_of([GOOD], '/pay/x')
+    assert (status, len(streams.sent)) == (200, 1)
+
+
+def test_what_surely_did_not_run_goes_to_another_endpoint():
+    status, _, streams = status_of([STOPPING, REFUSED, GOOD], '/pay/x')
+    assert status == 200
+    addresses = [address for address, _ in streams.sent]
+    assert len(set(addresses)) == 3
+
+
+def test_what_may_have_run_is_not_sent_again_unless_repeatable():
+    status, _, streams = status_of([LOST, GOOD], '/pay/x')
+    assert (status, len(streams.sent)) == (502, 1)
+    status, _, streams = status_of([LOST, GOOD], '/read/x')
+    assert (status, len(streams.sent)) == (200, 2)
+
+
+def test_a_refusal_says_when_to_come_back():
+    status, head, _ = status_of([BUSY] * 20, '/pay/x')
+    assert status == 503
+    assert b'retry-after: 0.' in head
+
+
+def test_a_failure_of_the_endpoint_is_passed_on():
+    status, _, streams = status_of([FAILED], '/pay/x')
+    assert (status, len(streams.sent)) == (500, 1)
+
+
+def test_the_last_failure_is_returned_when_nobody_is_left():
+    status, _, _ = status_of([FAILED, STOPPING, STOPPING], '/read/x')
+    assert status == 500
+
+
+def test_no_refusal_after_a_run_that_may_have_been():
+    status, _, _ = status_of([LOST, STOPPING, STOPPING], '/read/x')
+    assert status == 502
+
+
+def test_max_attempts_bound_the_endpoints_that_a_call_reaches():
+    route = replace(ROUTES[0], max_attempts=2)
+
+    async def run():
+        sender, streams = build_sender([LOST, LOST, GOOD])
+        table = replace(sender.table, router=Router((route,)))
+        sender.put_in_force(table)
+        status, _, _ = await send(sender, '/read/x')
+        return status, len(streams.sent)
+
+    assert asyncio.run(run()) == (502, 2)
+
+
+def test_unknown_routes_and_unknown_configuration_differ():
+    async def run():
+        sender, _ = build_sender([])
+        first = await send(sender, '/none/')
+        sender.put_in_force(RoutingTable())
+        return first[0], (await send(sender, '/none/'))[0]
+
+    assert asyncio.run(run()) == (404, 503)
+
+
+def test_headers_of_the_mesh_are_set_whatever_was_sent():
+    async def run():
+        sender, streams = build_sender([GOOD])
+        forged = ((b'x-from', b'forged'), (b'x-deadline', b'700'))
+        await send(sender, '/pay/x', forged)
+        return streams.sent[0][1]
+
+    routed = asyncio.run(run())
+    assert routed.caller_service == 'shop'
+    assert 690 <= routed.time_left_ms <= 700
+    names = [name for name, _ in routed.headers]
+    assert b'x-from' not in names and b'x-deadline' not in names
+    assert routed.request_id == b'r1' and b'x-id' in names
+
+
+def test_a_caller_that_leaves_withdraws_its_request():
+    async def run():
+        sender, streams = build_sender([])
+        request = HttpRequest('POST', '/pay/x', [(b'x-id', b'r1')])
+        call = sender.start(request, lambda *answer: None)
+        await streams.held.wait()
+        sender.cancel(call)
+        await asyncio.gather(call.task, return_exceptions=True)
+        return streams.withdrawn, sender.in_flight
+
+    assert asyncio.run(run()) == (1, 0)
+
+
+def test_a_call_that_ends_before_it_began_is_not_counted_on():
+    async def run():
+        sender, streams = build_sender([GOOD])
+        request = HttpRequest('POST', '/pay/x', [(b'x-id', b'r1')])
+        call = sender.start(request, lambda *answer: None)
+        sender.cancel(call)
+        await asyncio.gather(call.task, return_exceptions=True)
+        return len(streams.sent), sender.in_flight
+
+    assert asyncio.run(run()) == (0, 0)
+
+
+def test_weights_split_calls_exactly():
+    async def run():
+        doors = {'front': [door(2)], 'other': [door(3, service='other')]}
+        sender, streams = build_sender([GOOD] * 400, doors)
+        for _ in range(400):
+            await send(sender, '/split/x')
+        return sum(request.service == 'other' for _, request in streams.sent)
+
+    assert abs(asyncio.run(run()) - 100) <= 1
+
+
+def test_a_silent_node_is_avoided():
+    async def run():
+        sender, streams = build_sender([GOOD] * 30)
+        sender.avoid_node('10.0.0.2:70')
+        for _ in range(30):
+            await send(sender, '/read/x')
+        return {address for address, _ in streams.sent}
+
+    assert '10.0.0.2:70' not in asyncio.run(run())
+
+
+@settings(max_examples=150, deadline=None)
+@given(
+    strategies.lists(
+        strategies.sampled_from(
+            [GOOD, BUSY, STOPPING, REFUSED, LOST, TIMED_OUT, FAILED]
+        ),
+        min_size=20,
+        max_size=20,
+    ),
+    strategies.booleans(),
+)
+def test_promises_hold_for_any_course_of_attempts(script, repeatable):
+    path = '/read/x' if repeatable else '/pay/x'
+    status, _, streams = status_of(script, path)
+    told = script[: len(streams.sent)]
+    unsure = [item for item in told if item not in SURE]
+    if not repeatable:
+        # At most one attempt may have run, and it is the last one.
+        assert len(unsure) <= 1
+        assert all(item in SURE for item in told[:-1])
+    if status == 503:
+        assert not unsure
+    if status == 200:
+        assert told[-1] is GOOD
+    arrived = [item for item in told if item not in (BUSY, STOPPING)]
+    assert len(arrived) <= 3
--- /dev/null
+++ b/tests/test_streams.py
@@ -0,0 +1,176 @@
+"""Check the framed connections between nodes, over loopback."""
+
+import asyncio
+from contextlib import asynccontextmanager
+
+from poplarrack.errors import ErrorKind
+from poplarrack.errors import PoplarrackError
+from poplarrack.exchanges import Delivery
+from poplarrack.exchanges import Verdict
+from poplarrack.messages import Digests
+from poplarrack.messages import DigestsAnswer
+from poplarrack.messages import ProbeRequest
+from poplarrack.streams import AVOID_AFTER_SECONDS
+from poplarrack.streams import PeerStreams
+from poplarrack.streams import PROBE_AFTER_SECONDS
+from poplarrack.streams import PROBE_TIMEOUT_SECONDS
+from poplarrack.streams import StreamServer
+from poplarrack.traffic import PeerTraffic
+from tests.support import suite_of
+from tests.test_receivers import request
+
+load_tests = suite_of(__name__)
+
+DIGESTS = Digests('n1', 7, 1, 2, 3)
+
+
+class FakeReceiver:
+    """Answer at once, or hold what comes."""
+
+    def __init__(self, hold=False):
+        self.hold = hold
+        self.taken = []
+        self.cancelled = asyncio.Event()
+
+    def take(self, routed, reply):
+        self.taken.append(routed)
+        if not self.hold:
+            reply(Delivery(Verdict.ANSWERED, 200, [], routed.body))
+        return routed
+
+    def cancel(self, ticket):
+        self.cancelled.set()
+
+
+async def on_compare(message):
+    return DigestsAnswer(message)
+
+
+async def on_failure(message):
+    raise PoplarrackError(ErrorKind.STALE_DELTA, 'not today')
+
+
+@asynccontextmanager
+async def connected(receiver):
+    """Serve a receiver; give the client and the server's address."""
+    handlers = {'Compare': on_compare, 'Probe': on_failure}
+    server = StreamServer(PeerTraffic(), receiver, handlers)
+    await server.listen('127.0.0.1:0')
+    port = server.listener.sockets[0].getsockname()[1]
+    streams = PeerStreams(PeerTraffic(), 2.0)
+    try:
+        yield streams, f'127.0.0.1:{port}'
+    finally:
+        await streams.close()
+        await server.close()
+
+
+async def deliver(streams, address, seconds=2.0, **more):
+    """Send a request; return its Delivery."""
+    future = asyncio.get_running_loop().create_future()
+    streams.deliver(address, request(**more), seconds, future.set_result)
+    return await asyncio.wait_for(future, 5)
+
+
+def test_requests_and_control_messages_share_a_connection():
+    async def run():
+        async with connected(FakeReceiver()) as (streams, address):
+            told = await asyncio.gather(
+                *(
+                    deliver(streams, address, body=b'%d' % number)
+                    for number in range(50)
+                )
+            )
+            compared = await streams.call(address, 'Compare', DIGESTS)
+            return [item.body for item in told], compared, len(streams.peers)
+
+    bodies, compared, peers = asyncio.run(run())
+    assert bodies == [b'%d' % number for number in range(50)]
+    assert compared.digests == DIGESTS
+    assert peers == 1
+
+
+def test_an_error_of_the_other_node_is_told():
+    async def run():
+        async with connected(FakeReceiver()) as (streams, address):
+            try:
+                await streams.call(address, 'Probe', ProbeRequest('n2'))
+            except PoplarrackError as error:
+                return error
+            return None
+
+    error = asyncio.run(run())
+    assert error.kind is ErrorKind.PEER_UNAVAILABLE
+    assert 'not today' in error.detail
+
+
+def test_what_was_never_sent_did_not_run():
+    async def run():
+        streams = PeerStreams(PeerTraffic(), 2.0)
+        return await deliver(streams, '127.0.0.1:1')
+
+    assert asyncio.run(run()).verdict is Verdict.NOT_RUN
+
+
+def test_what_was_sent_and_not_answered_may_have_run():
+    async def run():
+        async with connected(FakeReceiver(hold=True)) as (streams, address):
+            first = asyncio.ensure_future(deliver(streams, address))
+            while not streams.peers or not streams.peers[address].connected:
+                await asyncio.sleep(0)
+            streams.peers[address].stream.transport.abort()
+            return await first
+
+    assert asyncio.run(run()).verdict is Verdict.LOST
+
+
+def test_a_withdrawn_request_is_cancelled_over_there():
+    async def run():
+        receiver = FakeReceiver(hold=True)
+        async with connected(receiver) as (streams, address):
+            withdraw = streams.deliver(address, request(), 5.0, print)
+            while not receiver.taken:
+                await asyncio.sleep(0)
+            withdraw()
+            await asyncio.wait_for(receiver.cancelled.wait(), 5)
+            return True
+
+    assert asyncio.run(run())
+
+
+def test_time_over_cancels_and_may_have_run():
+    async def run():
+        receiver = FakeReceiver(hold=True)
+        async with connected(receiver) as (streams, address):
+            told = await deliver(streams, address, seconds=0.05)
+            await asyncio.wait_for(receiver.cancelled.wait(), 5)
+            return told
+
+    assert asyncio.run(run()).verdict is Verdict.LOST
+
+
+def test_a_silent_connection_is_avoided_then_given_up():
+    async def run():
+        silent = await asyncio.start_server(
+            lambda reader, writer: asyncio.Event().wait(), '127.0.0.1', 0
+        )
+        port = silent.sockets[0].getsockname()[1]
+        address = f'127.0.0.1:{port}'
+        streams = PeerStreams(PeerTraffic(), 9.0)
+        avoided = []
+        streams.on_silent = avoided.append
+        asked = asyncio.ensure_future(deliver(streams, address, 9.0))
+        while not streams.peers or not streams.peers[address].connected:
+            await asyncio.sleep(0)
+        now = asyncio.get_running_loop().time() + PROBE_AFTER_SECONDS + 0.1
+        streams.check(now)
+        streams.check(now + AVOID_AFTER_SECONDS + 0.01)
+        before = list(avoided)
+        streams.check(now + PROBE_TIMEOUT_SECONDS + 0.01)
+        told = await asked
+        silent.close()
+        return before == [address], told
+
+    avoided, told = asyncio.run(run())
+    assert avoided
+    assert told.verdict is Verdict.LOST
