Test the adapter against a stand-in of the store's protocol

Change: a small stand-in for the store and tests of each translation, and that no other module names a word of the platform.

--- /dev/null
+++ b/tests/store_stand_in.py
@@ -0,0 +1,159 @@
+"""Stand in for the platform's store: its published protocol over HTTP."""
+
+from contextlib import contextmanager
+from http.server import BaseHTTPRequestHandler
+from http.server import ThreadingHTTPServer
+from json import dumps
+from json import loads
+from threading import Condition
+from threading import Thread
+from urllib.parse import parse_qs
+from urllib.parse import urlsplit
+
+from poplarrack.errors import ErrorKind
+from poplarrack.errors import PoplarrackError
+from poplarrack.stores import Compare
+from poplarrack.stores import Operation
+from poplarrack.stores import Store
+from poplarrack.wire import pack
+from poplarrack.wire import unpack
+
+
+class StoreStandIn:
+    """Answer calls; ``fail_with`` is a status for every call, or 0."""
+
+    def __init__(self):
+        self.store = Store()
+        self.changed = Condition()
+        self.fail_with = 0
+        self.now = 0.0
+        self.page = 500
+        self.calls = []
+
+    def put(self, key, value):
+        """Write a value as the operator would."""
+        with self.changed:
+            operation = Operation(key, dumps(value).encode())
+            self.store.transact((), [operation])
+            self.changed.notify_all()
+
+    def answer(self, method, path, query, body):
+        """Return status and body of a call."""
+        self.calls.append(f'{method} {path}')
+        if self.fail_with:
+            return self.fail_with, {}
+        try:
+            return self._answer(method, path, query, body)
+        except PoplarrackError as error:
+            status = 410 if error.kind is ErrorKind.COMPACTED else 404
+            return status, {}
+
+    def _answer(self, method, path, query, body):
+        with self.changed:
+            if path == '/-/kv-range':
+                return 200, self._range(query)
+            if path == '/-/kv-watch':
+                return 200, self._watch(query)
+            if path == '/-/kv-txn':
+                return self._transact(body)
+            if path == '/-/kv-lease':
+                seconds = float(body['ttl_time'].removesuffix('ms')) / 1000
+                lease = self.store.grant(seconds, self.now)
+                return 200, {'lease': lease.lease_id, 'ttl_time': '1s'}
+            if path.startswith('/-/kv-keep/'):
+                number = int(path.rpartition('/')[2])
+                kept = self.store.keep_alive(number, self.now)
+                return (200, {'ttl_time': '1s'}) if kept else (404, {})
+        return 404, {}
+
+    def _range(self, query):
+        found = self.store.range(query['prefix'])
+        rest = [i for i in found if i.key > query.get('after', '')]
+        return {
+            'items': [_pack(item) for item in rest[: self.page]],
+            'has_more': len(rest) > self.page,
+            'store_revision': self.store.revision,
+        }
+
+    def _watch(self, query):
+        after, prefix = int(query['after']), query['prefix']
+        wait = int(query['wait_ms']) / 1000
+        self.changed.wait_for(
+            lambda: self.store.events_after(after, prefix), wait
+        )
+        events = self.store.events_after(after, prefix)
+        return {
+            'events': [_pack_event(item) for item in events],
+            'store_revision': self.store.revision,
+        }
+
+    def _transact(self, body):
+        compares = [
+            Compare(row['key'], row['revision'])
+            for row in body['expected_revision']
+        ]
+        puts = [
+            Operation(put['key'], unpack(put['value']), put['lease'])
+            for put in body['puts']
+        ]
+        if not self.store.transact(compares, puts):
+            return 412, {'items': []}
+        self.changed.notify_all()
+        return 200, {'revision': self.store.revision}
+
+
+def _pack(item):
+    return {
+        'key': item.key,
+        'value': pack(item.value),
+        'revision': item.mod_revision,
+        'created': item.create_revision,
+        'lease': item.lease_id,
+    }
+
+
+def _pack_event(item):
+    if item.value is None:
+        return {
+            'key': item.key,
+            'revision': item.mod_revision,
+            'deleted': True,
+        }
+    return _pack(item)
+
+
+class _Handler(BaseHTTPRequestHandler):
+    protocol_version = 'HTTP/1.1'
+
+    def _serve(self):
+        parts = urlsplit(self.path)
+        query = {k: v[0] for k, v in parse_qs(parts.query).items()}
+        length = int(self.headers.get('Content-Length') or 0)
+        body = loads(self.rfile.read(length)) if length else None
+        stand_in = self.server.stand_in
+        status, value = stand_in.answer(self.command, parts.path, query, body)
+        raw = dumps(value).encode()
+        self.send_response(status)
+        self.send_header('Content-Length', str(len(raw)))
+        self.end_headers()
+        self.wfile.write(raw)
+
+    do_GET = do_POST = do_DELETE = _serve
+
+    def log_message(self, *arguments):
+        return
+
+
+@contextmanager
+def running_store():
+    """Run a stand-in; give it and its address."""
+    server = ThreadingHTTPServer(('127.0.0.1', 0), _Handler)
+    server.daemon_threads = True
+    server.stand_in = StoreStandIn()
+    thread = Thread(target=server.serve_forever, args=(0.01,), daemon=True)
+    thread.start()
+    try:
+        yield server.stand_in, f'127.0.0.1:{server.server_address[1]}'
+    finally:
+        server.shutdown()
+        server.server_close()
--- /dev/null
+++ b/tests/test_platform_adapter.py
@@ -0,0 +1,314 @@
+"""Check what the adapter makes of the platform's words."""
+
+import ast
+from dataclasses import replace
+from json import dumps
+from json import loads
+from pathlib import Path
+import re
+
+import poplarrack
+from poplarrack.configurations import load_configuration
+from poplarrack.decisions import WriteMove
+from poplarrack.errors import ErrorKind
+from poplarrack.fetchers import read_configuration
+from poplarrack.performers import move_transaction
+from poplarrack.platform.heartbeats import decode_heartbeat
+from poplarrack.platform.settings import parse_duration
+from poplarrack.platform.settings import parse_settings
+from poplarrack.platform.store_client import PlatformStoreClient
+from poplarrack.platforms import CONFIGURATION_PREFIX
+from poplarrack.platforms import ZONE_PREFIX
+from poplarrack.resources import MoveState
+from poplarrack.stores import Operation
+from tests.store_stand_in import running_store
+from tests.support import raises
+from tests.support import shared_fixture
+from tests.support import suite_of
+
+load_tests = suite_of(__name__)
+
+ROUTE = {
+    'host': 'Shop.example',
+    'prefix': '/a/',
+    'route_type': 'safe',
+    'timeout': '1200ms',
+    'target_latency': '0.4s',
+    'priority': 2,
+    'backends': [
+        {'service': 'front', 'weight': 90},
+        {'service': 'back', 'weight': 10},
+    ],
+    'max_attempts': 2,
+}
+CONFIG = {
+    'version': 'r7',
+    'routes': {
+        'r-1': ROUTE,
+        'r-2': {
+            **ROUTE,
+            'prefix': '/b/',
+            'route_type': 'unsafe',
+            'backends': None,
+            'service': 'front',
+        },
+    },
+    'services': {
+        'front': {'health_path': '/h', 'max_connections': 90},
+        'back': {'health_path': '/h', 'max_connections': 90},
+    },
+    'limits': {
+        'max_header_bytes': 16384,
+        'max_body_bytes': 67108864,
+        'header_timeout': '3000ms',
+        'idle_timeout': '15s',
+    },
+}
+ORDER = {'service': 'front', 'target_version': 'v2', 'duration': '12s'}
+SETTINGS = '''
+node_name = "sidecar-a-1"
+ip = "10.1.0.35"
+zone = "a"
+region = "south"
+heartbeat = "1500ms"
+app_addr = "10.1.0.35:8147"
+service = "front"
+something_new = 3
+[listen]
+inbound = "10.1.0.35:8145"
+outbound = "10.1.0.35:8141"
+ready = "10.1.0.35:8140"
+control = "10.1.0.35:8146"
+[limits]
+max_fds = 4100
+[bounds]
+grace = "6s"
+retry_budget_ratio = 0.2
+retry_budget_slack = 56
+exposure_share = 0.1
+exposure_slack = 50
+[platform]
+address = "10.200.1.7:8142"
+'''
+BEAT = {
+    'address': '10.1.0.35:8147',
+    'info': {'service': 'front', 'version': 'v1', 'zone': 'a', 'slots': 9},
+    'status': {'state': 'ready', 'sequence': 4, 'cold_left': '250ms'},
+    'born': 1700000000000,
+}
+
+
+@shared_fixture
+def store():
+    return running_store()
+
+
+def client_of(address):
+    return PlatformStoreClient([address], sleep=lambda seconds: None)
+
+
+def test_settings_are_decoded_and_unknown_ones_ignored():
+    settings = parse_settings(SETTINGS)
+    assert settings.node_id == 'sidecar-a-1'
+    assert settings.peer_address == '10.1.0.35:8145'
+    assert settings.call_address == '10.1.0.35:8141'
+    assert settings.grace_seconds == 6.0
+    assert settings.platform.addresses == ('10.200.1.7:8142',)
+
+
+def test_settings_that_can_not_be_used_say_why():
+    for text, detail in (
+        ('=', 'settings'),
+        (SETTINGS.replace('zone = "a"', ''), 'zone is missing'),
+        (SETTINGS.replace('"6s"', '"soon"'), "'soon' is no duration"),
+        (SETTINGS.replace('"6s"', '6'), 'settings'),
+    ):
+        error = raises(ErrorKind.INVALID_SETTINGS, parse_settings, text)
+        assert detail in error.detail, error.detail
+
+
+def test_durations_have_a_number_and_a_unit():
+    assert parse_duration('1500ms') == 1.5
+    assert parse_duration('2.5s') == 2.5
+
+
+def test_a_heartbeat_is_decoded():
+    beat = decode_heartbeat('i-1', dumps(BEAT).encode())
+    assert (beat.service, beat.slots, beat.sequence) == ('front', 9, 4)
+    assert beat.cold_seconds == 0.25 and not beat.draining
+    assert beat.born == 1700000000000
+
+
+def test_heartbeats_of_another_writer_name_no_endpoint():
+    status, info = BEAT['status'], BEAT['info']
+    for body in (
+        b'\xff',
+        b'[]',
+        b'{}',
+        dumps({**BEAT, 'info': {**info, 'slots': '9'}}).encode(),
+        dumps({**BEAT, 'info': {**info, 'slots': 0}}).encode(),
+        dumps({**BEAT, 'status': {**status, 'state': 'asleep'}}).encode(),
+        dumps({**BEAT, 'status': {**status, 'cold_left': 'x'}}).encode(),
+        dumps({**BEAT, 'born': 1.5}).encode(),
+    ):
+        raises(ErrorKind.MALFORMED_REQUEST, decode_heartbeat, 'i-1', body)
+
+
+def test_the_configuration_becomes_settings(store):
+    stand_in, address = store
+    stand_in.put('op/config', CONFIG)
+    snapshot, _ = read_configuration(client_of(address))
+    configuration = load_configuration(snapshot)
+    first, second = sorted(configuration.routes, key=lambda r: r.name)
+    assert first.host == 'shop.example' and first.repeatable
+    assert (first.timeout_seconds, first.target_latency_seconds) == (1.2, 0.4)
+    assert [part.weight for part in first.backends] == [90, 10]
+    assert not second.repeatable and second.service == 'front'
+    assert configuration.services['front'].max_connections == 90
+    assert configuration.caller_limits.idle_timeout_seconds == 15
+
+
+def test_a_new_version_changes_only_what_differs(store):
+    stand_in, address = store
+    stand_in.put('op/config', CONFIG)
+    client = client_of(address)
+    before, revision = read_configuration(client)
+    watch = client.watch(CONFIGURATION_PREFIX, revision)
+    routes = {**CONFIG['routes'], 'r-1': {**ROUTE, 'timeout': '2s'}}
+    del routes['r-2']
+    stand_in.put('op/config', {**CONFIG, 'routes': routes})
+    batch = next(watch)
+    changed = {item.key.rpartition('/')[2] for item in batch.events}
+    assert changed == {'r-1', 'r-2', '!head'}
+    after, _ = read_configuration(client)
+    assert after.revision > before.revision
+
+
+def test_reads_go_on_over_pages(store):
+    stand_in, address = store
+    stand_in.page = 2
+    for number in range(7):
+        stand_in.put(f'{ZONE_PREFIX}{number}', number)
+    answer = client_of(address).read_prefix(ZONE_PREFIX)
+    assert [loads(item.value) for item in answer.items] == list(range(7))
+
+
+def test_a_watch_that_can_not_go_on_is_compacted(store):
+    stand_in, address = store
+    client = client_of(address)
+    watch = client.watch(CONFIGURATION_PREFIX, 999)
+    raises(ErrorKind.COMPACTED, next, watch)
+    _, revision = read_configuration(client)
+    stand_in.fail_with = 410
+    watch = client.watch(CONFIGURATION_PREFIX, revision)
+    raises(ErrorKind.COMPACTED, next, watch)
+
+
+def ordered_move(client):
+    snapshot, _ = read_configuration(client)
+    configuration = load_configuration(snapshot)
+    path = configuration.move_paths['front']
+    return path, snapshot.entries[path].revision, configuration.moves['front']
+
+
+def test_an_order_becomes_a_move_and_its_record_a_status(store):
+    stand_in, address = store
+    stand_in.put('op/config', CONFIG)
+    stand_in.put('op/rollout/front', ORDER)
+    client = client_of(address)
+    path, revision, move = ordered_move(client)
+    assert (move.to_version, move.ordered_seconds) == ('v2', 12.0)
+    assert revision == 0
+    begun = replace(move, ordered_seconds=0.0, started_at=5.0, share=0.1)
+    client.write(*move_transaction(WriteMove(path, revision, begun)))
+    status = loads(stand_in.store.get('status/rollout/front').value)
+    assert status == {'state': 'running', 'target_version': 'v2'}
+    path, revision, held = ordered_move(client)
+    assert held == begun and revision > 0
+    done = replace(held, state=MoveState.WITHDRAWN)
+    client.write(*move_transaction(WriteMove(path, revision, done)))
+    status = loads(stand_in.store.get('status/rollout/front').value)
+    assert status['state'] == 'rolled_back'
+
+
+def test_two_workers_do_not_overwrite_each_other(store):
+    stand_in, address = store
+    stand_in.put('op/config', CONFIG)
+    stand_in.put('op/rollout/front', ORDER)
+    client = client_of(address)
+    path, revision, move = ordered_move(client)
+    begun = replace(move, ordered_seconds=0.0, started_at=5.0)
+    change = move_transaction(WriteMove(path, revision, begun))
+    client.write(*change)
+    raises(ErrorKind.CONFLICT, client.write, *change)
+
+
+def test_a_new_order_starts_a_new_move(store):
+    stand_in, address = store
+    stand_in.put('op/config', CONFIG)
+    stand_in.put('op/rollout/front', ORDER)
+    client = client_of(address)
+    path, revision, move = ordered_move(client)
+    done = replace(move, ordered_seconds=0.0, state=MoveState.COMPLETED)
+    client.write(*move_transaction(WriteMove(path, revision, done)))
+    stand_in.put('op/rollout/front', {**ORDER, 'target_version': 'v3'})
+    _, _, again = ordered_move(client)
+    assert again.to_version == 'v3'
+    assert again.move_id != move.move_id and again.ordered_seconds == 12.0
+
+
+def test_a_lease_that_ended_is_told(store):
+    stand_in, address = store
+    client = client_of(address)
+    lease = client.grant_lease(60)
+    assert client.keep_lease(lease)
+    stand_in.now = 100.0
+    assert not client.keep_lease(lease)
+    error = raises(
+        ErrorKind.NOT_FOUND,
+        client.put_unguarded,
+        Operation(f'{ZONE_PREFIX}x', b'1', lease),
+    )
+    assert 'kv-txn' in error.detail
+
+
+def test_refusals_of_the_store_have_kinds(store):
+    stand_in, address = store
+    for status, kind in (
+        (503, ErrorKind.PLATFORM_UNAVAILABLE),
+        (429, ErrorKind.RATE_LIMITED),
+        (500, ErrorKind.OUTCOME_UNKNOWN),
+    ):
+        stand_in.fail_with = status
+        client = client_of(address)
+        raises(kind, client.read_prefix, ZONE_PREFIX)
+
+
+# Names that only the adapter may know.
+PLATFORM_WORDS = re.compile(
+    r'/-/|not-executed|server-stamp|expect-instance|caller-service|'
+    r'POPLARRACK_NODE_FILE|op/config|op/rollout|status/rollout|route_type|'
+    r'app_addr|cold_left|kv-',
+    re.IGNORECASE,
+)
+
+
+def product_modules():
+    root = Path(poplarrack.__file__).parent
+    return sorted(root.glob('*.py'))
+
+
+def test_only_the_adapter_knows_the_platforms_words():
+    for path in product_modules():
+        found = PLATFORM_WORDS.search(path.read_text())
+        assert found is None, f'{path.name}: {found.group()}'
+
+
+def test_the_product_never_imports_the_adapter():
+    for path in product_modules():
+        for node in ast.walk(ast.parse(path.read_text())):
+            if isinstance(node, ast.ImportFrom):
+                adapter = (node.module or '').startswith(
+                    'poplarrack.platform.'
+                )
+                assert not adapter, f'{path.name}: {node.module}'
