Measure whether the store is near; write summaries without a lease

Change: a node takes the store for near by its least round trip; summaries are written each 15 s, at changes after 3 s, and without a lease, so that joining nodes find them while leases lapse; an endpoint is taken for fast until it told.

--- a/poplarrack/controllers.py
+++ b/poplarrack/controllers.py
@@ -38,7 +38,6 @@
 MAX_LAGS = 5
 REPORT_GAP_SECONDS = 0.1
 REPORT_TTL_FACTOR = 3
-SUMMARY_GAP_SECONDS = 0.5
 BRIDGE_TURNS = 3
 SILENT_SECONDS = 1.0
 RETRY_SECONDS = 15.0
@@ -376,7 +375,7 @@
     if not facts.topology.is_first or facts.lifecycle.draining:
         return
     since = now - facts.sent.summary_at
-    if since < SUMMARY_GAP_SECONDS:
+    if since < facts.settings.platform.summary_gap_seconds:
         return
     report = build_report(facts, now, own_zone_only=True)
     due = since >= facts.settings.platform.summary_seconds
--- a/poplarrack/nodes.py
+++ b/poplarrack/nodes.py
@@ -36,6 +36,7 @@
 from poplarrack.performers import SummaryLease
 from poplarrack.snapshots import SnapshotHistory
 from poplarrack.topologies import derive_topology
+from poplarrack.topologies import ELSEWHERE
 
 logger = logging.getLogger(__name__)
 
@@ -45,6 +46,9 @@
 SPREAD_DELAY_SECONDS = 0.01
 REBUILD_DELAY_SECONDS = 0.05
 PUSH_ATTEMPTS = 3
+# A store that answers sooner sits in this region: regions are tens of
+# milliseconds apart, availability zones one.
+NEAR_SECONDS = 0.03
 
 
 @dataclass(frozen=True)
@@ -360,19 +364,33 @@
         """Derive the place anew when what it rests on changed."""
         facts = self.facts
         silent = silent_nodes(facts, self.clock())
-        basis = (facts.knowledge.members, facts.own.incarnation, silent)
+        region = self._platform_region()
+        basis = (
+            facts.knowledge.members,
+            facts.own.incarnation,
+            silent,
+            region,
+        )
         if basis[0] is self.topology_basis[0] and basis == self.topology_basis:
             return
         self.topology_basis = basis
         topology = derive_topology(
             facts.own,
             facts.knowledge.members,
-            self.settings.platform.region,
+            region,
             silent,
         )
         if topology != facts.topology:
             self.blackboard.write('merging', topology=topology)
 
+    def _platform_region(self):
+        """Return where the store sits, as told or measured."""
+        told = self.settings.platform.region
+        if told:
+            return told
+        near = self.links.platform.round_trip_seconds < NEAR_SECONDS
+        return self.settings.region if near else ELSEWHERE
+
     def spread(self, news, sender):
         """Send news on to the tree, gathered for a moment."""
         self.pending = Updates(
--- a/poplarrack/performers.py
+++ b/poplarrack/performers.py
@@ -32,7 +32,6 @@
 
 logger = logging.getLogger(__name__)
 
-SUMMARY_TTL_SECONDS = 60
 REJOIN_SPREAD_SECONDS = 1.0
 
 PERFORMERS = {}
@@ -198,19 +197,22 @@
     """Put a summary; the lease is renewed well before it lapses."""
     platform = node.links.platform
     now = node.clock()
-    if now >= node.summary_lease.renew_at:
-        node.summary_lease = _renew_lease(node.summary_lease, platform, now)
+    ttl_seconds = node.settings.platform.summary_ttl_seconds
+    if ttl_seconds and now >= node.summary_lease.renew_at:
+        node.summary_lease = _renew_lease(
+            node.summary_lease, platform, ttl_seconds, now
+        )
     key = f'{ZONE_PREFIX}{summary.region}/{summary.zone}'
     value = encode_summary(summary)
     lease_id = node.summary_lease.lease_id
     platform.put_unguarded(Operation(key, value, lease_id))
 
 
-def _renew_lease(held, platform, now):
+def _renew_lease(held, platform, ttl_seconds, now):
     lease_id = held.lease_id
     if not lease_id or not platform.keep_lease(lease_id):
-        lease_id = platform.grant_lease(SUMMARY_TTL_SECONDS)
-    return SummaryLease(lease_id, now + SUMMARY_TTL_SECONDS / 3)
+        lease_id = platform.grant_lease(ttl_seconds)
+    return SummaryLease(lease_id, now + ttl_seconds / 3)
 
 
 @performs(Watch)
--- a/poplarrack/placements.py
+++ b/poplarrack/placements.py
@@ -6,7 +6,6 @@
 from dataclasses import dataclass
 from enum import IntEnum
 
-from poplarrack.admissions import FIRST_SERVICE_SECONDS
 from poplarrack.members import Endpoint
 
 # Weight of a new observation in the failure rate.
@@ -72,7 +71,8 @@
         self.told_running = 0
         self.told_wait = 0.0
         self.told_at = -1.0
-        self.service_seconds = FIRST_SERVICE_SECONDS
+        # Taken for fast until it told, so that a new one is tried.
+        self.service_seconds = 0.0
         self.failure_rate = 0.0
         self.failures_in_row = 0
         self.ejections = 0
--- a/poplarrack/platform/settings.py
+++ b/poplarrack/platform/settings.py
@@ -18,6 +18,9 @@
 EVIDENCE_SECONDS = 0.5
 # Descriptors kept for files, other nodes, the endpoint and the store.
 RESERVED_FDS = 900
+# Each call of the store is paid for, and joining nodes alone read these.
+SUMMARY_SECONDS = 15.0
+SUMMARY_GAP_SECONDS = 3.0
 UNITS = (('ms', 0.001), ('s', 1.0))
 
 
@@ -68,7 +71,13 @@
         call_address=listen['outbound'],
         announce_address=listen['control'],
         operator_address=listen['ready'],
-        platform=PlatformSettings((raw['platform']['address'],)),
+        platform=PlatformSettings(
+            (raw['platform']['address'],),
+            summary_seconds=SUMMARY_SECONDS,
+            summary_gap_seconds=SUMMARY_GAP_SECONDS,
+            # Kept for good: who joins while leases lapse finds it still.
+            summary_ttl_seconds=0.0,
+        ),
         seeds=tuple(raw.get('seeds', ())),
         peers=PeerSettings(evidence_seconds=EVIDENCE_SECONDS),
         calls=CallSettings(max_answer_bytes=MAX_ANSWER_BYTES),
--- a/poplarrack/platforms.py
+++ b/poplarrack/platforms.py
@@ -81,6 +81,8 @@
         self.circuit = Circuit()
         self.calls = 0
         self.bytes = 0
+        # The least that a call took, which its way alone does not undercut.
+        self.round_trip_seconds = 0.0
         self.lock = Lock()
         self.pool = PoolManager(
             maxsize=4,
@@ -110,6 +112,9 @@
             self._record(error.kind not in _TRY_AGAIN)
             raise
         self._record(True)
+        took = self.clock() - now
+        if not self.round_trip_seconds or took < self.round_trip_seconds:
+            self.round_trip_seconds = took
         return response
 
     def _record(self, succeeded):
--- a/poplarrack/settings.py
+++ b/poplarrack/settings.py
@@ -28,13 +28,18 @@
 class PlatformSettings:
     """How to reach the platform's key-value service.
 
-    ``region`` names the region where the store sits; nodes of another
-    region fetch through one node only.
+    ``region`` names the region where the store sits, else it is measured;
+    nodes of another region fetch through one node only. A zone's summary
+    is written each ``summary_seconds``, at changes too but no sooner than
+    ``summary_gap_seconds``, and forgotten after ``summary_ttl_seconds``,
+    or never if that is 0.
     """
 
     addresses: tuple[str, ...]
     region: str = ''
     summary_seconds: float = 5.0
+    summary_gap_seconds: float = 0.5
+    summary_ttl_seconds: float = 60.0
 
 
 @dataclass(frozen=True)
--- a/poplarrack/topologies.py
+++ b/poplarrack/topologies.py
@@ -13,6 +13,9 @@
 TREE_DEGREE = 8
 NEIGHBOURS = 4
 SPEAKERS_TRIED = 3
+# Stands for a store in another region that nobody named: then the lead of
+# each region works on moves, since none knows of one that is nearer.
+ELSEWHERE = '(elsewhere)'
 
 
 @dataclass(frozen=True)
@@ -74,10 +77,12 @@
     copy of a change crosses the link.
 
     :param own: the node's own Member.
-    :param platform_region: the region where the platform's store sits.
+    :param platform_region: the region where the platform's store sits,
+        empty where each region is near it, or ``ELSEWHERE``.
     :param silent: ids of nodes elsewhere that do not answer this one.
     :returns: a Topology.
     """
+    near_platform = platform_region in ('', own.region)
     ranks = _ranks_by_zone(own, table)
     zone_ranks = ranks[(own.region, own.zone)]
     at = zone_ranks.index(own.node_id)
@@ -85,7 +90,6 @@
     leads = _region_leads(speakers)
     is_lead = leads[own.region] == own.node_id
     roots = tuple(zone_ranks[:FETCHERS_PER_ZONE])
-    near_platform = own.region == platform_region or not platform_region
     below = slice(TREE_DEGREE * at + 1, TREE_DEGREE * (at + 1) + 1)
     return Topology(
         roots=roots,
@@ -100,7 +104,7 @@
         rank=at,
         is_fetcher=at < len(roots) and (near_platform or is_lead),
         is_lead=is_lead,
-        is_worker=is_lead and near_platform,
+        is_worker=is_lead and (near_platform or platform_region == ELSEWHERE),
         zone_size=len(zone_ranks),
     )
 
--- a/tests/test_placements.py
+++ b/tests/test_placements.py
@@ -117,3 +117,12 @@
     assert admission.expected_wait(0) < admission.expected_wait(2)
     assert admission.admits(0, 0.1) and not admission.admits(2, 0.1)
     assert not admission.admits(0, 9.0, spare_part=0.1)
+
+
+def test_a_new_endpoint_is_tried_soon():
+    old = [DoorState(door(n, Tier.ZONE), 10.0, True) for n in (1, 2)]
+    for state in old:
+        state.on_occupancy(Occupancy(1, 0, 10, 0, 20.0), 10.0)
+    new = DoorState(door(3, Tier.ZONE), 10.0, False)
+    placement = choose_door([*old, new], WISH, set(), 10.0, Random(1))
+    assert placement.state is new
