Log what each outcome rested on, and dependencies lost and regained

Cause: a failed request's line did not say which endpoint was asked last nor how old the news of it were; the receiving node and the store's outage left no line. Change: the last endpoint with running requests and the age of that news, one line for each request that an endpoint did not answer, one for a store or a node that is lost or back.

--- a/poplarrack/nodes.py
+++ b/poplarrack/nodes.py
@@ -259,6 +259,9 @@
         now = self.clock()
         state = self.facts.platform
         failing_since = 0.0 if succeeded else (state.failing_since or now)
+        if bool(failing_since) != bool(state.failing_since):
+            event = 'platform_regained' if succeeded else 'platform_lost'
+            logger.info(event, extra={'detail': detail})
         state = replace(
             state,
             heard_at=now if succeeded else state.heard_at,
--- a/poplarrack/receivers.py
+++ b/poplarrack/receivers.py
@@ -267,6 +267,17 @@
 
     def _answer(self, ticket, verdict, reason):
         self.counts[f'{verdict.name.lower()} {reason}'] += 1
+        logger.info(
+            'endpoint_not_answered',
+            extra={
+                'request': ticket.request.request_id.decode('latin-1'),
+                'instance': ticket.request.instance_id,
+                'outcome': f'{verdict.name.lower()}: {reason}',
+                'running': self.admission.running,
+                'waiting': len(self.admission.queue),
+                'slots': self.admission.slots,
+            },
+        )
         delivery = Delivery(verdict, reason=reason, occupancy=self.occupancy())
         self._reply(ticket, delivery)
 
--- a/poplarrack/senders.py
+++ b/poplarrack/senders.py
@@ -75,6 +75,7 @@
     busy: set = field(default_factory=set)
     queued: bool = False
     may_have_run: bool = False
+    last_state: DoorState | None = None
     last_failure: Delivery | None = None
     task: object = None
     withdraw: object = None
@@ -231,6 +232,7 @@
             return
         call.offers += 1
         state = placement.state
+        call.last_state = state
         state.in_flight += 1
         sent_at = now
         try:
@@ -365,7 +367,7 @@
             self._log_retry(call, state, delivery)
             call.tried.add(state.door.endpoint.instance_id)
             return
-        self._respond(call, state, delivery, now)
+        self._respond(call, delivery, now)
 
     def _on_not_run(self, call, state, delivery, sent_at, now):
         instance = state.door.endpoint.instance_id
@@ -464,7 +466,7 @@
 
     def _give_up(self, call):
         if call.last_failure is not None:
-            self._respond(call, None, call.last_failure, self.clock())
+            self._respond(call, call.last_failure, self.clock())
             return
         kind = ErrorKind.OVERLOADED
         if call.may_have_run:
@@ -473,7 +475,7 @@
 
     def _refuse_unplaced(self, call):
         if call.last_failure is not None:
-            self._respond(call, None, call.last_failure, self.clock())
+            self._respond(call, call.last_failure, self.clock())
         elif self.by_service.get(call.service):
             self._refuse(call, ErrorKind.OVERLOADED, call.service)
         else:
@@ -498,13 +500,12 @@
         )
         call.respond(raw, keep_alive)
 
-    def _respond(self, call, state, delivery, now):
+    def _respond(self, call, delivery, now):
         if call.ended:
             return
         self.counts['answers'] += 1
         self.latencies.observe(now - call.began)
-        instance = state.door.endpoint.instance_id if state else ''
-        self._log_end(call, f'status {delivery.status}', instance)
+        self._log_end(call, f'status {delivery.status}', '')
         self._end(call)
         keep_alive = call.request.keep_alive and not self.draining
         raw = build_answer(
@@ -529,6 +530,10 @@
         )
 
     def _log_end(self, call, outcome, detail):
+        now = self.clock()
+        last = {}
+        if call.last_state is not None:
+            last = _describe(call.last_state, now)
         logger.info(
             'request_ended',
             extra={
@@ -540,8 +545,9 @@
                 'may_have_run': call.may_have_run,
                 'offers': call.offers,
                 'arrivals': call.arrivals,
+                'last': last,
                 'revision': self.table.revision,
-                'ms': round((self.clock() - call.began) * 1000, 1),
+                'ms': round((now - call.began) * 1000, 1),
             },
         )
 
@@ -598,6 +604,16 @@
 }
 
 
+def _describe(state, now):
+    """Return what was known of an endpoint, and how old it is."""
+    return {
+        'node': state.door.node_id,
+        'instance': state.door.endpoint.instance_id,
+        'running': state.told_running,
+        'told_ms_ago': round((now - state.told_at) * 1000),
+    }
+
+
 def state_key(door):
     """Return what tells one start of an endpoint from another."""
     endpoint = door.endpoint
--- a/poplarrack/streams.py
+++ b/poplarrack/streams.py
@@ -35,8 +35,6 @@
 PROBE_AFTER_SECONDS = 0.15
 AVOID_AFTER_SECONDS = 0.1
 PROBE_TIMEOUT_SECONDS = 0.6
-# A peer that could not be connected to is left alone for so long.
-RECONNECT_SECONDS = 0.25
 
 
 class Kind(IntEnum):
@@ -173,11 +171,6 @@
         """Say whether a connection stands."""
         return self.stream is not None
 
-    def is_failing(self, now):
-        """Say whether connecting failed a moment ago."""
-        failed_at = self.failed_at
-        return failed_at is not None and now - failed_at < RECONNECT_SECONDS
-
     def note_failure(self, now):
         """Remember when the node was last out of reach."""
         self.failed_at = now
@@ -243,6 +236,8 @@
                 pending.done(Kind.CANCEL, b'')
             return
         self.connecting = None
+        if self.failed_at is not None:
+            logger.info('peer_regained', extra={'peer': self.address})
         self.failed_at = None
         self.stream = stream
         waiting, self.waiting = self.waiting, []
