--- a/poplarrack/platform/store_client.py
+++ b/poplarrack/platform/store_client.py
@@ -5,8 +5,6 @@
 import time
 from urllib.parse import urlencode
 
-from urllib3 import Timeout
-
 from poplarrack.errors import ErrorKind
 from poplarrack.errors import PoplarrackError
 from poplarrack.platform.configurations import build_status
@@ -16,8 +14,8 @@
 from poplarrack.platform.configurations import WATCHED_PREFIX
 from poplarrack.platform.settings import parse_duration
 from poplarrack.platforms import CONFIGURATION_PREFIX
-from poplarrack.platforms import CONNECT_TIMEOUT_SECONDS
 from poplarrack.platforms import RangeAnswer
+from poplarrack.platforms import silence_bound
 from poplarrack.platforms import StoreClient
 from poplarrack.platforms import WatchBatch
 from poplarrack.resources import decode_resource
@@ -132,7 +130,7 @@
         return self._call(
             'GET',
             f'/-/kv-watch?{query}',
-            timeout=Timeout(CONNECT_TIMEOUT_SECONDS, silence),
+            timeout=silence_bound(silence),
         )
 
     def _keep(self, revision, held):
--- a/poplarrack/platforms.py
+++ b/poplarrack/platforms.py
@@ -71,6 +71,11 @@
     events: tuple[KeyValue, ...]
 
 
+def silence_bound(seconds):
+    """Return the bounds of a call that may be silent for so long."""
+    return Timeout(connect=CONNECT_TIMEOUT_SECONDS, read=seconds)
+
+
 class StoreClient:
     """Make HTTP calls to the store, with a circuit; used from threads."""
 
@@ -87,7 +92,7 @@
         self.pool = PoolManager(
             maxsize=4,
             retries=False,
-            timeout=Timeout(CONNECT_TIMEOUT_SECONDS, CALL_TIMEOUT_SECONDS),
+            timeout=silence_bound(CALL_TIMEOUT_SECONDS),
         )
 
     def open(self, method, path, body=None, **options):
@@ -233,7 +238,7 @@
             '/v3/watch',
             {'create_request': request},
             preload_content=False,
-            timeout=Timeout(CONNECT_TIMEOUT_SECONDS, WATCH_SILENCE_SECONDS),
+            timeout=silence_bound(WATCH_SILENCE_SECONDS),
         )
         try:
             for line in _lines(response):
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -1,6 +1,7 @@
 """Check what the adapter makes of the platform's words."""
 
 import ast
+from dataclasses import dataclass
 from dataclasses import replace
 from json import dumps
 from json import loads
@@ -17,7 +18,11 @@
 from poplarrack.platform.settings import parse_duration
 from poplarrack.platform.settings import parse_settings
 from poplarrack.platform.store_client import PlatformStoreClient
+from poplarrack.platform.store_client import WATCH_WAIT_SECONDS
+from poplarrack.platforms import CALL_TIMEOUT_SECONDS
 from poplarrack.platforms import CONFIGURATION_PREFIX
+from poplarrack.platforms import CONNECT_TIMEOUT_SECONDS
+from poplarrack.platforms import silence_bound
 from poplarrack.platforms import ZONE_PREFIX
 from poplarrack.resources import MoveState
 from poplarrack.stores import Operation
@@ -103,6 +108,12 @@
     return running_store()
 
 
+@dataclass(frozen=True)
+class Answer:
+    status: int
+    data: bytes
+
+
 def client_of(address):
     return PlatformStoreClient([address], sleep=lambda seconds: None)
 
@@ -272,6 +283,35 @@
     assert 'kv-txn' in error.detail
 
 
+class RecordingPool:
+    """Note how long each call may be silent; answer as if all was well."""
+
+    def __init__(self, body):
+        self.body = body
+        self.bounds = []
+
+    def request(self, method, url, timeout=None, **options):
+        self.bounds.append((timeout.connect_timeout, timeout.read_timeout))
+        return Answer(200, dumps(self.body).encode())
+
+
+def test_a_watch_may_be_silent_for_as_long_as_it_waits(store):
+    stand_in, address = store
+    client = client_of(address)
+    _, revision = read_configuration(client)
+    client.pool = RecordingPool({'events': [], 'store_revision': revision})
+    next(client.watch(CONFIGURATION_PREFIX, revision))
+    connect, read = client.pool.bounds[0]
+    assert read > WATCH_WAIT_SECONDS
+    assert connect < read
+
+
+def test_a_call_may_be_silent_for_its_timeout():
+    bound = silence_bound(CALL_TIMEOUT_SECONDS)
+    assert bound.read_timeout == CALL_TIMEOUT_SECONDS
+    assert bound.connect_timeout == CONNECT_TIMEOUT_SECONDS
+
+
 def test_refusals_of_the_store_have_kinds(store):
     stand_in, address = store
     for status, kind in (
