Retry the platform within a second however long it was away

Cause: a fetcher's pause doubled up to 10 s, longer than a change may take once the platform is back. Change: 1 s at most; two nodes a zone fetch, so that this costs the platform little.

--- a/poplarrack/fetchers.py
+++ b/poplarrack/fetchers.py
@@ -16,6 +16,10 @@
 
 logger = logging.getLogger(__name__)
 
+# Few nodes fetch, and a zone waits for its fetchers once the platform is
+# back.
+RETRY_MOST_SECONDS = 1.0
+
 # Written with each change, so that a removal too raises the greatest
 # revision under the prefix.
 HEAD_KEY = CONFIGURATION_PREFIX + '!head'
@@ -72,7 +76,7 @@
         self.note = note
         self.random = random or Random()
         self.clock = clock
-        self.backoff = Backoff()
+        self.backoff = Backoff(most_seconds=RETRY_MOST_SECONDS)
         self.stopped = Event()
         self.snapshot = Snapshot()
         self.resume_at = 0
--- a/tests/test_platforms.py
+++ b/tests/test_platforms.py
@@ -202,3 +202,12 @@
         (),
         [Operation('k', b' ' * 1_000_001)],
     )
+
+
+def test_a_fetcher_tries_again_within_a_second_however_long_it_failed():
+    fetcher = Fetcher(None, print, lambda *told: None, Random(1))
+    waited = []
+    fetcher.stopped.wait = waited.append
+    for _ in range(30):
+        fetcher.on_error(PoplarrackError(ErrorKind.OUTCOME_UNKNOWN, 'away'))
+    assert max(waited) <= 1.0
