Look for nodes that left and may be back; one bound on silence

An endpoint's silence was bounded twice, at 3 s and at 6 s. Change: nodes that left are tried in turn too; four missed heartbeats are the one bound; settings that nothing reads are gone.

--- a/poplarrack/controllers.py
+++ b/poplarrack/controllers.py
@@ -92,9 +92,8 @@
 def _lost_addresses(facts):
     members = facts.knowledge.members.members.values()
     present = {item.peer_address for item in members if item.present}
-    dead = {
-        item.peer_address for item in members if item.state is MemberState.DEAD
-    }
+    # One that left may be back, and unable to find the others.
+    dead = {item.peer_address for item in members if not item.present}
     return sorted((dead | set(facts.settings.seeds)) - present)
 
 
--- a/poplarrack/dialects.py
+++ b/poplarrack/dialects.py
@@ -20,7 +20,7 @@
     names the endpoint that a request is meant for and ``caller_service``
     the service beside which it began. ``not_run`` marks an endpoint's
     answer to a request that it did not run; ``proof`` is on each answer
-    that an endpoint made; ``load`` tells running, waiting and slots.
+    that an endpoint made.
     ``not_run_statuses`` say the same by their number alone.
     """
 
@@ -30,7 +30,6 @@
     instance: bytes = b''
     caller_service: bytes = b''
     proof: bytes = b''
-    load: bytes = b''
     not_run_statuses: frozenset[int] = frozenset()
 
     @property
--- a/poplarrack/heartbeats.py
+++ b/poplarrack/heartbeats.py
@@ -11,9 +11,6 @@
 from poplarrack.members import Endpoint
 from poplarrack.members import EndpointState
 
-# Heartbeats that may be missed before an endpoint counts as gone.
-MISSED_BEATS = 4
-
 
 @dataclass(frozen=True)
 class Heartbeat:
@@ -44,7 +41,6 @@
 
     endpoint: Endpoint | None = None
     sequence: int = -1
-    heard_at: float = 0.0
     left: tuple[str, int] | None = None
 
 
@@ -78,23 +74,12 @@
         beat.instance_id,
         beat.born,
     )
-    return replace(
-        record, endpoint=endpoint, sequence=beat.sequence, heard_at=now
-    )
+    return replace(record, endpoint=endpoint, sequence=beat.sequence)
 
 
-def apply_leave(record, instance_id, now):
+def apply_leave(record, instance_id):
     """Return the record after an endpoint said that it ends."""
     held = record.endpoint
     if held is None or held.instance_id != instance_id:
         return record
-    return EndpointRecord(
-        None, record.sequence, now, (held.instance_id, held.born)
-    )
-
-
-def is_silent(record, heartbeat_seconds, now):
-    """Say whether an endpoint has missed too many heartbeats."""
-    silent = now - record.heard_at
-    held = record.endpoint is not None
-    return held and silent > MISSED_BEATS * heartbeat_seconds
+    return EndpointRecord(None, record.sequence, (held.instance_id, held.born))
--- a/poplarrack/platform/dialect.py
+++ b/poplarrack/platform/dialect.py
@@ -10,7 +10,6 @@
     caller_service=b'caller-service',
     # Endpoints stamp each answer that they made themselves.
     proof=b'server-stamp',
-    load=b'server-load',
     # Misdirected: the address belongs to another endpoint by now.
     not_run_statuses=frozenset((421,)),
 )
--- a/poplarrack/platform/settings.py
+++ b/poplarrack/platform/settings.py
@@ -14,6 +14,8 @@
 PATH_VARIABLE = 'POPLARRACK_NODE_FILE'
 # The port of the metrics page, which deploy/system.toml names too.
 METRICS_PORT = 9464
+# Heartbeats that an endpoint may miss, as they may come seconds late.
+MISSED_HEARTBEATS = 4
 # Roll-outs last seconds here: evidence goes up the tree twice a second.
 EVIDENCE_SECONDS = 0.5
 # Descriptors kept for files, other nodes, the endpoint and the store.
@@ -80,15 +82,15 @@
         ),
         seeds=tuple(raw.get('seeds', ())),
         peers=PeerSettings(evidence_seconds=EVIDENCE_SECONDS),
-        calls=CallSettings(max_answer_bytes=MAX_ANSWER_BYTES),
+        calls=CallSettings(
+            max_answer_bytes=MAX_ANSWER_BYTES,
+            announcement_ttl_seconds=(
+                MISSED_HEARTBEATS * parse_duration(raw['heartbeat'])
+            ),
+        ),
         service=raw['service'],
-        server_address=raw['app_addr'],
         metrics_address=f'{raw["ip"]}:{METRICS_PORT}',
-        heartbeat_seconds=parse_duration(raw['heartbeat']),
         retry_budget_ratio=float(bounds['retry_budget_ratio']),
-        retry_budget_slack=float(bounds['retry_budget_slack']),
-        exposure_share=float(bounds['exposure_share']),
-        exposure_slack=float(bounds['exposure_slack']),
         grace_seconds=parse_duration(bounds['grace']),
         max_connections=raw['limits']['max_fds'] - RESERVED_FDS,
     )
--- a/poplarrack/settings.py
+++ b/poplarrack/settings.py
@@ -85,20 +85,14 @@
 class SidecarSettings(NodeSettings):
     """What a node is told that alone reaches the endpoint beside it.
 
-    ``service`` and ``server_address`` tell of that endpoint.
-    ``retry_budget_ratio`` and ``retry_budget_slack`` bound what all nodes
-    together may send again, as a part of calls and a number on top.
-    ``grace_seconds`` is the time from SIGTERM to the end.
+    ``service`` is that endpoint's. ``retry_budget_ratio`` bounds what all
+    nodes together may send again, as a part of calls. ``grace_seconds`` is
+    the time from SIGTERM to the end.
     """
 
     service: str = ''
-    server_address: str = ''
     metrics_address: str = ''
-    heartbeat_seconds: float = 1.5
     retry_budget_ratio: float = 0.2
-    retry_budget_slack: float = 50.0
-    exposure_share: float = 0.1
-    exposure_slack: float = 50.0
     grace_seconds: float = 6.0
     max_connections: int = 4_096
 
--- a/poplarrack/sidecar_servers.py
+++ b/poplarrack/sidecar_servers.py
@@ -21,7 +21,6 @@
 from poplarrack.heartbeats import apply_heartbeat
 from poplarrack.heartbeats import apply_leave
 from poplarrack.heartbeats import EndpointRecord
-from poplarrack.heartbeats import is_silent
 from poplarrack.http_messages import build_answer
 from poplarrack.joiners import join
 from poplarrack.metrics import build_metrics_page
@@ -163,9 +162,6 @@
         self.node.tick()
         now = self.clock()
         self.streams.check(self.loop.time())
-        if is_silent(self.record, self.settings.heartbeat_seconds, now):
-            logger.warning('endpoint_silent')
-            self._put_record(EndpointRecord(None, -1, now))
         if now - self.expired_at >= EXPIRE_SECONDS:
             self.expired_at = now
             self._expire(now)
@@ -229,7 +225,7 @@
 
     def on_leave(self, instance_id):
         """Take the word of the endpoint that it ends."""
-        record = apply_leave(self.record, instance_id, self.clock())
+        record = apply_leave(self.record, instance_id)
         if record is not self.record:
             self._put_record(record)
 
--- a/tests/test_heartbeats.py
+++ b/tests/test_heartbeats.py
@@ -6,7 +6,6 @@
 from poplarrack.heartbeats import apply_leave
 from poplarrack.heartbeats import EndpointRecord
 from poplarrack.heartbeats import Heartbeat
-from poplarrack.heartbeats import is_silent
 from poplarrack.members import EndpointState
 from poplarrack.resources import Service
 from tests.support import suite_of
@@ -38,7 +37,7 @@
 
 
 def test_a_heartbeat_after_the_leave_is_ignored():
-    record = apply_leave(take(EndpointRecord(), BEAT), 'i-1', 101.0)
+    record = apply_leave(take(EndpointRecord(), BEAT), 'i-1')
     assert record.endpoint is None
     assert take(record, replace(BEAT, sequence=9)) is record
     other = replace(BEAT, instance_id='i-2', born=1500)
@@ -47,16 +46,9 @@
 
 def test_the_leave_of_another_instance_changes_nothing():
     record = take(EndpointRecord(), BEAT)
-    assert apply_leave(record, 'i-0', 101.0) is record
+    assert apply_leave(record, 'i-0') is record
 
 
 def test_an_endpoint_is_warm_when_it_says_so():
     record = take(EndpointRecord(), replace(BEAT, cold_seconds=2.0))
     assert record.endpoint.announced_at + SERVICE.warm_up_seconds == 102.0
-
-
-def test_missed_heartbeats_make_an_endpoint_silent():
-    record = take(EndpointRecord(), BEAT)
-    assert not is_silent(record, 1.5, 105.0)
-    assert is_silent(record, 1.5, 106.1)
-    assert not is_silent(EndpointRecord(), 1.5, 200.0)
--- a/tests/test_nodes.py
+++ b/tests/test_nodes.py
@@ -393,3 +393,17 @@
         ErrorKind.INTERNAL, lambda: board.write('calls', topology=Topology())
     )
     assert 'topology' in error.detail
+
+
+@on_fakes
+async def test_a_node_back_while_the_platform_is_away_is_found(mesh):
+    # The last one that started is nobody's seed.
+    name = list(mesh.nodes)[-1]
+    place = mesh.nodes[name].settings
+    mesh.nodes[name].leave()
+    await asyncio.sleep(2)
+    mesh.kill(name)
+    await asyncio.sleep(2)
+    back = mesh.add_node(name, place.region, place.zone)
+    mesh.clients[name].cut = True
+    await mesh.await_condition(lambda: back.ready, 20)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -124,6 +124,7 @@
     assert settings.peer_address == '10.1.0.35:8145'
     assert settings.call_address == '10.1.0.35:8141'
     assert settings.grace_seconds == 6.0
+    assert settings.calls.announcement_ttl_seconds == 6.0
     assert settings.platform.addresses == ('10.200.1.7:8142',)
 
 
