--- a/poplarrack/senders.py
+++ b/poplarrack/senders.py
@@ -7,42 +7,37 @@
 
 import asyncio
 from collections import Counter
-from dataclasses import dataclass
-from dataclasses import field
-import logging
 
+from poplarrack.carried_calls import Call
+from poplarrack.carried_calls import log_end
+from poplarrack.carried_calls import log_failure
+from poplarrack.carried_calls import log_retry
 from poplarrack.dialects import Dialect
+from poplarrack.doors import AWAY_SECONDS
+from poplarrack.doors import Doors
+from poplarrack.draws import Draws
 from poplarrack.errors import ANSWERS
 from poplarrack.errors import ErrorKind
 from poplarrack.errors import Ran
 from poplarrack.evidence import EvidenceCounter
 from poplarrack.evidence import Side
-from poplarrack.exchanges import Delivery
 from poplarrack.exchanges import RoutedRequest
 from poplarrack.exchanges import Verdict
 from poplarrack.histograms import Histogram
 from poplarrack.http_messages import build_answer
 from poplarrack.http_messages import build_error
 from poplarrack.http_messages import connection_names
-from poplarrack.http_messages import HttpRequest
 from poplarrack.http_messages import is_end_to_end
 from poplarrack.placements import choose_door
-from poplarrack.placements import DoorState
-from poplarrack.placements import may_eject
 from poplarrack.placements import Placement
 from poplarrack.placements import Tier
 from poplarrack.placements import Wish
-from poplarrack.resources import Route
 from poplarrack.retries import RetryBudget
 from poplarrack.routing_tables import derive_routing_table
 from poplarrack.routing_tables import RoutingTable
 
-logger = logging.getLogger(__name__)
-
 # Nodes that one request is offered to at most, refusals included.
 MAX_OFFERS = 8
-# A node that said that it can't serve a service is left alone so long.
-AWAY_SECONDS = 0.3
 # Asked of callers that found no room; the least that makes a difference.
 RETRY_AFTER_SECONDS = 0.15
 # Part of the platform's retry budget that is given out, since requests
@@ -55,33 +50,6 @@
 ANSWER_MARGIN_SECONDS = 0.002
 
 
-@dataclass(slots=True, eq=False)
-class Call:
-    """A caller's request on its way through the sending node."""
-
-    request: HttpRequest
-    respond: object
-    began: float
-    request_id: bytes = b''
-    route: Route | None = None
-    service: str = ''
-    version: str | None = None
-    stage: int = 0
-    deadline: float = 0.0
-    target: float = 0.0
-    offers: int = 0
-    arrivals: int = 0
-    tried: set = field(default_factory=set)
-    busy: set = field(default_factory=set)
-    queued: bool = False
-    may_have_run: bool = False
-    last_state: DoorState | None = None
-    last_failure: Delivery | None = None
-    task: object = None
-    withdraw: object = None
-    ended: bool = False
-
-
 class Sender:
     """Carries calls by the table in force.
 
@@ -98,16 +66,14 @@
         self.clock = clock
         self.random = random
         self.table = RoutingTable()
-        self.states = {}
-        self.by_service = {}
-        self.phases = {}
+        self.doors = Doors(clock)
+        self.draws = Draws(random)
         self.evidence = EvidenceCounter()
         self.budgets = {}
         self.counts = Counter()
         self.latencies = Histogram()
         self.in_flight = 0
         self.draining = False
-        self.warm_start = True
 
     def adopt(self, place, knowledge, now):
         """Take what the node holds as the table in force."""
@@ -115,33 +81,9 @@
 
     def put_in_force(self, table):
         """Take a new table; endpoints that stay keep what was seen."""
-        now = self.clock()
-        states, by_service = {}, {}
-        for service, doors in table.doors.items():
-            group = [self._state_for(door, now) for door in doors]
-            by_service[service] = group
-            states.update((state_key(state.door), state) for state in group)
-        if states:
-            # Only what joins later is taken for cold.
-            self.warm_start = False
-        self.states = states
-        self.by_service = by_service
+        self.doors.put(table.doors)
         self.table = table
 
-    def avoid_node(self, address):
-        """Leave out the endpoint of a node that does not answer."""
-        until = self.clock() + AWAY_SECONDS
-        for state in self.states.values():
-            if state.door.peer_address == address:
-                state.away_until = until
-
-    def _state_for(self, door, now):
-        held = self.states.get(state_key(door))
-        if held is None:
-            return DoorState(door, now, self.warm_start)
-        held.door = door
-        return held
-
     def start(self, request, respond):
         """Start a call; ``respond`` takes the answer's bytes once.
 
@@ -169,7 +111,7 @@
                 self._refuse(call, ErrorKind.NO_ENDPOINT, 'no configuration')
             return False
         call.route = route
-        call.service = self._draw_service(route)
+        call.service = self.draws.draw_service(route)
         given = _read_number(request.header(self.dialect.deadline_ms))
         allowed = route.timeout_seconds
         if given is not None:
@@ -190,25 +132,6 @@
             self.budgets[service] = budget
         return budget
 
-    def _draw_service(self, route):
-        """Draw a service so that any run of calls holds the weights."""
-        parts = route.weighted_services
-        if len(parts) == 1:
-            return parts[0].service
-        total = sum(part.weight for part in parts) or 1.0
-        credits = self.phases.setdefault(
-            (route.name, parts), [self.random.random() for _ in parts]
-        )
-        for at, part in enumerate(parts):
-            credits[at] += part.weight / total
-        chosen = max(
-            (at for at, part in enumerate(parts) if part.weight > 0),
-            key=credits.__getitem__,
-            default=0,
-        )
-        credits[chosen] -= 1.0
-        return parts[chosen].service
-
     # Carrying.
 
     async def _carry(self, call):
@@ -217,7 +140,7 @@
                 await self._attempt(call)
         except Exception:
             # A caller is answered also where the code is at fault.
-            logger.exception('request_failed_inside')
+            log_failure(call)
             call.may_have_run = True
             self._refuse(call, ErrorKind.INTERNAL, call.service)
 
@@ -261,7 +184,7 @@
 
     def _states_for(self, call):
         """Return the endpoints of the version that the call goes to."""
-        states = self.by_service.get(call.service, ())
+        states = self.doors.of(call.service)
         move = self.table.moves.get(call.service)
         if move is None:
             return states
@@ -280,25 +203,11 @@
         if move.share >= 1 or not old:
             return new
         if call.version is None:
-            goes_new = self._draw_side(move)
+            goes_new = self.draws.draw_side(move)
             call.version = move.to_version if goes_new else ''
             call.stage = round(move.share * 1000)
         return new if call.version and not call.arrivals else old
 
-    def _draw_side(self, move):
-        """Draw a side so that any run of calls holds the share exactly.
-
-        Each node starts at a random phase, so that many nodes with few
-        calls add up to the share too.
-        """
-        phase = self.phases.get(move.move_id)
-        if phase is None:
-            phase = self.random.random()
-        phase += move.share
-        goes_new = phase >= 1.0
-        self.phases[move.move_id] = phase - 1.0 if goes_new else phase
-        return goes_new
-
     async def _offer(self, call, placement: Placement, now):
         loop = asyncio.get_running_loop()
         future = loop.create_future()
@@ -359,12 +268,11 @@
         failed = delivery.status >= 500
         self._count_evidence(call, state, failed, now - sent_at, now)
         call.arrivals += 1
-        state.on_answer(failed)
-        self._eject_if_failing(state, now)
+        self.doors.note_answer(state, failed, now)
         if failed and self._may_repeat(call, now):
             call.may_have_run = True
             call.last_failure = delivery
-            self._log_retry(call, state, delivery)
+            log_retry(call, state, delivery)
             call.tried.add(state.door.endpoint.instance_id)
             return
         self._respond(call, delivery, now)
@@ -382,7 +290,7 @@
         call.arrivals += 1
         call.tried.add(state.door.endpoint.instance_id)
         if self._has_attempts(call) and self._take_retry(call):
-            self._log_retry(call, state, delivery)
+            log_retry(call, state, delivery)
             return
         self._refuse(call, ErrorKind.REFUSED_BY_SERVER, delivery.reason)
 
@@ -393,33 +301,18 @@
         if now >= call.deadline:
             self._refuse(call, ErrorKind.DEADLINE_EXCEEDED, delivery.reason)
             return
-        state.on_answer(True)
-        self._eject_if_failing(state, now)
+        self.doors.note_answer(state, True, now)
         if self._may_repeat(call, now):
-            self._log_retry(call, state, delivery)
+            log_retry(call, state, delivery)
             return
         self._refuse(call, ErrorKind.ANSWER_LOST, delivery.reason)
 
     def _on_timed_out(self, call, state, delivery, sent_at, now):
         call.may_have_run = True
         self._count_evidence(call, state, True, None, now)
-        state.on_answer(True)
+        self.doors.note_answer(state, True, now)
         self._refuse(call, ErrorKind.DEADLINE_EXCEEDED, delivery.reason)
 
-    def _eject_if_failing(self, state, now):
-        group = self.by_service.get(state.door.endpoint.service, ())
-        if may_eject(state, group, now):
-            state.eject(now)
-            self.counts['ejections'] += 1
-            logger.info(
-                'endpoint_ejected',
-                extra={
-                    'instance': state.door.endpoint.instance_id,
-                    'until': round(state.ejected_until, 3),
-                    'failure_rate': round(state.failure_rate, 3),
-                },
-            )
-
     def _has_attempts(self, call):
         return call.arrivals < call.route.max_attempts
 
@@ -476,7 +369,7 @@
     def _refuse_unplaced(self, call):
         if call.last_failure is not None:
             self._respond(call, call.last_failure, self.clock())
-        elif self.by_service.get(call.service):
+        elif self.doors.of(call.service):
             self._refuse(call, ErrorKind.OVERLOADED, call.service)
         else:
             self._refuse(call, ErrorKind.NO_ENDPOINT, call.service)
@@ -487,7 +380,8 @@
         if call.may_have_run and ANSWERS[kind].ran is Ran.NO:
             kind = ErrorKind.ANSWER_LOST
         self.counts[f'refused_{kind.value}'] += 1
-        self._log_end(call, kind.value, detail)
+        now = self.clock()
+        log_end(call, self.table.revision, kind.value, detail, now)
         self._end(call)
         keep_alive = call.request.keep_alive and not self.draining
         retry_after = None
@@ -505,7 +399,9 @@
             return
         self.counts['answers'] += 1
         self.latencies.observe(now - call.began)
-        self._log_end(call, f'status {delivery.status}', '')
+        log_end(
+            call, self.table.revision, f'status {delivery.status}', '', now
+        )
         self._end(call)
         keep_alive = call.request.keep_alive and not self.draining
         raw = build_answer(
@@ -517,40 +413,6 @@
         )
         call.respond(raw, keep_alive)
 
-    def _log_retry(self, call, state, delivery):
-        logger.info(
-            'request_retried',
-            extra={
-                'request': call.request_id.decode('latin-1'),
-                'instance': state.door.endpoint.instance_id,
-                'verdict': delivery.verdict.name.lower(),
-                'reason': delivery.reason or f'status {delivery.status}',
-                'arrivals': call.arrivals,
-            },
-        )
-
-    def _log_end(self, call, outcome, detail):
-        now = self.clock()
-        last = {}
-        if call.last_state is not None:
-            last = _describe(call.last_state, now)
-        logger.info(
-            'request_ended',
-            extra={
-                'request': call.request_id.decode('latin-1'),
-                'route': call.route.name if call.route else '',
-                'service': call.service,
-                'outcome': outcome,
-                'detail': detail,
-                'may_have_run': call.may_have_run,
-                'offers': call.offers,
-                'arrivals': call.arrivals,
-                'last': last,
-                'revision': self.table.revision,
-                'ms': round((now - call.began) * 1000, 1),
-            },
-        )
-
     def _end(self, call):
         if not call.ended:
             call.ended = True
@@ -566,33 +428,11 @@
 
     def busy(self):
         """Return calls in flight by service and version."""
-        busy = Counter()
-        for state in self.states.values():
-            if state.in_flight:
-                endpoint = state.door.endpoint
-                busy[(endpoint.service, endpoint.version)] += state.in_flight
-        return busy
+        return self.doors.busy()
 
     def dump_servers(self):
         """Return what was seen of each endpoint, for operators."""
-        now = self.clock()
-        return {
-            state.door.endpoint.instance_id: {
-                'node': state.door.node_id,
-                'service': state.door.endpoint.service,
-                'version': state.door.endpoint.version,
-                'tier': state.door.tier.name.lower(),
-                'in_flight': state.in_flight,
-                'running': state.running(now),
-                'occupancy_age_seconds': round(now - state.told_at, 3),
-                'service_seconds': state.service_seconds,
-                'expected_wait_seconds': round(state.expected_wait(now), 4),
-                'failure_rate': round(state.failure_rate, 4),
-                'ejected_until': state.ejected_until,
-                'away_until': state.away_until,
-            }
-            for state in self.states.values()
-        }
+        return self.doors.dump()
 
 
 HANDLERS = {
@@ -604,22 +444,6 @@
 }
 
 
-def _describe(state, now):
-    """Return what was known of an endpoint, and how old it is."""
-    return {
-        'node': state.door.node_id,
-        'instance': state.door.endpoint.instance_id,
-        'running': state.told_running,
-        'told_ms_ago': round((now - state.told_at) * 1000),
-    }
-
-
-def state_key(door):
-    """Return what tells one start of an endpoint from another."""
-    endpoint = door.endpoint
-    return (door.node_id, endpoint.instance_id, endpoint.born)
-
-
 def _read_number(raw):
     """Read a whole number from a header that callers set."""
     if raw is None or not raw.isdigit() or len(raw) > DEADLINE_DIGITS:
--- a/poplarrack/sidecar_servers.py
+++ b/poplarrack/sidecar_servers.py
@@ -32,8 +32,8 @@
 from poplarrack.receivers import Receiver
 from poplarrack.resources import Service
 from poplarrack.senders import Sender
+from poplarrack.stream_servers import StreamServer
 from poplarrack.streams import PeerStreams
-from poplarrack.streams import StreamServer
 from poplarrack.traffic import PeerTraffic
 
 logger = logging.getLogger(__name__)
@@ -102,7 +102,7 @@
             self.clock,
             Random(),
         )
-        self.streams.on_silent = self.sender.avoid_node
+        self.streams.on_silent = self.sender.doors.avoid_node
         links = Links(
             self.streams,
             host.platform,
--- a/tests/test_senders.py
+++ b/tests/test_senders.py
@@ -253,7 +253,7 @@
 def test_a_silent_node_is_avoided():
     async def run():
         sender, streams = build_sender([GOOD] * 30)
-        sender.avoid_node('10.0.0.2:70')
+        sender.doors.avoid_node('10.0.0.2:70')
         for _ in range(30):
             await send(sender, '/read/x')
         return {address for address, _ in streams.sent}
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -10,11 +10,11 @@
 from poplarrack.messages import Digests
 from poplarrack.messages import DigestsAnswer
 from poplarrack.messages import ProbeRequest
+from poplarrack.stream_servers import StreamServer
 from poplarrack.streams import AVOID_AFTER_SECONDS
 from poplarrack.streams import PeerStreams
 from poplarrack.streams import PROBE_AFTER_SECONDS
 from poplarrack.streams import PROBE_TIMEOUT_SECONDS
-from poplarrack.streams import StreamServer
 from poplarrack.traffic import PeerTraffic
 from tests.support import suite_of
 from tests.test_receivers import request
