Test the process beside an endpoint from call to answer

Change: one node against the store's stand-in and a scripted endpoint: heartbeat, call, metrics, state, good-bye, no configuration, bad settings.

--- /dev/null
+++ b/tests/test_sidecar_servers.py
@@ -0,0 +1,190 @@
+"""Run the process beside an endpoint, against the store's stand-in."""
+
+import asyncio
+from contextlib import asynccontextmanager
+from dataclasses import replace
+from json import dumps
+import socket
+
+from poplarrack.errors import ErrorKind
+from poplarrack.errors import PoplarrackError
+from poplarrack.platform.dialect import DIALECT
+from poplarrack.platform.pages import serve_control
+from poplarrack.platform.pages import serve_ready
+from poplarrack.platform.settings import parse_settings
+from poplarrack.platform.store_client import PlatformStoreClient
+from poplarrack.settings import PlatformSettings
+from poplarrack.sidecar_servers import Host
+from poplarrack.sidecar_servers import SidecarServer
+from tests.store_stand_in import running_store
+from tests.support import suite_of
+from tests.test_calls import Server
+from tests.test_platform_adapter import BEAT
+from tests.test_platform_adapter import CONFIG
+from tests.test_platform_adapter import SETTINGS
+
+load_tests = suite_of(__name__)
+
+ENDPOINT_ANSWER = (
+    b'HTTP/1.1 200 OK\r\nrequest-id: r1\r\nserver-stamp: s\r\n'
+    b'content-length: 2\r\n\r\nok'
+)
+CALL = (
+    b'GET /b/x HTTP/1.1\r\nhost: shop.example\r\nrequest-id: r1\r\n'
+    b'deadline-ms: 2000\r\nconnection: close\r\n\r\n'
+)
+WAIT_SECONDS = 15
+
+
+def free_addresses(count):
+    """Return addresses that nobody listens on."""
+    held = [socket.create_server(('127.0.0.1', 0)) for _ in range(count)]
+    addresses = [f'127.0.0.1:{item.getsockname()[1]}' for item in held]
+    for item in held:
+        item.close()
+    return addresses
+
+
+async def ask(address, raw):
+    """Send a request; return the whole answer."""
+    host, _, port = address.rpartition(':')
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(raw)
+    answer = await asyncio.wait_for(reader.read(), WAIT_SECONDS)
+    writer.close()
+    return answer
+
+
+def page(method, path, body=b''):
+    head = f'{method} {path} HTTP/1.1\r\nhost: n\r\nconnection: close\r\n'
+    return f'{head}content-length: {len(body)}\r\n\r\n'.encode() + body
+
+
+async def until(answers):
+    """Poll a coroutine function until what it returns is true."""
+    async with asyncio.timeout(WAIT_SECONDS):
+        while not await answers():
+            await asyncio.sleep(0.02)
+
+
+@asynccontextmanager
+async def running_node(store_address, load_settings=None):
+    """Run a node; give it and the settings that it uses."""
+    addresses = free_addresses(5)
+    settings = replace(
+        parse_settings(SETTINGS),
+        peer_address=addresses[0],
+        call_address=addresses[1],
+        announce_address=addresses[2],
+        operator_address=addresses[3],
+        metrics_address=addresses[4],
+        platform=PlatformSettings((store_address,), summary_ttl_seconds=0.0),
+    )
+    host = Host(
+        DIALECT,
+        PlatformStoreClient([store_address]),
+        serve_control,
+        serve_ready,
+        load_settings or (lambda: settings),
+    )
+    server = SidecarServer(settings, host)
+    running = asyncio.ensure_future(server.run())
+    try:
+        yield server, settings
+    finally:
+        server.stopping.set()
+        await asyncio.wait_for(running, WAIT_SECONDS)
+
+
+def test_a_call_is_carried_from_its_caller_to_the_endpoint():
+    async def run():
+        endpoint = Server(lambda *x: ENDPOINT_ANSWER)
+        listener = await asyncio.start_server(endpoint.serve, '127.0.0.1', 0)
+        port = listener.sockets[0].getsockname()[1]
+        beat = dumps({**BEAT, 'address': f'127.0.0.1:{port}'}).encode()
+        with running_store() as (stand_in, store):
+            stand_in.put('op/config', CONFIG)
+            async with running_node(store) as (server, settings):
+                await until(lambda: is_ready(settings))
+                put = page('PUT', '/-/instances/i-1', beat)
+                acknowledged = await ask(settings.announce_address, put)
+                # Changes of members are gathered for a moment.
+                await until(lambda: knows_endpoint(server))
+                answer = await ask(settings.call_address, CALL)
+                metrics = await ask(
+                    settings.metrics_address, page('GET', '/metrics')
+                )
+                state = await ask(
+                    settings.metrics_address, page('GET', '/dump')
+                )
+                await ask(
+                    settings.announce_address,
+                    page('DELETE', '/-/instances/i-1'),
+                )
+                await until(lambda: forgot_endpoint(server))
+                refused = await ask(settings.call_address, CALL)
+        listener.close()
+        return acknowledged, answer, metrics, state, refused, endpoint
+
+    acknowledged, answer, metrics, state, refused, endpoint = asyncio.run(
+        run()
+    )
+    assert acknowledged.startswith(b'HTTP/1.1 200')
+    assert answer.startswith(b'HTTP/1.1 200') and answer.endswith(b'ok')
+    assert b'server-stamp: s' in answer
+    assert b'caller-service: front\r\n' in endpoint.requests[0]
+    assert b'expect-instance: i-1\r\n' in endpoint.requests[0]
+    assert b'poplarrack_call_seconds_bucket' in metrics
+    assert b'poplarrack_call_answers_total 1.0' in metrics
+    assert b'"i-1"' in state
+    assert refused.startswith(b'HTTP/1.1 503')
+    assert b'retry-after' in refused
+    assert len(endpoint.requests) == 1
+
+
+async def knows_endpoint(server):
+    return bool(server.sender.doors.of('front'))
+
+
+async def forgot_endpoint(server):
+    return not server.sender.doors.of('front')
+
+
+async def is_ready(settings):
+    """Say whether the node answers that it is ready."""
+    try:
+        answer = await ask(settings.operator_address, page('GET', '/-/ready'))
+    except OSError:
+        return False
+    return answer.startswith(b'HTTP/1.1 200')
+
+
+def test_a_node_without_a_configuration_is_not_ready():
+    async def run():
+        with running_store() as (_, store):
+            async with running_node(store) as (server, settings):
+                await until(lambda: joined(server))
+                ready = await is_ready(settings)
+                return ready, await ask(settings.call_address, CALL)
+
+    ready, answer = asyncio.run(run())
+    assert not ready
+    assert answer.startswith(b'HTTP/1.1 503')
+
+
+async def joined(server):
+    return server.node.facts.lifecycle.joined
+
+
+def test_faulty_settings_change_nothing():
+    def fail():
+        raise PoplarrackError(ErrorKind.INVALID_SETTINGS, 'torn file')
+
+    async def run():
+        with running_store() as (_, store):
+            async with running_node(store, fail) as (server, settings):
+                await until(lambda: joined(server))
+                server.reload()
+                return server.settings == settings
+
+    assert asyncio.run(run())
