Keep an endpoint's leave that a new node hears first

A node that had just been stopped and started acknowledged the good-bye of an endpoint that it did not know yet, forgot it, and announced the endpoint by a heartbeat that came 2.7 s late. Change: the good-bye is kept with its start, where that is told, else for 10 s, and late heartbeats are ignored against it.

--- a/poplarrack/heartbeats.py
+++ b/poplarrack/heartbeats.py
@@ -31,17 +31,41 @@
     cold_seconds: float = 0.0
 
 
+# How late a heartbeat may come after the good-bye of its sender.
+LATE_SECONDS = 10.0
+
+
+@dataclass(frozen=True)
+class Leave:
+    """The good-bye of an endpoint, and when it came.
+
+    ``born`` is None where neither it nor a heartbeat before told the start.
+    """
+
+    instance_id: str
+    born: int | None
+    at: float
+
+    def covers(self, beat, now):
+        """Say whether a heartbeat was sent before the good-bye."""
+        if beat.instance_id != self.instance_id:
+            return False
+        if self.born is None:
+            return now - self.at < LATE_SECONDS
+        return beat.born <= self.born
+
+
 @dataclass(frozen=True)
 class EndpointRecord:
     """What is held of the endpoint beside a node.
 
-    ``left`` names a start that said good-bye: what it said before is
-    ignored when it arrives late.
+    What an endpoint said before its ``leave`` is ignored when it arrives
+    late, also by a node that started since and knows it by that alone.
     """
 
     endpoint: Endpoint | None = None
     sequence: int = -1
-    left: tuple[str, int] | None = None
+    leave: Leave | None = None
 
 
 def apply_heartbeat(record, beat, service, now):
@@ -49,14 +73,13 @@
 
     :param service: the endpoint's Service, as far as it is known.
     """
-    start = (beat.instance_id, beat.born)
-    if start == record.left:
+    if record.leave is not None and record.leave.covers(beat, now):
         return record
     held = record.endpoint
     if held is not None:
         if beat.born < held.born:
             return record
-        same = (held.instance_id, held.born) == start
+        same = (held.instance_id, held.born) == (beat.instance_id, beat.born)
         if same and beat.sequence <= record.sequence:
             return record
     state = EndpointState.SERVING
@@ -77,9 +100,18 @@
     return replace(record, endpoint=endpoint, sequence=beat.sequence)
 
 
-def apply_leave(record, instance_id):
-    """Return the record after an endpoint said that it ends."""
+def apply_leave(record, instance_id, born, now):
+    """Return the record after an endpoint said that it ends.
+
+    :param born: the start that it told, or None.
+    """
     held = record.endpoint
-    if held is None or held.instance_id != instance_id:
+    if held is None:
+        return replace(record, leave=Leave(instance_id, born, now))
+    if held.instance_id != instance_id:
+        return record
+    if born is None:
+        born = held.born
+    if born < held.born:
         return record
-    return EndpointRecord(None, record.sequence, (held.instance_id, held.born))
+    return EndpointRecord(None, record.sequence, Leave(instance_id, born, now))
--- a/poplarrack/platform/heartbeats.py
+++ b/poplarrack/platform/heartbeats.py
@@ -1,5 +1,7 @@
 """Decode what endpoints say of themselves on the control address."""
 
+import logging
+
 from msgspec import convert
 from msgspec import field
 from msgspec import MsgspecError
@@ -11,6 +13,8 @@
 from poplarrack.heartbeats import Heartbeat
 from poplarrack.platform.settings import parse_duration
 
+logger = logging.getLogger(__name__)
+
 INSTANCE_PATH = '/-/instances/'
 STATES = ('ready', 'draining')
 MAX_BODY_BYTES = 65_536
@@ -67,3 +71,16 @@
         report.born,
         cold_seconds,
     )
+
+
+class _Leave(Struct):
+    born: int | None = None
+
+
+def decode_born(body):
+    """Return the start that a good-bye tells, or None."""
+    try:
+        return convert(decode(body), _Leave).born if body else None
+    except MsgspecError as error:
+        logger.warning('leave_unreadable', extra={'detail': str(error)})
+        return None
--- a/poplarrack/platform/pages.py
+++ b/poplarrack/platform/pages.py
@@ -5,6 +5,7 @@
 from poplarrack.errors import PoplarrackError
 from poplarrack.pages import json_page
 from poplarrack.pages import Page
+from poplarrack.platform.heartbeats import decode_born
 from poplarrack.platform.heartbeats import decode_heartbeat
 from poplarrack.platform.heartbeats import INSTANCE_PATH
 
@@ -23,7 +24,7 @@
     if request.method == 'PUT':
         return _take_heartbeat(server, instance_id, request.body)
     if request.method == 'DELETE':
-        server.on_leave(instance_id)
+        server.on_leave(instance_id, decode_born(request.body))
         return json_page({})
     return Page(405, TEXT, b'')
 
--- a/poplarrack/sidecar_servers.py
+++ b/poplarrack/sidecar_servers.py
@@ -223,9 +223,12 @@
         if record is not self.record:
             self._put_record(record)
 
-    def on_leave(self, instance_id):
-        """Take the word of the endpoint that it ends."""
-        record = apply_leave(self.record, instance_id)
+    def on_leave(self, instance_id, born):
+        """Take the word of the endpoint that it ends.
+
+        :param born: the start that it told, or None.
+        """
+        record = apply_leave(self.record, instance_id, born, self.clock())
         if record is not self.record:
             self._put_record(record)
 
--- a/tests/test_heartbeats.py
+++ b/tests/test_heartbeats.py
@@ -37,7 +37,7 @@
 
 
 def test_a_heartbeat_after_the_leave_is_ignored():
-    record = apply_leave(take(EndpointRecord(), BEAT), 'i-1')
+    record = apply_leave(take(EndpointRecord(), BEAT), 'i-1', None, 101.0)
     assert record.endpoint is None
     assert take(record, replace(BEAT, sequence=9)) is record
     other = replace(BEAT, instance_id='i-2', born=1500)
@@ -46,9 +46,26 @@
 
 def test_the_leave_of_another_instance_changes_nothing():
     record = take(EndpointRecord(), BEAT)
-    assert apply_leave(record, 'i-0') is record
+    assert apply_leave(record, 'i-0', None, 101.0) is record
 
 
 def test_an_endpoint_is_warm_when_it_says_so():
     record = take(EndpointRecord(), replace(BEAT, cold_seconds=2.0))
     assert record.endpoint.announced_at + SERVICE.warm_up_seconds == 102.0
+
+
+def test_a_node_that_just_started_keeps_a_leave_against_late_heartbeats():
+    for born in (None, 1000):
+        record = apply_leave(EndpointRecord(), 'i-1', born, 100.0)
+        late = replace(BEAT, sequence=9)
+        assert take(record, late, 102.7).endpoint is None
+        other = replace(BEAT, instance_id='i-2')
+        assert take(record, other, 102.7).endpoint is not None
+
+
+def test_an_endpoint_that_left_may_start_again():
+    told = apply_leave(EndpointRecord(), 'i-1', 1000, 100.0)
+    reborn = replace(BEAT, born=2000, sequence=0)
+    assert take(told, reborn, 101.0).endpoint.born == 2000
+    untold = apply_leave(EndpointRecord(), 'i-1', None, 100.0)
+    assert take(untold, reborn, 111.0).endpoint.born == 2000
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -14,6 +14,7 @@
 from poplarrack.errors import ErrorKind
 from poplarrack.fetchers import read_configuration
 from poplarrack.performers import move_transaction
+from poplarrack.platform.heartbeats import decode_born
 from poplarrack.platform.heartbeats import decode_heartbeat
 from poplarrack.platform.settings import parse_duration
 from poplarrack.platform.settings import parse_settings
@@ -166,6 +167,12 @@
         raises(ErrorKind.MALFORMED_REQUEST, decode_heartbeat, 'i-1', body)
 
 
+def test_a_leave_may_tell_its_start():
+    assert decode_born(b'{"born": 1700000000000}') == 1700000000000
+    assert decode_born(b'') is None
+    assert decode_born(b'[1]') is None
+
+
 def test_the_configuration_becomes_settings(store):
     stand_in, address = store
     stand_in.put('op/config', CONFIG)
