Join twins: the fetcher of a process, a move as it is served

Cause: both processes built a fetcher by the same lines and both tables derived served moves by the same lines; a routing table held a set of services that nothing read. Change: fetchers.build_fetcher and call_tables.serve_move serve both; the unread field is gone. Behaviour is the same, and so are the tests' checks.

--- a/poplarrack/call_tables.py
+++ b/poplarrack/call_tables.py
@@ -45,13 +45,7 @@
     configuration = knowledge.configuration
     services = configuration.services
     moves = {
-        service: ServedMove(
-            move.move_id,
-            move.from_version,
-            move.to_version,
-            effective_share(move, knowledge.verdicts),
-            is_live(move, now),
-        )
+        service: serve_move(move, knowledge.verdicts, now)
         for service, move in configuration.moves.items()
         if is_served(move, services[service], now)
     }
@@ -66,6 +60,17 @@
     )
 
 
+def serve_move(move, verdicts, now):
+    """Return a move as a node serves it now."""
+    return ServedMove(
+        move.move_id,
+        move.from_version,
+        move.to_version,
+        effective_share(move, verdicts),
+        is_live(move, now),
+    )
+
+
 def is_served(move, service, now):
     """Say whether a move decides where its service's calls go.
 
--- a/poplarrack/fetchers.py
+++ b/poplarrack/fetchers.py
@@ -127,3 +127,15 @@
                 self.snapshot = apply_events(self.snapshot, batch.events)
                 self.offer(self.snapshot)
             self.resume_at = max(self.resume_at, batch.revision)
+
+
+def build_fetcher(client, node, loop):
+    """Return a fetcher whose thread hands over to a node's event loop."""
+
+    def offer(snapshot):
+        loop.call_soon_threadsafe(node.offer, snapshot)
+
+    def note(succeeded, detail):
+        loop.call_soon_threadsafe(node.note_platform, succeeded, detail)
+
+    return Fetcher(client, offer, note)
--- a/poplarrack/node_servers.py
+++ b/poplarrack/node_servers.py
@@ -11,7 +11,7 @@
 from poplarrack.dumps import dump_node
 from poplarrack.errors import ErrorKind
 from poplarrack.errors import PoplarrackError
-from poplarrack.fetchers import Fetcher
+from poplarrack.fetchers import build_fetcher
 from poplarrack.joiners import join
 from poplarrack.metrics import build_metrics_page
 from poplarrack.nodes import Links
@@ -137,17 +137,7 @@
             server.stop()
 
     def _build_fetcher(self, node):
-        """Build a fetcher whose thread hands over to the loop."""
-
-        def offer(snapshot):
-            self.loop.call_soon_threadsafe(node.offer, snapshot)
-
-        def note(succeeded, detail):
-            self.loop.call_soon_threadsafe(
-                node.note_platform, succeeded, detail
-            )
-
-        return Fetcher(self.platform, offer, note)
+        return build_fetcher(self.platform, node, self.loop)
 
     def _on_announcement(self, body):
         endpoint = decode_announcement(body, self.node.clock())
--- a/poplarrack/routing_tables.py
+++ b/poplarrack/routing_tables.py
@@ -6,10 +6,8 @@
 from poplarrack.balancers import FAR_REGION
 from poplarrack.balancers import SAME_REGION
 from poplarrack.balancers import SAME_ZONE
-from poplarrack.call_tables import ServedMove
+from poplarrack.call_tables import serve_move
 from poplarrack.members import EndpointState
-from poplarrack.moves import effective_share
-from poplarrack.moves import is_live
 from poplarrack.placements import Door
 from poplarrack.placements import Tier
 from poplarrack.resources import CallerLimits
@@ -31,7 +29,6 @@
 
     revision: int = 0
     router: Router = field(default_factory=Router)
-    services: frozenset = frozenset()
     doors: dict = field(default_factory=dict)
     moves: dict = field(default_factory=dict)
     limits: CallerLimits = field(
@@ -43,19 +40,12 @@
     """Derive the table in force at a node's place."""
     configuration = knowledge.configuration
     moves = {
-        service: ServedMove(
-            move.move_id,
-            move.from_version,
-            move.to_version,
-            effective_share(move, knowledge.verdicts),
-            is_live(move, now),
-        )
+        service: serve_move(move, knowledge.verdicts, now)
         for service, move in configuration.moves.items()
     }
     return RoutingTable(
         configuration.revision,
         Router(configuration.routes),
-        frozenset(configuration.services),
         _derive_doors(place, knowledge.members.members.values()),
         moves,
         configuration.caller_limits,
--- a/poplarrack/sidecar_servers.py
+++ b/poplarrack/sidecar_servers.py
@@ -17,7 +17,7 @@
 from poplarrack.dumps import dump_node
 from poplarrack.errors import ErrorKind
 from poplarrack.errors import PoplarrackError
-from poplarrack.fetchers import Fetcher
+from poplarrack.fetchers import build_fetcher
 from poplarrack.heartbeats import apply_heartbeat
 from poplarrack.heartbeats import apply_leave
 from poplarrack.heartbeats import EndpointRecord
@@ -275,17 +275,7 @@
         await self.stream_server.close()
 
     def _build_fetcher(self, node):
-        """Build a fetcher whose thread hands over to the loop."""
-
-        def offer(snapshot):
-            self.loop.call_soon_threadsafe(node.offer, snapshot)
-
-        def note(succeeded, detail):
-            self.loop.call_soon_threadsafe(
-                node.note_platform, succeeded, detail
-            )
-
-        return Fetcher(self.platform, offer, note)
+        return build_fetcher(self.platform, node, self.loop)
 
 
 def _serve_state(server, request):
--- a/tests/test_senders.py
+++ b/tests/test_senders.py
@@ -105,9 +105,7 @@
     streams = FakeStreams(script)
     sender = Sender(SETTINGS, DIALECT, None, streams, Clock(), Random(7))
     doors = doors or {'front': [door(2), door(3), door(4)]}
-    sender.put_in_force(
-        RoutingTable(5, Router(ROUTES), frozenset(doors), doors)
-    )
+    sender.put_in_force(RoutingTable(5, Router(ROUTES), doors))
     return sender, streams
 
 
