--- /dev/null
+++ b/poplarrack/benches/__init__.py
@@ -0,0 +1,1 @@
+"""Measure the product in cases with bounds, for ``poplarrack-bench``."""
--- a/poplarrack/bench_calls.py
+++ b/poplarrack/benches/calls.py
@@ -9,13 +9,13 @@
 from threading import Thread
 import time
 
-from poplarrack.benches import bench_case
-from poplarrack.benches import Bound
-from poplarrack.benches import percentile
-from poplarrack.benches import Result
-from poplarrack.loads import CallClient
-from poplarrack.loads import read_usage
-from poplarrack.meshes import Mesh
+from poplarrack.benches.cases import bench_case
+from poplarrack.benches.cases import Bound
+from poplarrack.benches.cases import percentile
+from poplarrack.benches.cases import Result
+from poplarrack.benches.loads import CallClient
+from poplarrack.benches.loads import read_usage
+from poplarrack.stand_ins.meshes import Mesh
 
 CALLS_PER_SECOND = 120
 WARM_UP_CALLS = 200
--- a/poplarrack/benches.py
+++ b/poplarrack/benches/cases.py
@@ -13,14 +13,14 @@
 
 CASES = {}
 CASE_MODULES = (
-    'poplarrack.bench_calls',
-    'poplarrack.bench_policies',
-    'poplarrack.bench_configurations',
-    'poplarrack.bench_faults',
-    'poplarrack.bench_writers',
-    'poplarrack.bench_moves',
-    'poplarrack.bench_cuts',
-    'poplarrack.bench_capacity',
+    'poplarrack.benches.calls',
+    'poplarrack.benches.policies',
+    'poplarrack.benches.configurations',
+    'poplarrack.benches.faults',
+    'poplarrack.benches.writers',
+    'poplarrack.benches.moves',
+    'poplarrack.benches.cuts',
+    'poplarrack.benches.capacities',
 )
 EXIT_MISSED = 3
 
--- a/poplarrack/bench_configurations.py
+++ b/poplarrack/benches/configurations.py
@@ -3,29 +3,29 @@
 import asyncio
 import time
 
-from poplarrack.benches import bench_case
-from poplarrack.benches import Bound
-from poplarrack.benches import percentile
-from poplarrack.benches import Result
-from poplarrack.fakes import HEADER_BYTES
+from poplarrack.benches.cases import bench_case
+from poplarrack.benches.cases import Bound
+from poplarrack.benches.cases import percentile
+from poplarrack.benches.cases import Result
+from poplarrack.benches.loads import read_usage
+from poplarrack.benches.scenarios import build_changes
+from poplarrack.benches.scenarios import change_one
+from poplarrack.benches.scenarios import held_within
+from poplarrack.benches.scenarios import IN_FORCE_SECONDS
+from poplarrack.benches.scenarios import NODE_BYTES_PER_SECOND
+from poplarrack.benches.scenarios import NONE
+from poplarrack.benches.scenarios import on_fakes
+from poplarrack.benches.scenarios import platform_calls
+from poplarrack.benches.scenarios import route_change
+from poplarrack.benches.scenarios import timeout_of_turn
+from poplarrack.benches.scenarios import Witness
 from poplarrack.fetchers import HEAD_KEY
-from poplarrack.loads import read_usage
 from poplarrack.members import Endpoint
 from poplarrack.members import EndpointState
-from poplarrack.meshes import await_condition
-from poplarrack.meshes import Mesh
 from poplarrack.platforms import CONFIGURATION_PREFIX
-from poplarrack.scenarios import build_changes
-from poplarrack.scenarios import change_one
-from poplarrack.scenarios import held_within
-from poplarrack.scenarios import IN_FORCE_SECONDS
-from poplarrack.scenarios import NODE_BYTES_PER_SECOND
-from poplarrack.scenarios import NONE
-from poplarrack.scenarios import on_fakes
-from poplarrack.scenarios import platform_calls
-from poplarrack.scenarios import route_change
-from poplarrack.scenarios import timeout_of_turn
-from poplarrack.scenarios import Witness
+from poplarrack.stand_ins.fakes import HEADER_BYTES
+from poplarrack.stand_ins.meshes import await_condition
+from poplarrack.stand_ins.meshes import Mesh
 from poplarrack.stores import Operation
 
 LEAVE_SECONDS = 3.0
--- a/poplarrack/bench_cuts.py
+++ b/poplarrack/benches/cuts.py
@@ -3,20 +3,20 @@
 import asyncio
 from json import dumps
 
-from poplarrack.bench_faults import cut_off
-from poplarrack.benches import bench_case
-from poplarrack.benches import Bound
-from poplarrack.benches import Result
+from poplarrack.benches.cases import bench_case
+from poplarrack.benches.cases import Bound
+from poplarrack.benches.cases import Result
+from poplarrack.benches.faults import cut_off
+from poplarrack.benches.scenarios import NONE
+from poplarrack.benches.scenarios import ZONES
 from poplarrack.evidence import Side
-from poplarrack.fakes import run_virtual
-from poplarrack.fakes import start_mesh
 from poplarrack.members import Endpoint
 from poplarrack.members import EndpointState
 from poplarrack.moves import start_move
 from poplarrack.resources import encode_resource
 from poplarrack.resources import MoveState
-from poplarrack.scenarios import NONE
-from poplarrack.scenarios import ZONES
+from poplarrack.stand_ins.fakes import run_virtual
+from poplarrack.stand_ins.fakes import start_mesh
 
 WINDOW_SECONDS = 120.0
 CALLS_A_SECOND_A_NODE = 40
--- a/poplarrack/bench_faults.py
+++ b/poplarrack/benches/faults.py
@@ -3,17 +3,17 @@
 import asyncio
 from dataclasses import replace
 
-from poplarrack.benches import bench_case
-from poplarrack.benches import Bound
-from poplarrack.scenarios import change_one
-from poplarrack.scenarios import held_within
-from poplarrack.scenarios import IN_FORCE_SECONDS
-from poplarrack.scenarios import NONE
-from poplarrack.scenarios import on_fakes
-from poplarrack.scenarios import platform_calls
-from poplarrack.scenarios import PLATFORM_CALLS_PER_SECOND
-from poplarrack.scenarios import route_change
-from poplarrack.scenarios import ZONES
+from poplarrack.benches.cases import bench_case
+from poplarrack.benches.cases import Bound
+from poplarrack.benches.scenarios import change_one
+from poplarrack.benches.scenarios import held_within
+from poplarrack.benches.scenarios import IN_FORCE_SECONDS
+from poplarrack.benches.scenarios import NONE
+from poplarrack.benches.scenarios import on_fakes
+from poplarrack.benches.scenarios import platform_calls
+from poplarrack.benches.scenarios import PLATFORM_CALLS_PER_SECOND
+from poplarrack.benches.scenarios import route_change
+from poplarrack.benches.scenarios import ZONES
 
 
 def set_outage(mesh, outage):
--- a/poplarrack/bench_moves.py
+++ b/poplarrack/benches/moves.py
@@ -9,10 +9,10 @@
 from dataclasses import replace
 from random import Random
 
-from poplarrack.benches import bench_case
-from poplarrack.benches import Bound
-from poplarrack.benches import percentile
-from poplarrack.benches import Result
+from poplarrack.benches.cases import bench_case
+from poplarrack.benches.cases import Bound
+from poplarrack.benches.cases import percentile
+from poplarrack.benches.cases import Result
 from poplarrack.evidence import EvidenceCounter
 from poplarrack.evidence import examine_move
 from poplarrack.evidence import find_fault
--- a/poplarrack/bench_policies.py
+++ b/poplarrack/benches/policies.py
@@ -5,17 +5,17 @@
 from random import Random
 import time
 
-from poplarrack.bench_calls import end_callers
-from poplarrack.bench_calls import run_callers
-from poplarrack.bench_calls import SETTINGS
-from poplarrack.benches import bench_case
-from poplarrack.benches import Bound
-from poplarrack.benches import Result
-from poplarrack.meshes import Mesh
+from poplarrack.benches.calls import end_callers
+from poplarrack.benches.calls import run_callers
+from poplarrack.benches.calls import SETTINGS
+from poplarrack.benches.cases import bench_case
+from poplarrack.benches.cases import Bound
+from poplarrack.benches.cases import Result
 from poplarrack.retries import Attempted
 from poplarrack.retries import Failure
 from poplarrack.retries import may_retry
 from poplarrack.retries import RetryBudget
+from poplarrack.stand_ins.meshes import Mesh
 
 CHAIN_DEPTH = 11
 NAIVE_ATTEMPTS = 3
--- a/poplarrack/scenarios.py
+++ b/poplarrack/benches/scenarios.py
@@ -3,10 +3,10 @@
 from json import dumps
 from random import Random
 
-from poplarrack.benches import Bound
-from poplarrack.benches import Result
-from poplarrack.fakes import run_virtual
-from poplarrack.fakes import start_mesh
+from poplarrack.benches.cases import Bound
+from poplarrack.benches.cases import Result
+from poplarrack.stand_ins.fakes import run_virtual
+from poplarrack.stand_ins.fakes import start_mesh
 
 IN_FORCE_SECONDS = 5.0
 NODE_BYTES_PER_SECOND = 3000
--- a/poplarrack/bench_writers.py
+++ b/poplarrack/benches/writers.py
@@ -4,19 +4,19 @@
 from dataclasses import replace
 from random import Random
 
-from poplarrack.benches import bench_case
-from poplarrack.benches import Bound
-from poplarrack.benches import Result
+from poplarrack.benches.cases import bench_case
+from poplarrack.benches.cases import Bound
+from poplarrack.benches.cases import Result
+from poplarrack.benches.scenarios import build_changes
+from poplarrack.benches.scenarios import NONE
+from poplarrack.benches.scenarios import route_change
 from poplarrack.editors import Edit
 from poplarrack.editors import Editor
 from poplarrack.errors import ErrorKind
 from poplarrack.errors import PoplarrackError
-from poplarrack.fakes import DirectPlatformClient
-from poplarrack.platform_stand_ins import PlatformStandIn
 from poplarrack.platforms import CONFIGURATION_PREFIX
-from poplarrack.scenarios import build_changes
-from poplarrack.scenarios import NONE
-from poplarrack.scenarios import route_change
+from poplarrack.stand_ins.fakes import DirectPlatformClient
+from poplarrack.stand_ins.platforms import PlatformStandIn
 from poplarrack.stores import Compare
 from poplarrack.stores import Operation
 
--- a/poplarrack/programs.py
+++ b/poplarrack/programs.py
@@ -73,7 +73,7 @@
 def platform(address='127.0.0.1:2379', writes=500, reads=2000, threads=64):
     """Run the stand-in for the platform until it is ended."""
     from poplarrack.logs import configure_logs
-    from poplarrack.platform_stand_ins import serve_platform
+    from poplarrack.stand_ins.platforms import serve_platform
 
     configure_logs('INFO', program='platform')
     serve_platform(address, writes, reads, threads)
@@ -84,9 +84,9 @@
 
     Further flags are the fields of its behaviour, such as --fail_rate.
     """
-    from poplarrack.backend_servers import serve_backend
-    from poplarrack.backends import Behaviour
     from poplarrack.logs import configure_logs
+    from poplarrack.stand_ins.backend_servers import serve_backend
+    from poplarrack.stand_ins.backends import Behaviour
 
     configure_logs('INFO', program='backend', version=str(version))
     serve_backend(
@@ -122,6 +122,6 @@
 
 def run_bench():
     """Enter ``poplarrack-bench``."""
-    from poplarrack.benches import Bench
+    from poplarrack.benches.cases import Bench
 
     _run(Bench, 'poplarrack-bench')
--- a/poplarrack/backend_servers.py
+++ b/poplarrack/stand_ins/backend_servers.py
@@ -4,10 +4,10 @@
 import signal
 import time
 
-from poplarrack.backends import ANNOUNCE_SECONDS
-from poplarrack.backends import Announcer
-from poplarrack.backends import BackendDispatcher
 from poplarrack.callers import CallServer
+from poplarrack.stand_ins.backends import ANNOUNCE_SECONDS
+from poplarrack.stand_ins.backends import Announcer
+from poplarrack.stand_ins.backends import BackendDispatcher
 
 DRAIN_SECONDS = 3.0
 
--- a/poplarrack/fakes.py
+++ b/poplarrack/stand_ins/fakes.py
@@ -23,12 +23,12 @@
 from poplarrack.nodes import Node
 from poplarrack.nodes import TICK_SECONDS
 from poplarrack.peer_handlers import bind_handlers
-from poplarrack.platform_stand_ins import PlatformStandIn
 from poplarrack.platforms import CONFIGURATION_PREFIX
 from poplarrack.platforms import PlatformClient
 from poplarrack.platforms import raise_for_status
 from poplarrack.settings import NodeSettings
 from poplarrack.settings import PlatformSettings
+from poplarrack.stand_ins.platforms import PlatformStandIn
 
 EPOCH_SECONDS = 1_000_000.0
 ZONE_DELAY_SECONDS = 0.001
--- a/tests/test_configurations.py
+++ b/tests/test_configurations.py
@@ -1,12 +1,12 @@
 """Check that a bad configuration is refused whole, with every reason."""
 
+from poplarrack.benches.scenarios import build_changes
+from poplarrack.benches.scenarios import route_change
+from poplarrack.benches.scenarios import timeout_of_turn
 from poplarrack.configurations import load_configuration
 from poplarrack.errors import ErrorKind
 from poplarrack.knowledge import Knowledge
 from poplarrack.knowledge import offer_snapshot
-from poplarrack.scenarios import build_changes
-from poplarrack.scenarios import route_change
-from poplarrack.scenarios import timeout_of_turn
 from tests.samples import CHANGES
 from tests.samples import route
 from tests.samples import service
--- a/tests/test_editors.py
+++ b/tests/test_editors.py
@@ -10,11 +10,11 @@
 from poplarrack.editors import Editor
 from poplarrack.editors import withdraw_by_operator
 from poplarrack.errors import ErrorKind
-from poplarrack.fakes import DirectPlatformClient
-from poplarrack.platform_stand_ins import PlatformStandIn
 from poplarrack.resources import encode_resource
 from poplarrack.resources import MoveState
 from poplarrack.resources import Service
+from poplarrack.stand_ins.fakes import DirectPlatformClient
+from poplarrack.stand_ins.platforms import PlatformStandIn
 from tests.samples import CHANGES
 from tests.samples import move
 from tests.samples import route
--- a/tests/test_end_to_end.py
+++ b/tests/test_end_to_end.py
@@ -5,8 +5,8 @@
 from threading import Event
 from threading import Thread
 
-from poplarrack.meshes import await_condition
-from poplarrack.meshes import Mesh
+from poplarrack.stand_ins.meshes import await_condition
+from poplarrack.stand_ins.meshes import Mesh
 from tests.support import suite_of
 
 load_tests = suite_of(__name__)
--- a/tests/test_nodes.py
+++ b/tests/test_nodes.py
@@ -17,9 +17,6 @@
 from poplarrack.decisions import Rejoin
 from poplarrack.errors import ErrorKind
 from poplarrack.evidence import Verdict
-from poplarrack.fakes import FakeMesh
-from poplarrack.fakes import run_virtual
-from poplarrack.fakes import start_mesh
 from poplarrack.knowledge import Knowledge
 from poplarrack.members import MemberState
 from poplarrack.members import refute
@@ -27,6 +24,9 @@
 from poplarrack.messages import Updates
 from poplarrack.settings import NodeSettings
 from poplarrack.settings import PlatformSettings
+from poplarrack.stand_ins.fakes import FakeMesh
+from poplarrack.stand_ins.fakes import run_virtual
+from poplarrack.stand_ins.fakes import start_mesh
 from poplarrack.topologies import derive_topology
 from poplarrack.topologies import Topology
 from tests.samples import CHANGES
--- a/tests/test_platforms.py
+++ b/tests/test_platforms.py
@@ -11,11 +11,11 @@
 from poplarrack.fetchers import Fetcher
 from poplarrack.fetchers import HEAD_KEY
 from poplarrack.fetchers import read_configuration
-from poplarrack.platform_stand_ins import build_server
-from poplarrack.platform_stand_ins import PlatformStandIn
 from poplarrack.platforms import CONFIGURATION_PREFIX
 from poplarrack.platforms import PlatformClient
 from poplarrack.retries import Circuit
+from poplarrack.stand_ins.platforms import build_server
+from poplarrack.stand_ins.platforms import PlatformStandIn
 from poplarrack.stores import Compare
 from poplarrack.stores import Operation
 from poplarrack.stores import Store
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -14,7 +14,7 @@
 from urllib3.exceptions import HTTPError
 
 from poplarrack.errors import PoplarrackError
-from poplarrack.meshes import Mesh
+from poplarrack.stand_ins.meshes import Mesh
 
 ZONES = ('toowoomba', 'ipswich')
 NODES_A_ZONE = 4
