Speak for a zone only once joined, and look twice before starting alone

Cause: the process beside an endpoint decides while it joins, and with nobody known it took itself for the first of its zone: it read the configuration, opened a watch, overwrote the zone's summary with itself alone and looked for peers a second time. Change: the controllers of watching, summaries and rejoining wait for the join; nodes that find no zone's summary look again within a second; the read of its own at joining is gone, since the place asks for it. The two tests failed first.

--- a/poplarrack/controllers.py
+++ b/poplarrack/controllers.py
@@ -73,10 +73,13 @@
 def rejoin_others(facts, now):
     """Look for nodes that this one lost, or never found.
 
-    A node that knows nobody asks its seeds and the platform again. The
-    roots of a zone try its dead one after another, since a cut looks the
-    same as a death from here and heals without notice.
+    A node that knows nobody asks its seeds and the platform again, once
+    it gave up joining. The roots of a zone try its dead one after another,
+    since a cut looks the same as a death from here and heals without
+    notice.
     """
+    if not facts.lifecycle.joined:
+        return
     if now - facts.sent.rejoined_at < REJOIN_SECONDS:
         return
     topology = facts.topology
@@ -160,8 +163,14 @@
 
 @controller('fetching')
 def decide_watch(facts, now):
-    """Watch the platform where the node's place asks for it."""
-    wanted = facts.topology.is_fetcher and not facts.lifecycle.draining
+    """Watch the platform where the node's place asks for it.
+
+    A node that is still joining knows of nobody else, and its place for
+    none.
+    """
+    lifecycle = facts.lifecycle
+    placed = lifecycle.joined and not lifecycle.draining
+    wanted = placed and facts.topology.is_fetcher
     if wanted != facts.platform.watching:
         yield Watch(wanted)
 
@@ -371,7 +380,10 @@
 @controller('summaries')
 def summarize_zone(facts, now):
     """Write the zone's state to the platform when it changed or is due."""
-    if not facts.topology.is_first or facts.lifecycle.draining:
+    lifecycle = facts.lifecycle
+    if not lifecycle.joined or lifecycle.draining:
+        return
+    if not facts.topology.is_first:
         return
     since = now - facts.sent.summary_at
     if since < facts.settings.platform.summary_gap_seconds:
--- a/poplarrack/joiners.py
+++ b/poplarrack/joiners.py
@@ -1,9 +1,9 @@
 """Bring a node up to what others hold: joining and syncing."""
 
+import asyncio
 import logging
 
 from poplarrack.errors import PoplarrackError
-from poplarrack.fetchers import read_configuration
 from poplarrack.messages import SyncRequest
 from poplarrack.messages import Updates
 from poplarrack.platforms import ZONE_PREFIX
@@ -12,21 +12,29 @@
 logger = logging.getLogger(__name__)
 
 JOIN_PEERS = 3
+# Nodes that start or look for others together must not call together, and
+# the first of them to speak for a zone are found by the rest: most seconds
+# that one waits, a tenth of what an installation may take to recover.
+JOIN_SPREAD_SECONDS = 1.0
 
 
 async def join(node):
     """Take the greatest version that several peers hold.
 
-    Without any peer the platform is read, once; a node that reaches
-    neither serves nothing yet, and the rejoining controller goes on.
+    Without seeds the zones' summaries name peers. Where they name none
+    yet, nodes start together: each looks again after a while, drawn
+    evenly. One that still finds nobody goes on alone, reads the platform
+    as its place then asks, and the rejoining controller looks further.
     """
     own = node.facts.own.peer_address
     seeds = [seed for seed in node.settings.seeds if seed != own]
     answered = await sync_with_some(node, seeds)
     if not answered:
-        answered = await sync_with_some(node, await find_seeds(node))
-    if not answered:
-        await _read_platform(node)
+        found = await find_seeds(node)
+        if not found:
+            await asyncio.sleep(node.random.random() * JOIN_SPREAD_SECONDS)
+            found = await find_seeds(node)
+        answered = await sync_with_some(node, found)
     node.write_lifecycle(joined=True)
     logger.info('node_joined', extra={'peers_asked': answered})
 
@@ -61,17 +69,6 @@
     return [seed for seed in seeds if seed != own][: JOIN_PEERS * 2]
 
 
-async def _read_platform(node):
-    try:
-        snapshot, _ = await node.links.run_blocking(
-            read_configuration, node.links.platform
-        )
-    except PoplarrackError as error:
-        node.note_platform(False, error.detail)
-        return
-    node.offer(snapshot)
-
-
 async def sync(node, address, answer=None):
     """Exchange what differs with the node at an address.
 
--- a/poplarrack/performers.py
+++ b/poplarrack/performers.py
@@ -18,6 +18,7 @@
 from poplarrack.errors import PoplarrackError
 from poplarrack.fetchers import HEAD_KEY
 from poplarrack.joiners import find_seeds
+from poplarrack.joiners import JOIN_SPREAD_SECONDS
 from poplarrack.joiners import sync
 from poplarrack.joiners import sync_with_some
 from poplarrack.messages import DigestsAnswer
@@ -32,8 +33,6 @@
 
 logger = logging.getLogger(__name__)
 
-REJOIN_SPREAD_SECONDS = 1.0
-
 PERFORMERS = {}
 
 
@@ -79,8 +78,7 @@
     """Sync with nodes that were lost or never found."""
     node.write_sent(rejoined_at=node.clock())
     if decision.ask_platform:
-        # Nodes that start together must not call together.
-        await asyncio.sleep(node.random.random() * REJOIN_SPREAD_SECONDS)
+        await asyncio.sleep(node.random.random() * JOIN_SPREAD_SECONDS)
     answered = await sync_with_some(node, list(decision.addresses))
     if not answered and decision.ask_platform:
         await sync_with_some(node, await find_seeds(node))
--- a/tests/test_nodes.py
+++ b/tests/test_nodes.py
@@ -7,11 +7,14 @@
 from poplarrack.blackboards import ChildReport
 from poplarrack.blackboards import Contact
 from poplarrack.blackboards import Facts
+from poplarrack.blackboards import Lifecycle
 from poplarrack.blackboards import Sent
 from poplarrack.controllers import build_report
+from poplarrack.controllers import decide_watch
 from poplarrack.controllers import detect_failures
 from poplarrack.controllers import rejoin_others
 from poplarrack.controllers import send_report
+from poplarrack.controllers import summarize_zone
 from poplarrack.decisions import ProbeThrough
 from poplarrack.decisions import Publish
 from poplarrack.decisions import Rejoin
@@ -301,8 +304,14 @@
 
 def facts(topology, members=(), **more):
     knowledge = Knowledge(members=table(*members))
+    lifecycle = more.pop('lifecycle', Lifecycle(joined=True))
     return Facts(
-        SETTINGS, member('n'), knowledge=knowledge, topology=topology, **more
+        SETTINGS,
+        member('n'),
+        lifecycle=lifecycle,
+        knowledge=knowledge,
+        topology=topology,
+        **more,
     )
 
 
@@ -350,6 +359,34 @@
     ]
 
 
+def test_a_node_that_is_joining_speaks_for_nobody():
+    alone = Topology(is_fetcher=True, is_lead=True)
+    joining = facts(alone, lifecycle=Lifecycle())
+    for decide in (decide_watch, summarize_zone, rejoin_others):
+        assert not list(decide(joining, 10.0)), decide.__name__
+        assert list(decide(facts(alone), 10.0)), decide.__name__
+
+
+def test_nodes_that_start_together_without_seeds_ask_the_platform_little():
+    async def build(clock):
+        mesh = FakeMesh(clock, 5)
+        mesh.put(CHANGES)
+        for number in range(40):
+            region, zone = ZONES[number % len(ZONES)]
+            mesh.add_node(f'{zone}-{number}', region, zone)
+        await mesh.await_condition(
+            lambda: all(present(node) == 40 for node in mesh.nodes.values()),
+            15,
+        )
+        await mesh.await_condition(
+            lambda: all(node.ready for node in mesh.nodes.values()), 5
+        )
+        return sum(mesh.stand_in.counts.values())
+
+    # Each looks for others twice at most; few speak for a zone.
+    assert run_virtual(build) <= 40 * 4
+
+
 def test_an_accused_node_raises_its_own_record_only():
     own = member('n')
     assert refute(own, table(member('n'))) is None
