Join through whichever peer answers first, and look for zones lost sight of

Change: a joining node compares with all seeds at once and syncs with the first three that answer; a zone's first node reads the summaries for zones that it knows nobody of, every 2 s while young and then every 10 s, since seeds of the own zone alone could leave zones apart for good.

--- a/poplarrack/controllers.py
+++ b/poplarrack/controllers.py
@@ -43,6 +43,9 @@
 RETRY_SECONDS = 15.0
 MOVE_GAP_SECONDS = 0.5
 REJOIN_SECONDS = 2.0
+# How often a zone's first node reads the other zones' summaries for zones
+# that it knows nobody of: one store call, against zones apart for good.
+LOOK_SECONDS = 10.0
 
 
 def controller(name):
@@ -74,24 +77,34 @@
     """Look for nodes that this one lost, or never found.
 
     A node that knows nobody asks its seeds and the platform again, once
-    it gave up joining. The roots of a zone try its dead one after another,
-    since a cut looks the same as a death from here and heals without
-    notice.
+    it gave up joining. A zone's first node looks for zones that it knows
+    nobody of, often while it is young: zones that start together may each
+    have found only their own. The roots of a zone try its dead one after
+    another, since a cut looks the same as a death from here and heals
+    without notice.
     """
     if not facts.lifecycle.joined:
         return
-    if now - facts.sent.rejoined_at < REJOIN_SECONDS:
-        return
-    topology = facts.topology
-    if topology.zone_size == 1 and not topology.bridges:
-        yield Rejoin(facts.settings.seeds, ask_platform=True)
-    elif topology.rank < len(topology.roots):
+    topology, sent = facts.topology, facts.sent
+    alone = topology.zone_size == 1 and not topology.bridges
+    if topology.is_first and now - sent.looked_at >= _look_gap(facts, now):
+        yield Rejoin(facts.settings.seeds if alone else (), ask_platform=True)
+    elif (
+        topology.rank < len(topology.roots)
+        and now - sent.rejoined_at >= REJOIN_SECONDS
+    ):
         lost = _lost_addresses(facts)
         if lost:
             turn = int(now / REJOIN_SECONDS) % len(lost)
             yield Rejoin((lost[turn],), ask_platform=False)
 
 
+def _look_gap(facts, now):
+    young = now - facts.lifecycle.started_at < LOOK_SECONDS
+    alone = facts.topology.zone_size == 1 and not facts.topology.bridges
+    return REJOIN_SECONDS if young or alone else LOOK_SECONDS
+
+
 def _lost_addresses(facts):
     members = facts.knowledge.members.members.values()
     present = {item.peer_address for item in members if item.present}
--- a/poplarrack/joiners.py
+++ b/poplarrack/joiners.py
@@ -1,6 +1,7 @@
 """Bring a node up to what others hold: joining and syncing."""
 
 import asyncio
+from itertools import zip_longest
 import logging
 
 from poplarrack.errors import PoplarrackError
@@ -21,40 +22,75 @@
 async def join(node):
     """Take the greatest version that several peers hold.
 
-    Without seeds the zones' summaries name peers. Where they name none
-    yet, nodes start together: each looks again after a while, drawn
-    evenly. One that still finds nobody goes on alone, reads the platform
-    as its place then asks, and the rejoining controller looks further.
+    Without seeds the zones' summaries name peers. Where none of these
+    answers, nodes may be starting together: each looks again after a
+    while, drawn evenly. One that still finds nobody goes on alone, reads
+    the platform as its place then asks, and the rejoining controller looks
+    further.
     """
     own = node.facts.own.peer_address
     seeds = [seed for seed in node.settings.seeds if seed != own]
     answered = await sync_with_some(node, seeds)
-    if not answered:
-        found = await find_seeds(node)
-        if not found:
-            await asyncio.sleep(node.random.random() * JOIN_SPREAD_SECONDS)
-            found = await find_seeds(node)
-        answered = await sync_with_some(node, found)
+    for most_seconds in (0.0, JOIN_SPREAD_SECONDS):
+        if answered:
+            break
+        await asyncio.sleep(node.random.random() * most_seconds)
+        answered = await sync_with_some(node, await find_seeds(node))
     node.write_lifecycle(joined=True)
     logger.info('node_joined', extra={'peers_asked': answered})
 
 
 async def sync_with_some(node, addresses):
-    """Sync with peers at random until enough answered; return how many."""
+    """Ask all at once, sync with the first to answer; return how many.
+
+    One after another, each that is gone would cost its time-out.
+    """
+    asked = [
+        asyncio.ensure_future(_compare(node, address)) for address in addresses
+    ]
     answered = 0
-    for address in node.random.sample(addresses, len(addresses)):
-        try:
-            await sync(node, address)
-        except PoplarrackError:
-            continue
-        answered += 1
-        if answered >= JOIN_PEERS:
-            break
+    try:
+        for first in asyncio.as_completed(asked):
+            address, answer = await first
+            if answer is None or not await _syncs(node, address, answer):
+                continue
+            answered += 1
+            if answered >= JOIN_PEERS:
+                break
+    finally:
+        for task in asked:
+            task.cancel()
     return answered
 
 
+async def _compare(node, address):
+    try:
+        answer = await node.links.peers.call(
+            address, 'Compare', node.digests()
+        )
+    except PoplarrackError:
+        # The link logs whom it can't reach.
+        return address, None
+    return address, answer
+
+
+async def _syncs(node, address, answer):
+    try:
+        await sync(node, address, answer)
+    except PoplarrackError as error:
+        logger.info(
+            'sync_failed', extra={'peer': address, 'detail': error.detail}
+        )
+        return False
+    return True
+
+
 async def find_seeds(node):
-    """Return addresses from the zones' summaries, the own zone's first."""
+    """Return addresses in zones that the node knows nobody of.
+
+    They come from the zones' summaries, the own zone's first and the
+    others' by turns.
+    """
     try:
         answer = await node.links.run_blocking(
             node.links.platform.read_prefix, ZONE_PREFIX
@@ -62,11 +98,24 @@
     except PoplarrackError as error:
         logger.warning('seeds_unknown', extra={'detail': error.detail})
         return []
-    summaries = [decode_summary(item.value) for item in answer.items]
-    summaries.sort(key=lambda item: item.zone != node.settings.zone)
-    own = node.facts.own.peer_address
-    seeds = [seed for item in summaries for seed in item.seeds]
-    return [seed for seed in seeds if seed != own][: JOIN_PEERS * 2]
+    own = node.facts.own
+    known = {
+        (member.region, member.zone)
+        for member in node.knowledge.members.members.values()
+        if member.present and member.node_id != own.node_id
+    }
+    near, far = [], []
+    for item in answer.items:
+        summary = decode_summary(item.value)
+        if (summary.region, summary.zone) in known:
+            continue
+        if (summary.region, summary.zone) == (own.region, own.zone):
+            near += summary.seeds
+        else:
+            far.append(summary.seeds)
+    by_turns = [seed for turn in zip_longest(*far) for seed in turn if seed]
+    seeds = [seed for seed in near + by_turns if seed != own.peer_address]
+    return seeds[: JOIN_PEERS * 2]
 
 
 async def sync(node, address, answer=None):
--- a/poplarrack/performers.py
+++ b/poplarrack/performers.py
@@ -76,8 +76,10 @@
 @performs(Rejoin)
 async def rejoin(node, decision):
     """Sync with nodes that were lost or never found."""
-    node.write_sent(rejoined_at=node.clock())
+    now = node.clock()
+    node.write_sent(rejoined_at=now)
     if decision.ask_platform:
+        node.write_sent(looked_at=now)
         await asyncio.sleep(node.random.random() * JOIN_SPREAD_SECONDS)
     answered = await sync_with_some(node, list(decision.addresses))
     if not answered and decision.ask_platform:
