--- a/poplarrack/commands.py
+++ b/poplarrack/commands.py
@@ -1,215 +1,26 @@
 """Offer the operators' commands, for ``poplarrack-ctl``."""
 
-from dataclasses import replace
-from datetime import datetime
-from datetime import timedelta
-from getpass import getuser
 from json import dumps
-from pathlib import Path
-import sys
 import time
 
 from fire.decorators import SetParseFn
 import json5
-from urllib3 import PoolManager
 from urllib3.exceptions import HTTPError
 
-from poplarrack.configurations import load_configuration
 from poplarrack.editors import check_edit
 from poplarrack.editors import Edit
-from poplarrack.editors import Editor
 from poplarrack.errors import ErrorKind
 from poplarrack.errors import PoplarrackError
-from poplarrack.moves import is_live
-from poplarrack.moves import planned_share
-from poplarrack.moves import POLICIES
-from poplarrack.moves import start_move
-from poplarrack.platforms import PlatformClient
+from poplarrack.move_commands import MoveCommands
+from poplarrack.operator_sessions import DEFAULT_SETTINGS
+from poplarrack.operator_sessions import read_value
+from poplarrack.operator_sessions import Session
 from poplarrack.reports import describe_history
-from poplarrack.reports import describe_move
 from poplarrack.reports import describe_status
 from poplarrack.reports import Status
-from poplarrack.resources import encode_resource
 from poplarrack.resources import MoveState
-from poplarrack.settings import load_settings
-from poplarrack.settings import OperatorSettings
 
 POLL_SECONDS = 0.25
-DEFAULT_SETTINGS = 'poplarrack-ctl.json'
-UNIT_SECONDS = {'s': 1, 'm': 60, 'h': 3600}
-
-
-def read_value(given):
-    """Return the JSON bytes of a value: a file, ``-`` or the text itself.
-
-    :raises PoplarrackError: INVALID_CONFIGURATION when it is not JSON.
-    """
-    text = given
-    if text == '-':
-        text = sys.stdin.read()
-    elif not text.lstrip().startswith('{'):
-        try:
-            text = Path(text).read_text(encoding='utf-8')
-        except OSError as error:
-            raise PoplarrackError(
-                ErrorKind.INVALID_CONFIGURATION, f'{given}: {error}'
-            ) from error
-    try:
-        return dumps(json5.loads(text)).encode()
-    except (ValueError, RecursionError) as error:
-        raise PoplarrackError(
-            ErrorKind.INVALID_CONFIGURATION, f'{given}: {error}'
-        ) from error
-
-
-def read_time(by, within, now):
-    """Return seconds since the epoch from a clock time or a span.
-
-    :param by: ``23:30`` for the next such time, or an ISO date and time.
-    :param within: a number with unit, such as ``90s``, ``20m``, ``2h``.
-    :raises PoplarrackError: USAGE.
-    """
-    try:
-        if within:
-            text = within
-            return now + float(text[:-1]) * UNIT_SECONDS[text[-1]]
-        return _read_clock_time(by, now)
-    except (KeyError, ValueError, IndexError) as error:
-        raise PoplarrackError(
-            ErrorKind.USAGE,
-            'say --by 23:30, --by 2026-12-04T23:30 or --within 20m',
-        ) from error
-
-
-def _read_clock_time(text, now):
-    if 'T' in text:
-        return datetime.fromisoformat(text).timestamp()
-    hour, minute = text.split(':')
-    today = datetime.fromtimestamp(now)
-    found = today.replace(
-        hour=int(hour), minute=int(minute), second=0, microsecond=0
-    )
-    if found.timestamp() <= now:
-        found += timedelta(days=1)
-    return found.timestamp()
-
-
-class Session:
-    """What the commands share: settings, platform and output."""
-
-    def __init__(self, settings_path, as_json, out=sys.stdout):
-        self.settings = load_settings(settings_path, OperatorSettings)
-        self.as_json = as_json
-        self.out = out
-        self.client = PlatformClient(self.settings.platform.addresses)
-        self.editor = Editor(self.client, self.settings.team)
-        self.pool = PoolManager(timeout=5.0, retries=False)
-
-    @property
-    def operator(self):
-        """Return who the operator is, for the record."""
-        return self.settings.operator or getuser()
-
-    def say(self, value, text):
-        """Print a result as JSON or as text."""
-        shown = dumps(value, default=str) if self.as_json else text
-        print(shown, file=self.out)
-
-    def progress(self, text):
-        """Show progress on a terminal, on one line."""
-        if self.out.isatty() and not self.as_json:
-            print(f'\r\033[K{text}', end='', file=self.out, flush=True)
-
-    def end_progress(self):
-        """Leave the line of progress."""
-        if self.out.isatty() and not self.as_json:
-            print(file=self.out)
-
-
-class MoveCommands:
-    """Start, watch, hold and take back moves to another version."""
-
-    def __init__(self, session):
-        self._session = session
-
-    @SetParseFn(str, 'service', 'to', 'by', 'within', 'policy')
-    def start(self, service, to, by='', within='', policy='balanced'):
-        """Start a move of a service to a version by a time."""
-        session = self._session
-        now = time.time()
-        if policy not in POLICIES:
-            raise PoplarrackError(
-                ErrorKind.USAGE, 'policy is one of ' + ', '.join(POLICIES)
-            )
-        complete_by = read_time(by, within, now)
-        if complete_by <= now:
-            raise PoplarrackError(ErrorKind.USAGE, 'the time has passed')
-        configuration = load_configuration(session.editor.read().snapshot)
-        held = configuration.services.get(service)
-        if held is None:
-            raise PoplarrackError(ErrorKind.NOT_FOUND, f'service {service}')
-        before = configuration.moves.get(service)
-        if before and is_live(before, now) and not before.state.ended:
-            raise PoplarrackError(
-                ErrorKind.CONFLICT, f'{service}: a move is under way'
-            )
-        move = start_move(service, held.version, to, complete_by, policy, now)
-        path = f'{session.settings.team}/moves/{service}'
-        revision = session.editor.write(Edit({path: encode_resource(move)}))
-        session.say(
-            {'path': path, 'revision': revision, 'move_id': move.move_id},
-            f'{service}: move to {to} started, revision {revision}',
-        )
-
-    def status(self, service):
-        """Show a move: state, share, evidence, reason and when it ends."""
-        _, move = self._session.editor.read_move(service)
-        share, until = planned_share(move, time.time())
-        value = {
-            'service': service,
-            'state': move.state.value,
-            'share': move.share,
-            'planned_share': share,
-            'next_step_at': until,
-            'complete_by': move.complete_by,
-            'reason': move.reason,
-            'log': list(move.log),
-            'evidence': [vars(item) for item in move.evidence],
-        }
-        self._session.say(value, describe_move(move, time.time()))
-
-    def hold(self, service):
-        """Keep a move at the share that it has."""
-        self._set_hold(service, True)
-
-    def resume(self, service):
-        """Let a held move go on."""
-        self._set_hold(service, False)
-
-    def _set_hold(self, service, wanted):
-        def change(move):
-            if move.state.ended:
-                raise PoplarrackError(
-                    ErrorKind.CONFLICT, f'{service}: {move.state.value}'
-                )
-            return replace(move, hold_requested=wanted)
-
-        revision = self._session.editor.change_move(service, change)
-        done = 'held' if wanted else 'resumed'
-        self._session.say(
-            {'revision': revision, 'hold': wanted}, f'{service}: {done}'
-        )
-
-    def withdraw(self, service):
-        """Take a move back now."""
-        session = self._session
-        revision = session.editor.withdraw_move(
-            service, session.operator, time.time()
-        )
-        self._session.say(
-            {'revision': revision, 'state': 'withdrawn'},
-            f'{service}: taken back, revision {revision}',
-        )
 
 
 class Commands:
--- a/poplarrack/decisions.py
+++ b/poplarrack/decisions.py
@@ -90,3 +90,16 @@
 @dataclass(frozen=True)
 class ForgetEndpoint:
     """Take the own backend server, which fell silent, out of use."""
+
+
+CONTROLLERS = {}
+
+
+def controller(name):
+    """Register a function from facts and time to decisions."""
+
+    def register(decide):
+        CONTROLLERS[name] = decide
+        return decide
+
+    return register
--- a/poplarrack/joiners.py
+++ b/poplarrack/joiners.py
@@ -138,7 +138,7 @@
     request = SyncRequest(own, differing, members, verdicts)
     updates = await call(address, 'Sync', request)
     node.absorb(updates, other.node_id)
-    await node.push_if_behind(address, other)
+    await node.spreader.push_if_behind(address, other)
 
 
 def answer_sync(node, request):
--- /dev/null
+++ b/poplarrack/move_commands.py
@@ -0,0 +1,104 @@
+"""Offer the operators' commands for moves, for ``poplarrack-ctl move``."""
+
+from dataclasses import replace
+import time
+
+from fire.decorators import SetParseFn
+
+from poplarrack.configurations import load_configuration
+from poplarrack.editors import Edit
+from poplarrack.errors import ErrorKind
+from poplarrack.errors import PoplarrackError
+from poplarrack.moves import is_live
+from poplarrack.moves import planned_share
+from poplarrack.moves import POLICIES
+from poplarrack.moves import start_move
+from poplarrack.operator_sessions import read_time
+from poplarrack.reports import describe_move
+from poplarrack.resources import encode_resource
+
+
+class MoveCommands:
+    """Start, watch, hold and take back moves to another version."""
+
+    def __init__(self, session):
+        self._session = session
+
+    @SetParseFn(str, 'service', 'to', 'by', 'within', 'policy')
+    def start(self, service, to, by='', within='', policy='balanced'):
+        """Start a move of a service to a version by a time."""
+        session = self._session
+        now = time.time()
+        if policy not in POLICIES:
+            raise PoplarrackError(
+                ErrorKind.USAGE, 'policy is one of ' + ', '.join(POLICIES)
+            )
+        complete_by = read_time(by, within, now)
+        if complete_by <= now:
+            raise PoplarrackError(ErrorKind.USAGE, 'the time has passed')
+        configuration = load_configuration(session.editor.read().snapshot)
+        held = configuration.services.get(service)
+        if held is None:
+            raise PoplarrackError(ErrorKind.NOT_FOUND, f'service {service}')
+        before = configuration.moves.get(service)
+        if before and is_live(before, now) and not before.state.ended:
+            raise PoplarrackError(
+                ErrorKind.CONFLICT, f'{service}: a move is under way'
+            )
+        move = start_move(service, held.version, to, complete_by, policy, now)
+        path = f'{session.settings.team}/moves/{service}'
+        revision = session.editor.write(Edit({path: encode_resource(move)}))
+        session.say(
+            {'path': path, 'revision': revision, 'move_id': move.move_id},
+            f'{service}: move to {to} started, revision {revision}',
+        )
+
+    def status(self, service):
+        """Show a move: state, share, evidence, reason and when it ends."""
+        _, move = self._session.editor.read_move(service)
+        share, until = planned_share(move, time.time())
+        value = {
+            'service': service,
+            'state': move.state.value,
+            'share': move.share,
+            'planned_share': share,
+            'next_step_at': until,
+            'complete_by': move.complete_by,
+            'reason': move.reason,
+            'log': list(move.log),
+            'evidence': [vars(item) for item in move.evidence],
+        }
+        self._session.say(value, describe_move(move, time.time()))
+
+    def hold(self, service):
+        """Keep a move at the share that it has."""
+        self._set_hold(service, True)
+
+    def resume(self, service):
+        """Let a held move go on."""
+        self._set_hold(service, False)
+
+    def _set_hold(self, service, wanted):
+        def change(move):
+            if move.state.ended:
+                raise PoplarrackError(
+                    ErrorKind.CONFLICT, f'{service}: {move.state.value}'
+                )
+            return replace(move, hold_requested=wanted)
+
+        revision = self._session.editor.change_move(service, change)
+        done = 'held' if wanted else 'resumed'
+        self._session.say(
+            {'revision': revision, 'hold': wanted}, f'{service}: {done}'
+        )
+
+    def withdraw(self, service):
+        """Take a move back now."""
+        session = self._session
+        revision = session.editor.withdraw_move(
+            service, session.operator, time.time()
+        )
+        self._session.say(
+            {'revision': revision, 'state': 'withdrawn'},
+            f'{service}: taken back, revision {revision}',
+        )
--- /dev/null
+++ b/poplarrack/movers.py
@@ -0,0 +1,114 @@
+"""Decide on moves: brake what is bad, advance what is good."""
+
+from dataclasses import replace
+
+from poplarrack.decisions import Brake
+from poplarrack.decisions import controller
+from poplarrack.decisions import WriteMove
+from poplarrack.evidence import examine_move
+from poplarrack.evidence import find_fault
+from poplarrack.evidence import merge_cells
+from poplarrack.members import EndpointState
+from poplarrack.moves import decide_move
+from poplarrack.moves import is_live
+from poplarrack.moves import MoveFacts
+from poplarrack.moves import POLICIES
+from poplarrack.reporters import build_report
+from poplarrack.reporters import fresh_reports
+from poplarrack.resources import encode_resource
+from poplarrack.resources import MoveState
+
+MOVE_GAP_SECONDS = 0.5
+
+
+@controller('braking')
+def brake_bad_versions(facts, now):
+    """Judge every live move on the evidence that passes through here."""
+    cells = None
+    for move in facts.knowledge.configuration.moves.values():
+        if move.move_id in facts.knowledge.verdicts or not is_live(move, now):
+            continue
+        if cells is None:
+            groups = [item.cells for item in fresh_reports(facts, now)]
+            cells = merge_cells([facts.cells, *groups])
+        threshold = POLICIES[move.policy].fault_threshold
+        verdict = find_fault(
+            move.move_id, cells, threshold, now, facts.own.node_id
+        )
+        if verdict is not None:
+            yield Brake(verdict)
+
+
+@controller('moves')
+def work_on_moves(facts, now):
+    """Advance, hold, complete or withdraw each move, if the worker."""
+    if not facts.topology.is_worker or facts.lifecycle.draining:
+        return
+    configuration = facts.knowledge.configuration
+    for service, move in configuration.moves.items():
+        if now - facts.sent.moves.get(service, 0.0) < MOVE_GAP_SECONDS:
+            continue
+        changed = decide_move(move, gather_move_facts(facts, move, now), now)
+        if changed is not None:
+            yield _write_move(configuration, service, changed)
+
+
+def _write_move(configuration, service, changed):
+    path = configuration.move_paths[service]
+    entry = configuration.snapshot.entries[path]
+    decision = WriteMove(path, entry.revision, changed)
+    if changed.state is MoveState.COMPLETED:
+        version = changed.to_version
+    elif changed.state is MoveState.WITHDRAWN:
+        version = changed.from_version
+    else:
+        return decision
+    team = path.partition('/')[0]
+    service_path = f'{team}/services/{service}'
+    held = configuration.snapshot.entries.get(service_path)
+    record = configuration.services[service]
+    if held is None or record.version in ('', version):
+        return decision
+    return replace(
+        decision,
+        service_path=service_path,
+        service_revision=held.revision,
+        service_value=encode_resource(replace(record, version=version)),
+    )
+
+
+def gather_move_facts(facts, move, now):
+    """Return what the worker of a move knows."""
+    report = build_report(facts, now)
+    service = facts.knowledge.configuration.services[move.service]
+    new_slots, old_slots, new_servers = 0.0, 0.0, 0
+    for member in facts.knowledge.members.members.values():
+        endpoint = member.endpoint
+        if not _serves(member, endpoint, move.service):
+            continue
+        warm = now - endpoint.announced_at >= service.warm_up_seconds
+        if endpoint.version == move.to_version:
+            new_servers += 1
+            new_slots += endpoint.slots * warm
+        elif move.is_old(endpoint.version):
+            old_slots += endpoint.slots
+    busy = sum(
+        item.in_flight for item in report.busy if item.service == move.service
+    )
+    return MoveFacts(
+        examine_move(move.move_id, report.cells),
+        facts.knowledge.verdicts.get(move.move_id),
+        new_servers,
+        new_slots,
+        old_slots,
+        busy,
+    )
+
+
+def _serves(member, endpoint, service):
+    return (
+        endpoint is not None
+        and member.present
+        and endpoint.service == service
+        and endpoint.state is EndpointState.SERVING
+    )
--- a/poplarrack/nodes.py
+++ b/poplarrack/nodes.py
@@ -17,8 +17,8 @@
 from poplarrack.blackboards import Facts
 from poplarrack.blackboards import Lifecycle
 from poplarrack.controllers import CONTROLLERS
-from poplarrack.controllers import note_failure
-from poplarrack.controllers import silent_nodes
+from poplarrack.detectors import note_failure
+from poplarrack.detectors import silent_nodes
 from poplarrack.dispatchers import Dispatcher
 from poplarrack.errors import ErrorKind
 from poplarrack.errors import PoplarrackError
@@ -35,6 +35,7 @@
 from poplarrack.performers import PERFORMERS
 from poplarrack.performers import SummaryLease
 from poplarrack.snapshots import SnapshotHistory
+from poplarrack.spreaders import Spreader
 from poplarrack.topologies import derive_topology
 from poplarrack.topologies import ELSEWHERE
 
@@ -43,9 +44,7 @@
 TICK_SECONDS = 0.1
 CELLS_SECONDS = 0.5
 TOPOLOGY_SECONDS = 1.0
-SPREAD_DELAY_SECONDS = 0.01
 REBUILD_DELAY_SECONDS = 0.05
-PUSH_ATTEMPTS = 3
 # A store that answers sooner sits in this region: regions are tens of
 # milliseconds apart, availability zones one.
 NEAR_SECONDS = 0.03
@@ -98,9 +97,7 @@
         self.summary_lease = SummaryLease()
         build = links.build_dispatcher or self._build_dispatcher
         self.dispatcher = build()
-        self.pending = Updates(own.node_id)
-        self.pending_from = set()
-        self.spreading = None
+        self.spreader = Spreader(self)
         self.rebuilding = None
         self.tasks = set()
         self.performing = set()
@@ -243,7 +240,7 @@
         self.history.add(target)
         delta = self.history.delta_from(base.revision, base.digest, target)
         self.put_in_force(knowledge)
-        self.spread(Updates(self.settings.node_id, delta), '')
+        self.spreader.spread(Updates(self.settings.node_id, delta), '')
 
     def _log_rejection(self, rejection):
         logger.error(
@@ -317,7 +314,7 @@
             self.blackboard.write('merging', knowledge=result.knowledge)
         self._refute_if_accused()
         if not result.news.empty:
-            self.spread(result.news, sender)
+            self.spreader.spread(result.news, sender)
         return result.stale
 
     def _refute_if_accused(self):
@@ -394,58 +391,6 @@
         near = self.links.platform.round_trip_seconds < NEAR_SECONDS
         return self.settings.region if near else ELSEWHERE
 
-    def spread(self, news, sender):
-        """Send news on to the tree, gathered for a moment."""
-        self.pending = Updates(
-            self.settings.node_id,
-            news.delta or self.pending.delta,
-            (*self.pending.members, *news.members),
-            (*self.pending.verdicts, *news.verdicts),
-        )
-        self.pending_from.add(sender)
-        if self.spreading is None:
-            self.spreading = asyncio.get_running_loop().call_later(
-                SPREAD_DELAY_SECONDS, self._spread_now
-            )
-
-    def _spread_now(self):
-        self.spreading = None
-        news, senders = self.pending, self.pending_from
-        self.pending = Updates(self.settings.node_id)
-        self.pending_from = set()
-        # A lone sender knows the news; several may each lack a part.
-        skipped = senders if len(senders) == 1 else ()
-        for node_id in self.facts.topology.next_hops():
-            if node_id not in skipped:
-                self.start_task(self._push(node_id, news))
-
-    async def _push(self, node_id, news):
-        """Push news to a node, again when no answer came.
-
-        A whole subtree waits for it; what is pushed twice is no news.
-        """
-        for _ in range(PUSH_ATTEMPTS):
-            try:
-                answer = await self.call(node_id, 'Push', news)
-                if answer.stale:
-                    address = self.address_of(node_id)
-                    await self.push_if_behind(address, answer.digests)
-            except PoplarrackError as error:
-                logger.debug('push_failed', extra={'detail': error.detail})
-            else:
-                return
-
-    async def push_if_behind(self, address, other):
-        """Send a node the version in force if its digests are behind."""
-        snapshot = self.knowledge.configuration.snapshot
-        if other.revision >= snapshot.revision:
-            return
-        delta = self.history.delta_from(
-            other.revision, other.configuration, snapshot
-        )
-        updates = Updates(self.settings.node_id, delta)
-        await self.links.peers.call(address, 'Push', updates)
-
     # The own backend server.
 
     def announce(self, endpoint):
--- /dev/null
+++ b/poplarrack/reporters.py
@@ -0,0 +1,193 @@
+"""Decide what a node tells its parent, and its zone the operators."""
+
+from collections import Counter
+from dataclasses import replace
+
+from poplarrack.decisions import controller
+from poplarrack.decisions import SendReport
+from poplarrack.decisions import WriteSummary
+from poplarrack.evidence import merge_cells
+from poplarrack.messages import Busy
+from poplarrack.messages import Lag
+from poplarrack.messages import Report
+from poplarrack.summaries import SEEDS_KEPT
+from poplarrack.summaries import ZoneSummary
+
+MAX_LAGS = 5
+REPORT_GAP_SECONDS = 0.1
+REPORT_TTL_FACTOR = 3
+
+
+def fresh_reports(facts, now):
+    """Return the reports of present children and bridges still valid."""
+    bound = facts.settings.peers.report_seconds * REPORT_TTL_FACTOR
+    return [
+        held.report
+        for node_id, held in facts.reports.items()
+        if now - held.arrived_at <= bound and _reports_here(facts, node_id)
+    ]
+
+
+def _reports_here(facts, node_id):
+    """Count children, and other zones only where the zone is spoken for.
+
+    A second root has bridges too, but what their nodes once sent to it is
+    not renewed.
+    """
+    topology = facts.topology
+    across = topology.bridges if topology.is_first else ()
+    return node_id in topology.children or node_id in across
+
+
+def build_report(facts, now, own_zone_only=False):
+    """Add the own state to the reports from below."""
+    reports = fresh_reports(facts, now)
+    if own_zone_only:
+        children = set(facts.topology.children)
+        reports = [item for item in reports if item.node_id in children]
+    revision = facts.knowledge.configuration.revision
+    busy = Counter()
+    for item in (*facts.busy, *(b for r in reports for b in r.busy)):
+        busy[(item.service, item.version)] += item.in_flight
+    lowest = min([revision, *(item.lowest_revision for item in reports)])
+    rejections = [r for item in reports for r in item.rejections]
+    if facts.knowledge.rejection:
+        rejections.append(facts.knowledge.rejection)
+    return Report(
+        facts.own.node_id,
+        1 + sum(item.nodes for item in reports),
+        lowest,
+        _collect_lags(facts.own.node_id, revision, reports),
+        tuple(dict.fromkeys(rejections))[:MAX_LAGS],
+        merge_cells([facts.cells, *(item.cells for item in reports)]),
+        tuple(Busy(*key, number) for key, number in sorted(busy.items())),
+    )
+
+
+def _collect_lags(node_id, revision, reports):
+    """Return the nodes furthest behind the newest version seen."""
+    lags = [Lag(node_id, revision)]
+    for item in reports:
+        lags.extend(item.lags or [Lag(item.node_id, item.lowest_revision)])
+    newest = max(lag.revision for lag in lags)
+    behind = [lag for lag in lags if lag.revision < newest]
+    return tuple(sorted(behind, key=lambda lag: lag.revision)[:MAX_LAGS])
+
+
+def _receivers(facts):
+    topology = facts.topology
+    if topology.parent:
+        return (topology.parent,)
+    if not topology.is_first:
+        return ()
+    # A lead hears from its region and tells the other one's.
+    return topology.far_leads if topology.is_lead else (topology.lead,)
+
+
+@controller('reports')
+def send_report(facts, now):
+    """Report upward at once when versions change, else at intervals."""
+    receivers = _receivers(facts)
+    since = now - facts.sent.report_at
+    if not receivers or since < REPORT_GAP_SECONDS:
+        return
+    report = _report_for(facts, now)
+    last = facts.sent.report
+    peers = facts.settings.peers
+    versions_changed = last is None or (
+        (report.lowest_revision, report.nodes, report.rejections)
+        != (last.lowest_revision, last.nodes, last.rejections)
+    )
+    evidence_changed = last is not None and report.cells != last.cells
+    due = (
+        versions_changed
+        or receivers != facts.sent.report_receivers
+        or since >= peers.report_seconds
+        or (evidence_changed and since >= peers.evidence_seconds)
+    )
+    if due:
+        yield SendReport(receivers, report)
+
+
+def _report_for(facts, now):
+    """Build the report for the receivers.
+
+    A zone's first node reports its zone alone, but a lead all zones of
+    its region, which the other region hears of through it only.
+    """
+    topology = facts.topology
+    if not topology.is_first or not topology.is_lead:
+        return build_report(facts, now, own_zone_only=topology.is_first)
+    members = facts.knowledge.members.members
+    near = {
+        node_id: held
+        for node_id, held in facts.reports.items()
+        if node_id in members and members[node_id].region == facts.own.region
+    }
+    return build_report(replace(facts, reports=near), now)
+
+
+@controller('summaries')
+def summarize_zone(facts, now):
+    """Write the zone's state to the platform when it changed or is due."""
+    lifecycle = facts.lifecycle
+    if not lifecycle.joined or lifecycle.draining:
+        return
+    if not facts.topology.is_first:
+        return
+    since = now - facts.sent.summary_at
+    if since < facts.settings.platform.summary_gap_seconds:
+        return
+    report = build_report(facts, now, own_zone_only=True)
+    due = since >= facts.settings.platform.summary_seconds
+    signature = summary_signature(facts, report)
+    if due or signature != facts.sent.summary_signature:
+        yield WriteSummary(build_summary(facts, report, now), signature)
+
+
+def summary_signature(facts, report):
+    """Return a number that changes when operators would want to know."""
+    return hash(
+        (
+            report.nodes,
+            report.lowest_revision,
+            report.rejections,
+            facts.knowledge.configuration.revision,
+            frozenset(facts.knowledge.verdicts),
+        )
+    )
+
+
+def build_summary(facts, report, now):
+    """Build the zone's summary from its report."""
+    members = [
+        member
+        for member in facts.knowledge.members.members.values()
+        if member.present and member.zone == facts.own.zone
+    ]
+    servers = Counter(
+        f'{member.endpoint.service}/{member.endpoint.version}'
+        for member in members
+        if member.endpoint is not None
+    )
+    return ZoneSummary(
+        facts.own.region,
+        facts.own.zone,
+        now,
+        facts.own.node_id,
+        len(members),
+        facts.knowledge.configuration.revision,
+        report.lowest_revision,
+        report.nodes,
+        tuple(member.peer_address for member in members[:SEEDS_KEPT]),
+        tuple(
+            lag
+            for lag in report.lags
+            if lag.revision < facts.knowledge.configuration.revision
+        ),
+        report.rejections,
+        facts.topology.roots,
+        dict(servers),
+        tuple(facts.knowledge.verdicts),
+        facts.own.operator_address,
+    )
--- a/tests/test_editors.py
+++ b/tests/test_editors.py
@@ -4,12 +4,12 @@
 from random import Random
 
 from poplarrack.call_tables import is_served
-from poplarrack.commands import read_time
-from poplarrack.commands import read_value
 from poplarrack.editors import Edit
 from poplarrack.editors import Editor
 from poplarrack.editors import withdraw_by_operator
 from poplarrack.errors import ErrorKind
+from poplarrack.operator_sessions import read_time
+from poplarrack.operator_sessions import read_value
 from poplarrack.resources import encode_resource
 from poplarrack.resources import MoveState
 from poplarrack.resources import Service
