Read changes of the store at most twice a second

Change: the pause after a watch that brought changes goes from 0.25 to 0.5 s; a version has 2.5 s and more to be in force.

--- a/poplarrack/platform/store_client.py
+++ b/poplarrack/platform/store_client.py
@@ -29,7 +29,7 @@
 WATCH_MARGIN_SECONDS = 1.0
 # Pause between watches, so that changes in quick succession are read
 # together.
-WATCH_GAP_SECONDS = 0.25
+WATCH_GAP_SECONDS = 0.5
 HEADER_BYTES = 300
 STATES_KEPT = 8
 
