--- a/poplarrack/benches/cases.py
+++ b/poplarrack/benches/cases.py
@@ -8,6 +8,9 @@
 import sys
 import time
 
+from poplarrack.benches.journals import describe_scores
+from poplarrack.benches.journals import draw_scores
+from poplarrack.benches.journals import read_scores
 from poplarrack.errors import ErrorKind
 from poplarrack.errors import PoplarrackError
 
@@ -151,6 +154,13 @@
         if missed:
             sys.exit(EXIT_MISSED)
 
+    def report(self, journal='journal', out='docs/scores.svg'):
+        """Draw the scores of a journal of the users' bench."""
+        by_site = read_scores(journal)
+        draw_scores(by_site, out)
+        for line in describe_scores(by_site):
+            print(line)
+
 
 def table_rows(name, result):
     """Yield a row of the table for each figure."""
