Look for lost zones once a minute where others are known

Change: 60 s where it knows other zones; as before while it is young (2 s) and while it knows none (10 s).

--- a/poplarrack/detectors.py
+++ b/poplarrack/detectors.py
@@ -15,6 +15,9 @@
 # How often a zone's first node reads the other zones' summaries for zones
 # that it knows nobody of: one store call, against zones apart for good.
 LOOK_SECONDS = 10.0
+# The same where it knows other zones: the summaries of all of them must
+# not outweigh what a node may send and receive in all, 3,000 bytes/s.
+WIDE_LOOK_SECONDS = 60.0
 
 
 @controller('rejoining')
@@ -45,9 +48,11 @@
 
 
 def _look_gap(facts, now):
+    topology = facts.topology
     young = now - facts.lifecycle.started_at < LOOK_SECONDS
-    alone = facts.topology.zone_size == 1 and not facts.topology.bridges
-    return REJOIN_SECONDS if young or alone else LOOK_SECONDS
+    if young or (topology.zone_size == 1 and not topology.bridges):
+        return REJOIN_SECONDS
+    return WIDE_LOOK_SECONDS if topology.bridges else LOOK_SECONDS
 
 
 def _lost_addresses(facts):
--- a/poplarrack/joiners.py
+++ b/poplarrack/joiners.py
@@ -15,7 +15,7 @@
 JOIN_PEERS = 3
 # Nodes that start or look for others together must not call together, and
 # the first of them to speak for a zone are found by the rest: most seconds
-# that one waits, a tenth of what an installation may take to recover.
+# that one waits, under a tenth of what an installation may take to recover.
 JOIN_SPREAD_SECONDS = 1.0
 
 
--- a/tests/test_nodes.py
+++ b/tests/test_nodes.py
@@ -16,6 +16,7 @@
 from poplarrack.detectors import detect_failures
 from poplarrack.detectors import LOOK_SECONDS
 from poplarrack.detectors import rejoin_others
+from poplarrack.detectors import WIDE_LOOK_SECONDS
 from poplarrack.errors import ErrorKind
 from poplarrack.evidence import Verdict
 from poplarrack.knowledge import Knowledge
@@ -444,6 +445,9 @@
     assert list(rejoin_others(looked, 10.0 + LOOK_SECONDS)) == [
         Rejoin((), True)
     ]
+    knows_others = replace(looked, topology=replace(first, bridges=('z',)))
+    assert not list(rejoin_others(knows_others, 10.0 + LOOK_SECONDS))
+    assert list(rejoin_others(knows_others, 10.0 + WIDE_LOOK_SECONDS))
     second = replace(looked, topology=replace(first, rank=1))
     assert not list(rejoin_others(second, 10.0 + LOOK_SECONDS))
 
