Let one piece of code split addresses, pause, and keep refusals true

Eleven places took host:port apart by hand, three loops waited for an event or a time, the rule that no refusal follows a possible run stood in both request paths, and what a lone node is stood twice in the detectors. Left behind by the change: sync's question of its own (joining asks before), the count of runs and its page in the backend stand-in (at-most-once has a witness), the field withdraw of a Call, a path given twice to RunWitness; the tests of admission in two files. Change: addresses.split_address, clocks.pause, errors.truthful_kind, Topology.is_alone; the dead parts removed; tests moved whole. No behaviour changes and no assertion differs.

--- a/poplarrack/benches/calls.py
+++ b/poplarrack/benches/calls.py
@@ -223,8 +223,9 @@
 
     def __init__(self, path):
         super().__init__(daemon=True)
+        self.path = str(path)
         self.socket = socket.socket(socket.AF_UNIX, socket.SOCK_DGRAM)
-        self.socket.bind(str(path))
+        self.socket.bind(self.path)
         self.runs = Counter()
 
     def run(self):
@@ -232,10 +233,10 @@
         while key := self.socket.recv(64):
             self.runs[key] += 1
 
-    def end(self, path):
+    def end(self):
         """Return how often each call ran, once all were read."""
         with socket.socket(socket.AF_UNIX, socket.SOCK_DGRAM) as last:
-            last.sendto(b'', str(path))
+            last.sendto(b'', self.path)
         self.join(10)
         self.socket.close()
         return self.runs
@@ -264,7 +265,7 @@
             kills += 1
             server = mesh.start_backend(other, 'front', 'v1', **told)
         counts = end_callers(running, ended)
-        runs = witness.end(path)
+        runs = witness.end()
     figures = {
         'calls': sum(counts.values()) - counts['crossed'],
         'answered': counts[200],
--- a/poplarrack/benches/loads.py
+++ b/poplarrack/benches/loads.py
@@ -5,6 +5,8 @@
 import socket
 import time
 
+from poplarrack.addresses import split_address
+
 RECEIVE_BYTES = 65_536
 CALL_TIMEOUT_SECONDS = 5.0
 
@@ -16,8 +18,7 @@
     """
 
     def __init__(self, address):
-        host, _, port = address.rpartition(':')
-        self.address = (host, int(port))
+        self.address = split_address(address)
         self.socket = None
         self.head = b''
 
--- a/poplarrack/carried_calls.py
+++ b/poplarrack/carried_calls.py
@@ -35,7 +35,6 @@
     last_state: DoorState | None = None
     last_failure: Delivery | None = None
     task: object = None
-    withdraw: object = None
     ended: bool = False
 
 
--- a/poplarrack/clocks.py
+++ b/poplarrack/clocks.py
@@ -1,5 +1,6 @@
-"""Tell the time without following jumps of the time of day."""
+"""Tell the time without following jumps of the time of day, and wait."""
 
+import asyncio
 import time
 
 
@@ -16,3 +17,12 @@
     def __call__(self):
         """Return the present time in seconds."""
         return time.clock_gettime(time.CLOCK_BOOTTIME) + self.offset
+
+
+async def pause(ended, seconds):
+    """Wait for so long, or until an ``asyncio.Event`` is set."""
+    try:
+        async with asyncio.timeout(seconds):
+            await ended.wait()
+    except TimeoutError:
+        return
--- a/poplarrack/detectors.py
+++ b/poplarrack/detectors.py
@@ -34,9 +34,9 @@
     if not facts.lifecycle.joined:
         return
     topology, sent = facts.topology, facts.sent
-    alone = topology.zone_size == 1 and not topology.bridges
     if topology.is_first and now - sent.looked_at >= _look_gap(facts, now):
-        yield Rejoin(facts.settings.seeds if alone else (), ask_platform=True)
+        seeds = facts.settings.seeds if topology.is_alone else ()
+        yield Rejoin(seeds, ask_platform=True)
     elif (
         topology.rank < len(topology.roots)
         and now - sent.rejoined_at >= REJOIN_SECONDS
@@ -50,7 +50,7 @@
 def _look_gap(facts, now):
     topology = facts.topology
     young = now - facts.lifecycle.started_at < LOOK_SECONDS
-    if young or (topology.zone_size == 1 and not topology.bridges):
+    if young or topology.is_alone:
         return REJOIN_SECONDS
     return WIDE_LOOK_SECONDS if topology.bridges else LOOK_SECONDS
 
--- a/poplarrack/dispatchers.py
+++ b/poplarrack/dispatchers.py
@@ -11,9 +11,8 @@
 from poplarrack.balancers import ServerLoad
 from poplarrack.call_tables import CallTable
 from poplarrack.call_tables import derive_call_table
-from poplarrack.errors import ANSWERS
 from poplarrack.errors import ErrorKind
-from poplarrack.errors import Ran
+from poplarrack.errors import truthful_kind
 from poplarrack.evidence import EvidenceCounter
 from poplarrack.evidence import Side
 from poplarrack.http_messages import build_answer
@@ -391,8 +390,7 @@
     def _refuse(self, call, kind, detail):
         if call.ended:
             return
-        if call.may_have_run and ANSWERS[kind].ran is Ran.NO:
-            kind = ErrorKind.ANSWER_LOST
+        kind = truthful_kind(kind, call.may_have_run)
         self.counts[f'refused_{kind.value}'] += 1
         self._end(call)
         keep_alive = call.request.keep_alive and not self.draining
--- a/poplarrack/joiners.py
+++ b/poplarrack/joiners.py
@@ -118,14 +118,12 @@
     return seeds[: JOIN_PEERS * 2]
 
 
-async def sync(node, address, answer=None):
+async def sync(node, address, answer):
     """Exchange what differs with the node at an address.
 
-    :param answer: its DigestsAnswer where it was asked already.
+    :param answer: the DigestsAnswer that it gave when it was asked.
     """
     call = node.links.peers.call
-    if answer is None:
-        answer = await call(address, 'Compare', node.digests())
     own, other = node.digests(), answer.digests
     knowledge = node.knowledge
     differing = ()
--- a/poplarrack/node_servers.py
+++ b/poplarrack/node_servers.py
@@ -6,8 +6,10 @@
 import signal
 import time
 
+from poplarrack.addresses import split_address
 from poplarrack.announcements import decode_announcement
 from poplarrack.callers import CallServer
+from poplarrack.clocks import pause
 from poplarrack.dumps import dump_node
 from poplarrack.errors import ErrorKind
 from poplarrack.errors import PoplarrackError
@@ -74,7 +76,7 @@
         logger.info('node_started')
         while not self.stopping.is_set():
             self._tick()
-            await self._pause(TICK_SECONDS)
+            await pause(self.stopping, TICK_SECONDS)
         await self._drain()
 
     def _handle_signals(self):
@@ -89,17 +91,11 @@
             self.call_server.expire(time.monotonic())
             self.node.dispatcher.close_idle(now)
 
-    async def _pause(self, seconds):
-        try:
-            async with asyncio.timeout(seconds):
-                await self.stopping.wait()
-        except TimeoutError:
-            return
-
     async def _listen(self):
         await self.peer_server.listen(self.settings.peer_address)
-        host, _, port = self.settings.call_address.rpartition(':')
-        await self.call_server.listen(self.loop, host, int(port))
+        await self.call_server.listen(
+            self.loop, *split_address(self.settings.call_address)
+        )
         operator_routes = {
             ('GET', '/dump'): lambda body: json_page(self.dump()),
             ('GET', '/metrics'): lambda body: build_metrics_page(self),
--- a/poplarrack/page_servers.py
+++ b/poplarrack/page_servers.py
@@ -6,6 +6,7 @@
 
 from cheroot.wsgi import Server
 
+from poplarrack.addresses import split_address
 from poplarrack.errors import PoplarrackError
 from poplarrack.pages import json_page
 
@@ -21,9 +22,8 @@
     """
 
     def __init__(self, address, routes):
-        host, _, port = address.rpartition(':')
         self.routes = routes
-        self.server = Server((host, int(port)), self, numthreads=THREADS)
+        self.server = Server(split_address(address), self, numthreads=THREADS)
         self.server.max_request_body_size = MAX_PAGE_BODY_BYTES
         self.server.max_request_header_size = MAX_PAGE_BODY_BYTES
         self.server.timeout = 5
--- a/poplarrack/senders.py
+++ b/poplarrack/senders.py
@@ -18,7 +18,7 @@
 from poplarrack.draws import Draws
 from poplarrack.errors import ANSWERS
 from poplarrack.errors import ErrorKind
-from poplarrack.errors import Ran
+from poplarrack.errors import truthful_kind
 from poplarrack.evidence import EvidenceCounter
 from poplarrack.evidence import Side
 from poplarrack.exchanges import RoutedRequest
@@ -331,16 +331,15 @@
             call.route.repeatable
             and self._has_attempts(call)
             and now < call.deadline
-            and bool(self._others(call))
+            and self._has_others(call)
             and self._take_retry(call)
         )
 
-    def _others(self, call):
-        return [
-            state
+    def _has_others(self, call):
+        return any(
+            state.door.endpoint.instance_id not in call.tried
             for state in self._states_for(call)
-            if state.door.endpoint.instance_id not in call.tried
-        ]
+        )
 
     def _count_evidence(self, call, state, failed, latency, now):
         move = self.table.moves.get(call.service)
@@ -381,8 +380,7 @@
     def _refuse(self, call, kind, detail):
         if call.ended:
             return
-        if call.may_have_run and ANSWERS[kind].ran is Ran.NO:
-            kind = ErrorKind.ANSWER_LOST
+        kind = truthful_kind(kind, call.may_have_run)
         self.counts[f'refused_{kind.value}'] += 1
         now = self.clock()
         log_end(call, self.table.revision, kind.value, detail, now)
--- a/poplarrack/sidecar_servers.py
+++ b/poplarrack/sidecar_servers.py
@@ -11,7 +11,9 @@
 from random import Random
 import signal
 
+from poplarrack.addresses import split_address
 from poplarrack.callers import CallServer
+from poplarrack.clocks import pause
 from poplarrack.clocks import SteadyClock
 from poplarrack.dialects import Dialect
 from poplarrack.dumps import dump_node
@@ -137,7 +139,7 @@
         logger.info('node_started', extra={'node': self.settings.node_id})
         while not self.stopping.is_set():
             self._tick()
-            await self._pause(TICK_SECONDS)
+            await pause(self.stopping, TICK_SECONDS)
         joining.cancel()
         await self._drain()
 
@@ -177,13 +179,6 @@
         members = self.node.knowledge.members.members.values()
         self.streams.keep_only(member.peer_address for member in members)
 
-    async def _pause(self, seconds):
-        try:
-            async with asyncio.timeout(seconds):
-                await self.stopping.wait()
-        except TimeoutError:
-            return
-
     async def _listen(self):
         settings = self.settings
         try:
@@ -195,8 +190,9 @@
                 settings.operator_address, self.host.serve_ready
             )
             await self._listen_pages(settings.metrics_address, _serve_state)
-            host, _, port = settings.call_address.rpartition(':')
-            await self.call_server.listen(self.loop, host, int(port))
+            await self.call_server.listen(
+                self.loop, *split_address(settings.call_address)
+            )
         except OSError as error:
             raise PoplarrackError(
                 ErrorKind.INVALID_SETTINGS, f'cannot listen: {error}'
@@ -207,8 +203,7 @@
             lambda request: serve(self, request), self.sender.counts
         )
         server = CallServer(dispatcher, self.clock)
-        host, _, port = address.rpartition(':')
-        await server.listen(self.loop, host, int(port))
+        await server.listen(self.loop, *split_address(address))
         self.page_servers.append(server)
 
     # The endpoint beside this node.
--- a/poplarrack/stand_ins/backend_servers.py
+++ b/poplarrack/stand_ins/backend_servers.py
@@ -4,7 +4,9 @@
 import signal
 import time
 
+from poplarrack.addresses import split_address
 from poplarrack.callers import CallServer
+from poplarrack.clocks import pause
 from poplarrack.stand_ins.backends import ANNOUNCE_SECONDS
 from poplarrack.stand_ins.backends import Announcer
 from poplarrack.stand_ins.backends import BackendDispatcher
@@ -34,16 +36,11 @@
     loop.add_signal_handler(signal.SIGINT, stopping.set)
     dispatcher = BackendDispatcher(version, behaviour, time.monotonic)
     server = CallServer(dispatcher, time.monotonic, behaviour.connections)
-    host, _, port = address.rpartition(':')
-    await server.listen(loop, host, int(port))
+    await server.listen(loop, *split_address(address))
     while not stopping.is_set():
         health = dispatcher.report_health()
         await asyncio.to_thread(announcer.announce, **health)
-        try:
-            async with asyncio.timeout(ANNOUNCE_SECONDS):
-                await stopping.wait()
-        except TimeoutError:
-            continue
+        await pause(stopping, ANNOUNCE_SECONDS)
     await _drain(server, announcer)
 
 
--- a/poplarrack/stand_ins/backends.py
+++ b/poplarrack/stand_ins/backends.py
@@ -67,7 +67,6 @@
         self.in_flight = 0
         self.waiting = deque()
         self.counts = Counter()
-        self.executions = Counter()
         self.draining = False
         self.failed_before = 0
         self.told = {'healthy': True, 'load': 0.0}
@@ -78,10 +77,6 @@
 
     def start(self, request, respond):
         """Start a call; answers at once when no slot is free."""
-        if request.target == '/_counts':
-            body = dumps(self._counts()).encode()
-            respond(build_answer(200, [], body, True), True)
-            return None
         call = _Work(request, respond)
         if self.in_flight < self.behaviour.slots:
             self._run(call)
@@ -111,11 +106,6 @@
         }
         return told
 
-    def _counts(self):
-        most = max(self.executions.values(), default=0)
-        doubled = sum(1 for n in self.executions.values() if n > 1)
-        return {**self.counts, 'most_runs': most, 'doubled': doubled}
-
     def _refuse(self, call):
         self.counts['shed'] += 1
         call_id = call.request.header(CALL_HEADER) or b''
@@ -126,11 +116,9 @@
         self.in_flight += 1
         self.counts['run'] += 1
         key = call.request.header(KEY_HEADER)
-        if key is not None:
-            self.executions[key] += 1
-            if self.witness is not None:
-                # Blocking and reliable: told before the work may be lost.
-                self.witness.send(key)
+        if key is not None and self.witness is not None:
+            # Blocking and reliable: told before the work may be lost.
+            self.witness.send(key)
         delay = self._delay(call.request)
         loop = asyncio.get_running_loop()
         call.timer = loop.call_later(delay, self._finish, call)
--- a/poplarrack/stand_ins/platforms.py
+++ b/poplarrack/stand_ins/platforms.py
@@ -16,6 +16,7 @@
 
 from cheroot.wsgi import Server
 
+from poplarrack.addresses import split_address
 from poplarrack.errors import PoplarrackError
 from poplarrack.stores import Operation
 from poplarrack.stores import Store
@@ -226,9 +227,8 @@
 
 def serve_platform(address, writes, reads, threads):
     """Serve until SIGTERM or SIGINT."""
-    host, _, port = address.rpartition(':')
     application = PlatformStandIn(writes=writes, reads=reads)
-    server = build_server(application, (host, int(port)), threads)
+    server = build_server(application, split_address(address), threads)
 
     def stop(number, frame):
         application.stop()
--- a/poplarrack/stream_servers.py
+++ b/poplarrack/stream_servers.py
@@ -5,6 +5,7 @@
 
 from msgspec import MsgspecError
 
+from poplarrack.addresses import split_address
 from poplarrack.errors import PoplarrackError
 from poplarrack.exchanges import ANSWER_CODEC
 from poplarrack.exchanges import Delivery
@@ -85,10 +86,9 @@
 
     async def listen(self, address):
         """Listen at an address."""
-        host, _, port = address.rpartition(':')
         loop = asyncio.get_running_loop()
         self.listener = await loop.create_server(
-            lambda: ServerStream(self), host, int(port), backlog=1024
+            lambda: ServerStream(self), *split_address(address), backlog=1024
         )
 
     def serve_control(self, stream, number, payload):
--- a/poplarrack/streams.py
+++ b/poplarrack/streams.py
@@ -15,6 +15,7 @@
 
 from msgspec import MsgspecError
 
+from poplarrack.addresses import split_address
 from poplarrack.errors import ErrorKind
 from poplarrack.errors import PoplarrackError
 from poplarrack.exchanges import ANSWER_CODEC
@@ -156,8 +157,7 @@
     def __init__(self, address, traffic, on_silent):
         self.address = address
         self.on_silent = on_silent
-        host, _, port = address.rpartition(':')
-        self.host, self.port = host, int(port)
+        self.host, self.port = split_address(address)
         self.traffic = traffic
         self.stream = None
         self.connecting = None
--- a/poplarrack/topologies.py
+++ b/poplarrack/topologies.py
@@ -39,6 +39,11 @@
     is_worker: bool = False
     zone_size: int = 1
 
+    @property
+    def is_alone(self):
+        """Say whether the node knows of no other."""
+        return self.zone_size == 1 and not self.bridges
+
     @property
     def is_first(self):
         """Say whether the node speaks for its zone."""
--- a/poplarrack/upstreams.py
+++ b/poplarrack/upstreams.py
@@ -14,6 +14,7 @@
 from httptools import HttpParserError
 from httptools import HttpResponseParser
 
+from poplarrack.addresses import split_address
 from poplarrack.buffers import SharedBufferProtocol
 from poplarrack.http_messages import HttpAnswer
 
@@ -236,9 +237,7 @@
     """Connections to one backend server, the latest used first."""
 
     def __init__(self, address, max_answer_bytes, connect_timeout_seconds):
-        host, port = address.rsplit(':', 1)
-        self.host = host
-        self.port = int(port)
+        self.host, self.port = split_address(address)
         self.max_answer_bytes = max_answer_bytes
         self.connect_timeout_seconds = connect_timeout_seconds
         self.idle = []
--- a/tests/soak_endpoints.py
+++ b/tests/soak_endpoints.py
@@ -4,6 +4,7 @@
 from json import dumps
 from time import monotonic
 
+from poplarrack.addresses import split_address
 from tests.test_platform_adapter import BEAT
 
 CALL_SECONDS = 3.0
@@ -12,9 +13,8 @@
 
 async def exchange(address, raw):
     """Send a request on a new connection; return status, head and body."""
-    host, _, port = address.rpartition(':')
     async with asyncio.timeout(CALL_SECONDS):
-        reader, writer = await asyncio.open_connection(host, int(port))
+        reader, writer = await asyncio.open_connection(*split_address(address))
         try:
             writer.write(raw)
             answer = await reader.read()
--- a/tests/test_placements.py
+++ b/tests/test_placements.py
@@ -2,7 +2,6 @@
 
 from random import Random
 
-from poplarrack.admissions import Admission
 from poplarrack.exchanges import Occupancy
 from poplarrack.placements import choose_door
 from poplarrack.placements import choose_queue
@@ -89,36 +88,6 @@
     assert len(out) == 1
 
 
-def test_a_queue_goes_by_rank_then_deadline():
-    admission = Admission(1)
-    admission.running = 1
-    for name, rank, deadline in (('c', 2, 5), ('b', 0, 9), ('a', 0, 8)):
-        admission.enqueue(name, rank, deadline, 99.0)
-    admission.running = 0
-    assert [admission.take(1.0)[0].ticket for _ in range(3)] == list('abc')
-
-
-def test_a_request_without_time_left_gives_up_its_place():
-    admission = Admission(1)
-    admission.enqueue('late', 0, 1.01, 99.0)
-    admission.enqueue('left', 0, 9.0, 0.5)
-    admission.enqueue('good', 1, 9.0, 99.0)
-    item, too_late = admission.take(1.0)
-    assert item.ticket == 'good'
-    assert [late.ticket for late in too_late] == ['late', 'left']
-
-
-def test_waiting_is_estimated_by_rank():
-    admission = Admission(2)
-    admission.running = 2
-    admission.service_seconds = 0.1
-    for number in range(10):
-        admission.enqueue(number, 2, 9.0, 9.0)
-    assert admission.expected_wait(0) < admission.expected_wait(2)
-    assert admission.admits(0, 0.1) and not admission.admits(2, 0.1)
-    assert not admission.admits(0, 9.0, spare_part=0.1)
-
-
 def test_a_new_endpoint_is_tried_soon():
     old = [DoorState(door(n, Tier.ZONE), 10.0, True) for n in (1, 2)]
     for state in old:
--- a/tests/test_sidecar_servers.py
+++ b/tests/test_sidecar_servers.py
@@ -6,6 +6,7 @@
 from json import dumps
 import socket
 
+from poplarrack.addresses import split_address
 from poplarrack.errors import ErrorKind
 from poplarrack.errors import PoplarrackError
 from poplarrack.platform.dialect import DIALECT
@@ -47,8 +48,7 @@
 
 async def ask(address, raw):
     """Send a request; return the whole answer."""
-    host, _, port = address.rpartition(':')
-    reader, writer = await asyncio.open_connection(host, int(port))
+    reader, writer = await asyncio.open_connection(*split_address(address))
     writer.write(raw)
     answer = await asyncio.wait_for(reader.read(), WAIT_SECONDS)
     writer.close()
