Count the repeats that endpoints' own calls inherit

Change: a request carries the probability that it is a repeat; nodes count calls, retries and inherited repeats by service, log a retry that the budget does not allow, and name service and route in request_retried. No decision depends on it yet. The new field is the last of RoutedRequest and has a default, so that older builds pass it over.

--- a/poplarrack/carried_calls.py
+++ b/poplarrack/carried_calls.py
@@ -20,7 +20,8 @@
     endpoints that it may have reached. During a move, ``version`` is the new
     version or, if the call goes to the old one, an empty string. ``stage`` is
     the move's share in thousandths when the version was chosen by it, and 0
-    if all calls went to one version.
+    if all calls went to one version. ``repeat_probability`` is the
+    probability that the call was made by a run that is itself a repeat.
     """
 
     request: HttpRequest
@@ -35,6 +36,7 @@
     target_at: float = 0.0
     offers: int = 0
     arrivals: int = 0
+    repeat_probability: float = 0.0
     tried_instances: set = field(default_factory=set)
     busy_instances: set = field(default_factory=set)
     has_queued: bool = False
@@ -51,6 +53,8 @@
         'request_retried',
         extra={
             'request': call.request_id.decode('latin-1'),
+            'service': call.service,
+            'route': call.route.name,
             'instance': state.destination.endpoint.instance_id,
             'verdict': delivery.verdict.name.lower(),
             'reason': delivery.reason or f'status {delivery.status}',
@@ -59,6 +63,19 @@
     )
 
 
+def log_retry_over_budget(call):
+    """Log that the retry budget does not allow a call's retry."""
+    logger.info(
+        'retry_over_budget',
+        extra={
+            'request': call.request_id.decode('latin-1'),
+            'service': call.service,
+            'route': call.route.name,
+            'arrivals': call.arrivals,
+        },
+    )
+
+
 def log_internal_error(call):
     """Log an unexpected exception with its traceback."""
     logger.exception(
@@ -86,6 +103,7 @@
             'may_have_run': call.may_have_run,
             'offers': call.offers,
             'arrivals': call.arrivals,
+            'repeat_probability': round(call.repeat_probability, 3),
             'last': last,
             'revision': revision,
             'ms': round((now - call.started_at) * 1000, 1),
--- a/poplarrack/metrics.py
+++ b/poplarrack/metrics.py
@@ -9,6 +9,14 @@
 
 from poplarrack.pages import Page
 
+# Keys of a Sender's counts of one service, which are labelled with it.
+SERVICE_COUNTS = (
+    'calls',
+    'retries',
+    'retries_over_budget',
+    'inherited_repeats',
+)
+
 
 def build_metrics_page(server):
     """Return a page with the metrics of a node's process.
@@ -76,11 +84,26 @@
                 for name, count in sorted(receiver.counts.items())
             )
             yield from self._collect_latency()
+            yield from self._collect_services()
         for name, value in counters.items():
             name = re.sub(r'\W', '_', name)
             text = name.replace('_', ' ')
             yield CounterMetricFamily(f'poplarrack_{name}', text, value)
 
+    def _collect_services(self):
+        from prometheus_client.core import CounterMetricFamily
+
+        for name in SERVICE_COUNTS:
+            family = CounterMetricFamily(
+                f'poplarrack_service_{name}',
+                name.replace('_', ' '),
+                labels=['service'],
+            )
+            counts_by_service = self.node.dispatcher.counts_by_service
+            for service, counts in sorted(counts_by_service.items()):
+                family.add_metric([service], counts[name])
+            yield family
+
     def _collect_latency(self):
         from prometheus_client.core import HistogramMetricFamily
 
--- a/poplarrack/receivers.py
+++ b/poplarrack/receivers.py
@@ -52,6 +52,38 @@
     ended: bool = False
 
 
+class RunningRepeats:
+    """Tells which fraction of the running requests are repeats.
+
+    Repeatable requests and others are told apart: nearly all repeats are
+    repeatable, so that one fraction of both would be too low for them.
+    """
+
+    def __init__(self):
+        self.running = {False: 0, True: 0}
+        self.repeats = {False: 0.0, True: 0.0}
+
+    def add(self, request):
+        """Count a RoutedRequest that begins to run."""
+        self.running[request.repeatable] += 1
+        self.repeats[request.repeatable] += request.repeat_probability
+
+    def remove(self, request):
+        """Count a RoutedRequest that no longer runs."""
+        self.running[request.repeatable] -= 1
+        self.repeats[request.repeatable] -= request.repeat_probability
+        if not self.running[request.repeatable]:
+            # Drops what rounding has left.
+            self.repeats[request.repeatable] = 0.0
+
+    def fraction(self):
+        """Return the expected fraction of repeats, of either kind."""
+        return max(
+            self.repeats[kind] / max(1, running)
+            for kind, running in self.running.items()
+        )
+
+
 class Receiver:
     """Admits requests to the local endpoint.
 
@@ -72,6 +104,7 @@
         self.refuses_new_requests = False
         self.counts = Counter()
         self.received_requests = set()
+        self.running_repeats = RunningRepeats()
 
     def set_endpoint(self, endpoint):
         """Set the local endpoint, or None when there is none.
@@ -192,9 +225,12 @@
         admission.running += 1
         received.sent_at = now
         self.counts['sent'] += 1
+        self.counts['sent_repeats'] += request.repeat_probability
+        self.running_repeats.add(request)
 
         def done(outcome, answer):
             admission.running -= 1
+            self.running_repeats.remove(request)
             self._on_outcome(received, admission, outcome, answer)
 
         received.exchange = self.pool.start(
--- a/poplarrack/senders.py
+++ b/poplarrack/senders.py
@@ -13,6 +13,7 @@
 from poplarrack.carried_calls import log_ended
 from poplarrack.carried_calls import log_internal_error
 from poplarrack.carried_calls import log_retried
+from poplarrack.carried_calls import log_retry_over_budget
 from poplarrack.destinations import AVOIDANCE_SECONDS
 from poplarrack.destinations import DestinationTable
 from poplarrack.errors import ANSWERS
@@ -81,6 +82,7 @@
         self.evidence = EvidenceCounter()
         self.budgets = {}
         self.counts = Counter()
+        self.counts_by_service = {}
         self.latencies = Histogram()
         self.in_flight = 0
         self.draining = False
@@ -137,9 +139,29 @@
         call.target_at = now + min(
             allowed_seconds, route.target_latency_seconds or allowed_seconds
         )
+        if self._is_from_endpoint(request):
+            call.repeat_probability = self.receiver.running_repeats.fraction()
+        counts = self._service_counts(call.service)
+        counts['calls'] += 1
+        counts['inherited_repeats'] += call.repeat_probability
         self.budget_of(call.service).record_call()
         return True
 
+    def _is_from_endpoint(self, request):
+        """Return whether the local endpoint made a call.
+
+        Endpoints name their service; callers on the machine don't. The name
+        can be forged, so that nothing but the retry budget depends on it.
+        """
+        caller = request.header(self.header_names.caller_service)
+        return caller == self.settings.service.encode()
+
+    def _service_counts(self, service):
+        counts = self.counts_by_service.get(service)
+        if counts is None:
+            counts = self.counts_by_service[service] = Counter()
+        return counts
+
     def budget_of(self, service):
         """Return the retry budget of a service."""
         budget = self.budgets.get(service)
@@ -295,6 +317,7 @@
             route.repeatable,
             placement.spare_slot_fraction,
             max(0, int((call.target_at - now) * 1000)),
+            1.0 if call.arrivals else call.repeat_probability,
         )
 
     # Outcomes of an attempt, by verdict.
@@ -353,7 +376,11 @@
 
     def _spend_retry(self, call):
         taken = self.budget_of(call.service).try_acquire()
-        self.counts['retries' if taken else 'retries_over_budget'] += 1
+        name = 'retries' if taken else 'retries_over_budget'
+        self.counts[name] += 1
+        self._service_counts(call.service)[name] += 1
+        if not taken:
+            log_retry_over_budget(call)
         return taken
 
     def _may_retry(self, call, now):
--- a/tests/test_receivers.py
+++ b/tests/test_receivers.py
@@ -9,6 +9,7 @@
 from poplarrack.header_names import HeaderNames
 from poplarrack.members import EndpointState
 from poplarrack.receivers import Receiver
+from poplarrack.receivers import RunningRepeats
 from tests.samples import endpoint
 from tests.support import build_load_tests
 from tests.test_calls import GatedServer
@@ -96,6 +97,22 @@
     return asyncio.run(run())
 
 
+def test_running_repeats_are_not_diluted_by_requests_that_cannot_repeat():
+    repeats = RunningRepeats()
+    running = [
+        request(repeatable=True, repeat_probability=1.0),
+        request(repeatable=True),
+        request(),
+        request(),
+    ]
+    for item in running:
+        repeats.add(item)
+    assert repeats.fraction() == 0.5
+    for item in running:
+        repeats.remove(item)
+    assert repeats.fraction() == 0.0
+
+
 def test_an_answer_comes_with_how_busy_the_endpoint_is():
     delivery, server = verdict_of(lambda *x: answer())
     assert (delivery.verdict, delivery.status, delivery.body) == (
--- a/tests/test_senders.py
+++ b/tests/test_senders.py
@@ -3,6 +3,7 @@
 import asyncio
 from dataclasses import replace
 from random import Random
+from types import SimpleNamespace
 
 from hypothesis import given
 from hypothesis import settings
@@ -15,6 +16,7 @@
 from poplarrack.http_messages import HttpRequest
 from poplarrack.placements import Destination
 from poplarrack.placements import Tier
+from poplarrack.receivers import RunningRepeats
 from poplarrack.resources import Route
 from poplarrack.resources import WeightedService
 from poplarrack.routers import Router
@@ -241,6 +243,24 @@
     assert routed.request_id == b'r1' and b'x-id' in names
 
 
+def test_retries_and_calls_of_repeated_runs_are_marked_as_repeats():
+    async def run():
+        sender, streams = build_sender([FAILED, GOOD, GOOD, GOOD])
+        sender.receiver = SimpleNamespace(running_repeats=RunningRepeats())
+        sender.receiver.running_repeats.add(
+            SimpleNamespace(repeatable=True, repeat_probability=1.0)
+        )
+        await send(sender, '/read/x')
+        await send(sender, '/read/x', ((b'x-from', b'shop'),))
+        await send(sender, '/read/x', ((b'x-from', b'forged'),))
+        marks = [request.repeat_probability for _, request in streams.sent]
+        return marks, sender.counts_by_service['front']
+
+    marks, counts = asyncio.run(run())
+    assert marks == [0.0, 1.0, 1.0, 0.0]
+    assert counts == {'calls': 3, 'retries': 1, 'inherited_repeats': 1.0}
+
+
 def test_a_caller_that_leaves_withdraws_its_request():
     async def run():
         sender, streams = build_sender([])
