Estimate inherited repeats by service, not by header

Cause: the count took a call for the endpoint's own if it named the node's service as its caller. Callers and endpoint also share an address, so that nothing on the wire tells them apart. Change: each call to another service than the node's own counts the fraction of repeats among the endpoint's running requests; the mark on the wire is whether the request itself may have arrived before. The estimate is for metrics and logs only.

--- a/poplarrack/carried_calls.py
+++ b/poplarrack/carried_calls.py
@@ -20,8 +20,8 @@
     endpoints that it may have reached. During a move, ``version`` is the new
     version or, if the call goes to the old one, an empty string. ``stage`` is
     the move's share in thousandths when the version was chosen by it, and 0
-    if all calls went to one version. ``repeat_probability`` is the
-    probability that the call was made by a run that is itself a repeat.
+    if all calls went to one version. ``inherited_repeat`` is the
+    probability that a repeated run made the call, if the local endpoint did.
     """
 
     request: HttpRequest
@@ -36,7 +36,7 @@
     target_at: float = 0.0
     offers: int = 0
     arrivals: int = 0
-    repeat_probability: float = 0.0
+    inherited_repeat: float = 0.0
     tried_instances: set = field(default_factory=set)
     busy_instances: set = field(default_factory=set)
     has_queued: bool = False
@@ -103,7 +103,7 @@
             'may_have_run': call.may_have_run,
             'offers': call.offers,
             'arrivals': call.arrivals,
-            'repeat_probability': round(call.repeat_probability, 3),
+            'inherited_repeat': round(call.inherited_repeat, 3),
             'last': last,
             'revision': revision,
             'ms': round((now - call.started_at) * 1000, 1),
--- a/poplarrack/exchanges.py
+++ b/poplarrack/exchanges.py
@@ -37,9 +37,7 @@
     long it may wait for a slot, ``spare_slot_fraction`` the fraction of the
     slots that must be free to admit it, ``rank`` its priority (0 is the
     highest) and ``instance_id`` the endpoint that it is meant for.
-    ``repeat_probability`` is 1 if the request may have reached another
-    endpoint before; for the call of an endpoint it is the probability that
-    the run that makes the call is itself a repeat.
+    ``is_repeat`` says that it may have reached another endpoint before.
     """
 
     request_id: bytes
@@ -56,7 +54,7 @@
     repeatable: bool
     spare_slot_fraction: float = 0.0
     target_left_ms: int = 0
-    repeat_probability: float = 0.0
+    is_repeat: bool = False
 
 
 class Occupancy(Struct, frozen=True, array_like=True):
--- a/poplarrack/receivers.py
+++ b/poplarrack/receivers.py
@@ -61,23 +61,20 @@
 
     def __init__(self):
         self.running = {False: 0, True: 0}
-        self.repeats = {False: 0.0, True: 0.0}
+        self.repeats = {False: 0, True: 0}
 
     def add(self, request):
         """Count a RoutedRequest that begins to run."""
         self.running[request.repeatable] += 1
-        self.repeats[request.repeatable] += request.repeat_probability
+        self.repeats[request.repeatable] += request.is_repeat
 
     def remove(self, request):
         """Count a RoutedRequest that no longer runs."""
         self.running[request.repeatable] -= 1
-        self.repeats[request.repeatable] -= request.repeat_probability
-        if not self.running[request.repeatable]:
-            # Drops what rounding has left.
-            self.repeats[request.repeatable] = 0.0
+        self.repeats[request.repeatable] -= request.is_repeat
 
     def fraction(self):
-        """Return the expected fraction of repeats, of either kind."""
+        """Return the fraction of repeats, that of the greater kind."""
         return max(
             self.repeats[kind] / max(1, running)
             for kind, running in self.running.items()
@@ -225,7 +222,7 @@
         admission.running += 1
         received.sent_at = now
         self.counts['sent'] += 1
-        self.counts['sent_repeats'] += request.repeat_probability
+        self.counts['sent_repeats'] += request.is_repeat
         self.running_repeats.add(request)
 
         def done(outcome, answer):
--- a/poplarrack/senders.py
+++ b/poplarrack/senders.py
@@ -139,23 +139,16 @@
         call.target_at = now + min(
             allowed_seconds, route.target_latency_seconds or allowed_seconds
         )
-        if self._is_from_endpoint(request):
-            call.repeat_probability = self.receiver.running_repeats.fraction()
+        if call.service != self.settings.service:
+            # Callers and the endpoint can't be told apart, but an endpoint
+            # rarely calls its own service.
+            call.inherited_repeat = self.receiver.running_repeats.fraction()
         counts = self._service_counts(call.service)
         counts['calls'] += 1
-        counts['inherited_repeats'] += call.repeat_probability
+        counts['inherited_repeats'] += call.inherited_repeat
         self.budget_of(call.service).record_call()
         return True
 
-    def _is_from_endpoint(self, request):
-        """Return whether the local endpoint made a call.
-
-        Endpoints name their service; callers on the machine don't. The name
-        can be forged, so that nothing but the retry budget depends on it.
-        """
-        caller = request.header(self.header_names.caller_service)
-        return caller == self.settings.service.encode()
-
     def _service_counts(self, service):
         counts = self.counts_by_service.get(service)
         if counts is None:
@@ -317,7 +310,7 @@
             route.repeatable,
             placement.spare_slot_fraction,
             max(0, int((call.target_at - now) * 1000)),
-            1.0 if call.arrivals else call.repeat_probability,
+            call.arrivals > 0,
         )
 
     # Outcomes of an attempt, by verdict.
