Read the retry budget's slack and window, count the nodes

Cause: the bound on repeats is ratio x calls + slack in a window over all machines, but the settings held only the ratio, and senders didn't know how many nodes share it. Change: retry_budget_slack and retry_budget_window_seconds in the settings; node_count in the routing table, which keeps nodes that are presumed dead, as a partition may hide them. Nothing uses them yet. Measured: test_platform_adapter. Conclusion: preparation for the fix.

--- a/poplarrack/platform/settings.py
+++ b/poplarrack/platform/settings.py
@@ -26,6 +26,9 @@
 # the summaries.
 SUMMARY_SECONDS = 15.0
 SUMMARY_GAP_SECONDS = 3.0
+# Where the settings have no slack, nodes keep no reserve of retries.
+RETRY_BUDGET_SLACK = 0.0
+RETRY_BUDGET_WINDOW = '10s'
 UNITS = (('ms', 0.001), ('s', 1.0))
 
 
@@ -98,6 +101,12 @@
         service=raw['service'],
         metrics_address=f'{raw["ip"]}:{METRICS_PORT}',
         retry_budget_ratio=float(bounds['retry_budget_ratio']),
+        retry_budget_slack=float(
+            bounds.get('retry_budget_slack', RETRY_BUDGET_SLACK)
+        ),
+        retry_budget_window_seconds=parse_duration(
+            bounds.get('budget_window', RETRY_BUDGET_WINDOW)
+        ),
         grace_seconds=parse_duration(bounds['grace']),
         max_connections=raw['limits']['max_fds'] - RESERVED_FDS,
     )
--- a/poplarrack/routing_tables.py
+++ b/poplarrack/routing_tables.py
@@ -8,6 +8,7 @@
 from poplarrack.balancers import SAME_ZONE
 from poplarrack.call_tables import derive_version_split
 from poplarrack.members import EndpointState
+from poplarrack.members import MemberState
 from poplarrack.placements import Destination
 from poplarrack.placements import Tier
 from poplarrack.resources import CallerLimits
@@ -26,7 +27,8 @@
 
     ``revision`` 0 means that no configuration is known yet. ``destinations``
     are lists by service. ``moves`` has the VersionSplit of each move by
-    service, also of moves that ended.
+    service, also of moves that ended. ``node_count`` is the number of nodes
+    that may be in the mesh.
     """
 
     revision: int = 0
@@ -36,6 +38,7 @@
     limits: CallerLimits = field(
         default_factory=lambda: CallerLimits('callers')
     )
+    node_count: int = 1
 
 
 def derive_routing_table(locality, knowledge, now):
@@ -57,6 +60,17 @@
         _derive_destinations(locality, knowledge.members.members.values()),
         moves,
         configuration.caller_limits,
+        _count_nodes(knowledge.members.members.values()),
+    )
+
+
+def _count_nodes(members):
+    """Return how many nodes did not leave.
+
+    Nodes that are presumed dead count: a network partition may hide them.
+    """
+    return max(
+        1, sum(member.state is not MemberState.LEFT for member in members)
     )
 
 
--- a/poplarrack/settings.py
+++ b/poplarrack/settings.py
@@ -94,8 +94,9 @@
     """The settings of a node that is a sidecar of one backend server.
 
     No other node connects to that server. ``service`` is the service of the
-    server. ``retry_budget_ratio`` is the ratio of retries to calls that all
-    nodes together may not exceed. ``grace_seconds`` is the time between
+    server. In any ``retry_budget_window_seconds`` all nodes together send a
+    service at most ``retry_budget_ratio`` repeats per call to it and
+    ``retry_budget_slack`` more. ``grace_seconds`` is the time between
     SIGTERM and the end of the process. ``max_connections`` bounds the
     callers' connections.
     """
@@ -103,6 +104,8 @@
     service: str = ''
     metrics_address: str = ''
     retry_budget_ratio: float = 0.2
+    retry_budget_slack: float = 50.0
+    retry_budget_window_seconds: float = 10.0
     grace_seconds: float = 6.0
     max_connections: int = 4_096
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -91,6 +91,7 @@
 grace = "6s"
 retry_budget_ratio = 0.2
 retry_budget_slack = 56
+budget_window = "10s"
 exposure_share = 0.1
 exposure_slack = 50
 [platform]
@@ -125,6 +126,9 @@
     assert settings.peer_address == '10.1.0.35:8145'
     assert settings.call_address == '10.1.0.35:8141'
     assert settings.grace_seconds == 6.0
+    assert settings.retry_budget_ratio == 0.2
+    assert settings.retry_budget_slack == 56.0
+    assert settings.retry_budget_window_seconds == 10.0
     assert settings.calls.announcement_ttl_seconds == 6.0
     assert settings.platform.addresses == ('10.200.1.7:8142',)
 
