--- /dev/null
+++ b/tests/test_retry_budgets.py
@@ -0,0 +1,50 @@
+"""Test the bound on repeats that all nodes of a mesh share.
+
+Nodes keep it without talking to each other, so that it has to hold for the
+sum of what they do: at any size, through restarts, and where the services
+that they retry call other services.
+"""
+
+from tests.retry_meshes import MeshPlan
+from tests.retry_meshes import play
+from tests.support import build_load_tests
+
+load_tests = build_load_tests(__name__)
+
+SEED = 774013
+
+
+def assert_bound_holds(plan):
+    excess, service, second = play(plan, SEED).worst_excess()
+    assert excess <= 0, f'{service}: {excess:.0f} too many from {second} s on'
+
+
+# Retries of 4 nodes that fail half of their requests at two services.
+def test_repeats_of_a_small_mesh_stay_within_the_budget():
+    assert_bound_holds(MeshPlan(4, 20.0, slack=56.0))
+
+
+# Repeated runs call the next service again, which no retry budget counted.
+def test_repeats_of_calling_services_stay_within_the_budget():
+    assert_bound_holds(MeshPlan(75, 4.0, slack=190.0))
+
+
+# A restarted node had a full reserve of retries again.
+def test_repeats_after_a_restart_of_many_nodes_stay_within_the_budget():
+    for fraction in (0.4, 1.0):
+        assert_bound_holds(
+            MeshPlan(75, 4.0, slack=190.0, herd_fraction=fraction)
+        )
+
+
+# The reserves of 1,000 nodes added up to 3,000 retries of each service.
+def test_reserves_of_a_large_mesh_stay_within_the_budget():
+    assert_bound_holds(MeshPlan(1000, 0.5, slack=190.0, herd_fraction=0.4))
+
+
+# Each service of a chain added its own retries to those it inherited.
+def test_repeats_at_the_end_of_a_long_chain_stay_within_the_budget():
+    services = ('a', 'b', 'c', 'd', 'e', 'f')
+    assert_bound_holds(
+        MeshPlan(75, 2.0, slack=190.0, services=services, calls_per_run=1)
+    )
