Let the nodes' retry reserves add up to their slack

Each repeat took a slot of a service that was short of them already. Cause: each node kept 3 retries for each service, full at its start. The part that grew with the calls was half of the ratio, but 3 x 75 nodes is more than the slack of 190, those retries lead to further repeats at the next service, 30 restarted nodes had their 3 again, and 1,000 nodes would have 3,000. Change: SharedRetryBudget, a token bucket that starts empty and holds at most the node's part of a fraction of the slack and what a second of calls earns. In any window the nodes send ratio / levels x calls and that fraction, whatever their number, also through a restart, since a bucket's tokens are lost with it. Parts below one token grant a retry at random: rounded, 1,000 nodes would send none or 1,000. test_senders gives its sender earlier calls, as a bucket now starts empty; its checks are as before.

--- a/poplarrack/senders.py
+++ b/poplarrack/senders.py
@@ -34,7 +34,7 @@
 from poplarrack.placements import Placement
 from poplarrack.placements import RemainingTime
 from poplarrack.placements import Tier
-from poplarrack.retries import RetryBudget
+from poplarrack.retry_budgets import SharedRetryBudget
 from poplarrack.routing_tables import derive_routing_table
 from poplarrack.routing_tables import RoutingTable
 from poplarrack.traffic_splitters import TrafficSplitter
@@ -44,11 +44,6 @@
 # Minimum Retry-After of answers with status 503, which ask for up to twice as
 # much at random. A shorter wait does not help against overload.
 RETRY_AFTER_SECONDS = 0.15
-# Fraction of the platform's retry budget that nodes spend: retries that
-# endpoints make on their own count against the budget too.
-RETRY_BUDGET_FRACTION = 0.5
-# Retries that a node may spend at once after a quiet time.
-MAX_RETRY_BURST = 3.0
 # A deadline header with more digits is ignored as invalid.
 MAX_DEADLINE_DIGITS = 9
 # How long before the caller's deadline its answer is due.
@@ -146,7 +141,7 @@
         counts = self._service_counts(call.service)
         counts['calls'] += 1
         counts['inherited_repeats'] += call.inherited_repeat
-        self.budget_of(call.service).record_call()
+        self.budget_of(call.service).record_call(now)
         return True
 
     def _service_counts(self, service):
@@ -157,10 +152,10 @@
 
     def budget_of(self, service):
         """Return the retry budget of a service."""
+        limits = self.settings.retry_limits
         budget = self.budgets.get(service)
-        if budget is None:
-            ratio = self.settings.retry_budget_ratio * RETRY_BUDGET_FRACTION
-            budget = RetryBudget(ratio, MAX_RETRY_BURST)
+        if budget is None or budget.limits != limits:
+            budget = SharedRetryBudget(limits, self.random)
             self.budgets[service] = budget
         return budget
 
@@ -340,7 +335,7 @@
     def _on_refused(self, call, state, delivery, sent_at, now):
         call.arrivals += 1
         call.tried_instances.add(state.destination.endpoint.instance_id)
-        if self._has_attempts_left(call) and self._spend_retry(call):
+        if self._has_attempts_left(call) and self._spend_retry(call, now):
             log_retried(call, state, delivery)
             return
         self._refuse(call, ErrorKind.REFUSED_BY_SERVER, delivery.reason)
@@ -367,8 +362,10 @@
     def _has_attempts_left(self, call):
         return call.arrivals < call.route.max_attempts
 
-    def _spend_retry(self, call):
-        taken = self.budget_of(call.service).try_acquire()
+    def _spend_retry(self, call, now):
+        taken = self.budget_of(call.service).try_acquire(
+            self.table.node_count, now
+        )
         name = 'retries' if taken else 'retries_over_budget'
         self.counts[name] += 1
         self._service_counts(call.service)[name] += 1
@@ -383,7 +380,7 @@
             and self._has_attempts_left(call)
             and now < call.deadline
             and self._has_untried_endpoint(call)
-            and self._spend_retry(call)
+            and self._spend_retry(call, now)
         )
 
     def _has_untried_endpoint(self, call):
--- a/poplarrack/settings.py
+++ b/poplarrack/settings.py
@@ -9,6 +9,7 @@
 from dataclasses import field
 from dataclasses import fields
 from dataclasses import MISSING
+from functools import cached_property
 from pathlib import Path
 import re
 from types import UnionType
@@ -18,6 +19,7 @@
 
 from poplarrack.errors import ErrorKind
 from poplarrack.errors import PoplarrackError
+from poplarrack.retry_budgets import RetryLimits
 
 MAX_SETTINGS_BYTES = 256_000
 LOG_LEVELS = ('DEBUG', 'INFO', 'WARNING', 'ERROR')
@@ -96,8 +98,9 @@
     No other node connects to that server. ``service`` is the service of the
     server. In any ``retry_budget_window_seconds`` all nodes together send a
     service at most ``retry_budget_ratio`` repeats per call to it and
-    ``retry_budget_slack`` more. ``grace_seconds`` is the time between
-    SIGTERM and the end of the process. ``max_connections`` bounds the
+    ``retry_budget_slack`` more; ``retry_budget_levels`` is the number of
+    services that call each other in a chain. ``grace_seconds`` is the time
+    between SIGTERM and the end of the process. ``max_connections`` bounds the
     callers' connections.
     """
 
@@ -106,9 +109,20 @@
     retry_budget_ratio: float = 0.2
     retry_budget_slack: float = 50.0
     retry_budget_window_seconds: float = 10.0
+    retry_budget_levels: int = 2
     grace_seconds: float = 6.0
     max_connections: int = 4_096
 
+    @cached_property
+    def retry_limits(self):
+        """Return the RetryLimits of all nodes together."""
+        return RetryLimits(
+            self.retry_budget_ratio,
+            self.retry_budget_slack,
+            self.retry_budget_window_seconds,
+            self.retry_budget_levels,
+        )
+
 
 @dataclass(frozen=True)
 class OperatorSettings:
--- a/tests/retry_meshes.py
+++ b/tests/retry_meshes.py
@@ -31,8 +31,6 @@
 # Endpoints of each service that a node knows.
 KNOWN_ENDPOINTS = 6
 TICK_SECONDS = 0.5
-# Part of the callers' calls whose route is not repeatable.
-UNREPEATABLE_FRACTION = 0.25
 GOOD = Delivery(Verdict.ANSWERED, 200, [], b'ok')
 FAILED = Delivery(Verdict.ANSWERED, 500, [], b'no')
 
@@ -44,7 +42,9 @@
     Endpoints fail ``failed_fraction`` of their requests from
     ``fails_from_seconds`` on; ``herd_fraction`` of the nodes restart at
     ``herd_at_seconds``. ``services`` form a chain, and a run makes
-    ``calls_per_run`` calls of the next service.
+    ``calls_per_run`` calls of the next service. ``unrepeatable_fraction`` of
+    the callers' calls are on a route that is not repeatable and whose runs
+    make no calls.
     """
 
     nodes: int
@@ -52,6 +52,7 @@
     slack: float
     services: tuple[str, ...] = ('front', 'back')
     calls_per_run: int = 2
+    unrepeatable_fraction: float = 0.25
     failed_fraction: float = 0.5
     fails_from_seconds: float = 12.0
     herd_at_seconds: float = 18.0
@@ -91,6 +92,7 @@
             PlatformSettings(('127.0.0.1:5',)),
             service=self.service_of(number),
             retry_budget_slack=plan.slack,
+            retry_budget_levels=len(plan.services),
         )
         sender = Sender(
             settings,
@@ -206,7 +208,7 @@
     def _start_callers(self):
         plan = self.plan
         for _ in range(int(plan.nodes * plan.calls_per_second * TICK_SECONDS)):
-            is_other = self.random.random() < UNREPEATABLE_FRACTION
+            is_other = self.random.random() < plan.unrepeatable_fraction
             path = '/pay/x' if is_other else f'/{plan.services[0]}/x'
             yield self.send(self.random.randrange(plan.nodes), path)
 
--- a/tests/test_retry_budgets.py
+++ b/tests/test_retry_budgets.py
@@ -5,6 +5,10 @@
 that they retry call other services.
 """
 
+from random import Random
+
+from poplarrack.retry_budgets import RetryLimits
+from poplarrack.retry_budgets import SharedRetryBudget
 from tests.retry_meshes import MeshPlan
 from tests.retry_meshes import play
 from tests.support import build_load_tests
@@ -48,3 +52,17 @@
     assert_bound_holds(
         MeshPlan(75, 2.0, slack=190.0, services=services, calls_per_run=1)
     )
+
+
+# With parts rounded to whole retries, a large mesh sends either none or one
+# more for each node.
+def test_small_parts_of_many_nodes_add_up():
+    random = Random(SEED)
+    limits = RetryLimits(slack=200.0)
+    budgets = [SharedRetryBudget(limits, random) for _ in range(1000)]
+    for budget in budgets:
+        for second in range(10):
+            budget.record_call(float(second))
+    granted = sum(budget.try_acquire(1000, 9.0) for budget in budgets)
+    part = limits.node_reserve(1000) + limits.retry_ratio
+    assert 0.7 * 1000 * part <= granted <= 1.5 * 1000 * part, granted
--- a/tests/test_senders.py
+++ b/tests/test_senders.py
@@ -62,6 +62,7 @@
 LOST = Delivery(Verdict.LOST, reason='lost')
 TIMED_OUT = Delivery(Verdict.TIMED_OUT, reason='time is over')
 FAILED = Delivery(Verdict.ANSWERED, 500, [], b'no')
+EARLIER_CALLS = 100
 NOT_EXECUTED = (BUSY, STOPPING, REFUSED)
 
 
@@ -113,6 +114,9 @@
         'front': [destination(2), destination(3), destination(4)]
     }
     sender.set_table(RoutingTable(5, Router(ROUTES), destinations))
+    for _ in range(EARLIER_CALLS):
+        # They have earned retries.
+        sender.budget_of('front').record_call(sender.clock())
     return sender, streams
 
 
