Let each route spend only the retries that it earned

Cause: a run of jar-browse calls till-back once or twice, a run of bag-order never. Both earned retries of counter-front, but only jar-browse may be repeated, so that it was repeated more often than its share of the calls and its runs called till-back again more often than the ratio of its calls. No node pays for these calls: none can tell a call of a repeated run from others. Change: a bucket for each route beside that of the service; a retry takes from both. What a service's routes lead to is now at most the same fraction of their own calls, at each level of a chain.

--- a/poplarrack/retry_budgets.py
+++ b/poplarrack/retry_budgets.py
@@ -84,6 +84,10 @@
 class SharedRetryBudget:
     """A node's part of the retries that all nodes may send to a service.
 
+    Each route has a bucket besides that of the service: if the calls of all
+    routes earned retries for one of them, the services that its runs call
+    would get more repeats than its calls of them allow.
+
     :param limits: the RetryLimits of all nodes together.
     :param random: a ``random.Random``.
     """
@@ -92,22 +96,43 @@
         self.limits = limits
         self.random = random
         self.bucket = RetryBucket()
+        self.route_buckets = {}
+
+    def record_call(self, route, now):
+        """Count a call.
 
-    def record_call(self, now):
-        """Count a call."""
+        :param route: the route's name.
+        """
+        bucket = self.route_buckets.get(route)
+        if bucket is None:
+            bucket = self.route_buckets[route] = RetryBucket()
+        bucket.record_call(self.limits, now)
         self.bucket.record_call(self.limits, now)
 
-    def try_acquire(self, node_count, now):
+    def keep_only(self, routes):
+        """Forget all routes but those with the given names, a set."""
+        for route in set(self.route_buckets) - routes:
+            del self.route_buckets[route]
+
+    def try_acquire(self, route, node_count, now):
         """Take a token for a retry; return whether it may be sent.
 
         Less than a token is taken too, and grants the retry with that
         probability: at many nodes with small parts, rounding down would
         leave no retries and rounding up one more for each node.
 
+        :param route: the name of the call's route.
         :param node_count: the number of nodes in the mesh.
         """
+        bucket = self.route_buckets.get(route)
+        if bucket is None:
+            return False
         reserve = self.limits.node_reserve(node_count)
-        available = self.bucket.available(self.limits, reserve, now)
+        buckets = (self.bucket, bucket)
+        available = min(
+            item.available(self.limits, reserve, now) for item in buckets
+        )
         taken = min(1.0, available)
-        self.bucket.tokens -= taken
+        for item in buckets:
+            item.tokens -= taken
         return self.random.random() < taken
--- a/poplarrack/routers.py
+++ b/poplarrack/routers.py
@@ -14,9 +14,10 @@
     """
 
     def __init__(self, routes=()):
+        self.routes = tuple(routes)
         self.by_segment = {}
         self.without_segment = []
-        for route in routes:
+        for route in self.routes:
             segment = _first_segment(route.prefix)
             if segment:
                 key = (route.host, segment)
--- a/poplarrack/senders.py
+++ b/poplarrack/senders.py
@@ -89,6 +89,10 @@
     def set_table(self, table):
         """Apply a new table; endpoints that stay keep their state."""
         self.destinations.set_destinations(table.destinations)
+        if table.revision != self.table.revision:
+            names = {route.name for route in table.router.routes}
+            for budget in self.budgets.values():
+                budget.keep_only(names)
         self.table = table
 
     def start(self, request, respond):
@@ -141,7 +145,7 @@
         counts = self._service_counts(call.service)
         counts['calls'] += 1
         counts['inherited_repeats'] += call.inherited_repeat
-        self.budget_of(call.service).record_call(now)
+        self.budget_of(call.service).record_call(route.name, now)
         return True
 
     def _service_counts(self, service):
@@ -364,7 +368,7 @@
 
     def _spend_retry(self, call, now):
         taken = self.budget_of(call.service).try_acquire(
-            self.table.node_count, now
+            call.route.name, self.table.node_count, now
         )
         name = 'retries' if taken else 'retries_over_budget'
         self.counts[name] += 1
--- a/tests/test_retry_budgets.py
+++ b/tests/test_retry_budgets.py
@@ -54,6 +54,21 @@
     )
 
 
+# Retries earned by calls that lead to no others were sent on a route whose
+# runs call the next service, which got more repeats than its calls allow.
+def test_a_route_gets_no_retries_that_other_routes_earned():
+    assert_bound_holds(
+        MeshPlan(
+            75,
+            4.0,
+            slack=190.0,
+            calls_per_run=3,
+            unrepeatable_fraction=0.7,
+            failed_fraction=0.3,
+        )
+    )
+
+
 # With parts rounded to whole retries, a large mesh sends either none or one
 # more for each node.
 def test_small_parts_of_many_nodes_add_up():
@@ -62,7 +77,7 @@
     budgets = [SharedRetryBudget(limits, random) for _ in range(1000)]
     for budget in budgets:
         for second in range(10):
-            budget.record_call(float(second))
-    granted = sum(budget.try_acquire(1000, 9.0) for budget in budgets)
+            budget.record_call('r', float(second))
+    granted = sum(budget.try_acquire('r', 1000, 9.0) for budget in budgets)
     part = limits.node_reserve(1000) + limits.retry_ratio
     assert 0.7 * 1000 * part <= granted <= 1.5 * 1000 * part, granted
--- a/tests/test_senders.py
+++ b/tests/test_senders.py
@@ -114,9 +114,10 @@
         'front': [destination(2), destination(3), destination(4)]
     }
     sender.set_table(RoutingTable(5, Router(ROUTES), destinations))
-    for _ in range(EARLIER_CALLS):
-        # They have earned retries.
-        sender.budget_of('front').record_call(sender.clock())
+    for route in ROUTES:
+        # Earlier calls, which have earned retries.
+        for _ in range(EARLIER_CALLS):
+            sender.budget_of('front').record_call(route.name, sender.clock())
     return sender, streams
 
 
