End an exchange whose server sends bytes without end

Cause: the size of a head was checked at its end, and the parser keeps an unfinished header whatever its size; interim answers, blank lines, chunk extensions and trailers were not counted at all. Such an exchange held its slot until the deadline and its bytes in memory. Change: bytes of an exchange that belong to no body and no chunk's framing are bounded as a head is; beyond that the answer is lost and the connection closed at once. A pool gives up its largest answer when all of them together exceed twice the bound of one.

--- a/poplarrack/upstreams.py
+++ b/poplarrack/upstreams.py
@@ -26,6 +26,10 @@
 # connection is closed as out of step.
 MAX_MISMATCHED_ANSWERS = 2
 MAX_HEADER_BYTES = 65_536
+# Bytes of a chunk's size and line ends, without extensions.
+MAX_CHUNK_FRAMING_BYTES = 20
+# Answers of the greatest size that a pool buffers at a time.
+MAX_BUFFERED_ANSWERS = 2
 
 
 class Outcome(Enum):
@@ -78,6 +82,9 @@
         self.answer = None
         self.chunks = []
         self.size = 0
+        # Bytes of the exchange that belong to no body.
+        self.overhead_bytes = 0
+        self.buffered_bytes = 0
         self.complete = False
         self.reusable = False
         self.idle_since = 0.0
@@ -92,10 +99,12 @@
     def send(self, exchange):
         """Send the exchange's request; the answer ends the exchange."""
         self.exchange = exchange
+        self.pool.sending.add(self)
         exchange.connection = self
         self.answer = HttpAnswer(0)
         self.chunks = []
         self.size = 0
+        self.overhead_bytes = 0
         self.complete = False
         self.mismatched_answers = 0
         if self.parser is None:
@@ -107,6 +116,7 @@
         if self.exchange is None:
             self.close()
             return
+        self.overhead_bytes += len(data)
         try:
             self.parser.feed_data(data)
         except HttpParserError:
@@ -114,6 +124,9 @@
             return
         if self.complete and self.exchange is not None:
             self._succeed()
+        elif self.overhead_bytes > MAX_HEADER_BYTES:
+            # The parser keeps an unfinished header, whatever its size.
+            self._fail(Outcome.LOST)
 
     def on_header(self, name, value):
         """Add a header to the answer."""
@@ -132,15 +145,22 @@
         elif self.exchange and self.exchange.bodiless:
             self.complete = True
 
+    def on_chunk_header(self):
+        """Allow for the framing of a chunk."""
+        self.overhead_bytes -= MAX_CHUNK_FRAMING_BYTES
+
     def on_body(self, body):
         """Add a chunk to the body, unless the answer is complete."""
-        if self.complete:
+        self.overhead_bytes -= len(body)
+        if self.complete or self.exchange is None:
             return
         self.size += len(body)
         if self.size > self.pool.max_answer_bytes:
             self._fail(Outcome.TOO_LARGE)
             return
         self.chunks.append(body)
+        self.buffered_bytes += len(body)
+        self.pool.on_buffered(len(body))
 
     def on_message_complete(self):
         """Complete the answer, unless it is interim or mismatched."""
@@ -166,7 +186,7 @@
     def _skip_mismatched(self):
         self.mismatched_answers += 1
         self.answer = HttpAnswer(0)
-        self.chunks = []
+        self._drop_body()
         self.size = 0
         if self.mismatched_answers > MAX_MISMATCHED_ANSWERS or (
             not self.parser.should_keep_alive()
@@ -201,16 +221,35 @@
             self.transport.abort()
 
     def _fail(self, outcome):
-        exchange, self.exchange = self.exchange, None
+        exchange = self.detach()
         if exchange is None:
             return
         self.close()
         exchange.finish(outcome)
 
-    def _succeed(self):
+    def fail_too_large(self):
+        """Give up an answer whose body the pool can't buffer."""
+        self._fail(Outcome.TOO_LARGE)
+
+    def detach(self):
+        """Drop the exchange and what was buffered for it.
+
+        :returns: the Exchange, or None if there is none.
+        """
         exchange, self.exchange = self.exchange, None
+        self.pool.sending.discard(self)
+        self._drop_body()
+        return exchange
+
+    def _drop_body(self):
+        self.pool.buffered_bytes -= self.buffered_bytes
+        self.buffered_bytes = 0
+        self.chunks = []
+
+    def _succeed(self):
         answer = self.answer
         answer.body = b''.join(self.chunks)
+        exchange = self.detach()
         self.idle_seconds = idle_timeout_seconds(answer)
         can_reuse = (
             self.reusable
@@ -254,7 +293,11 @@
         self.host, self.port = split_address(address)
         self.max_answer_bytes = max_answer_bytes
         self.connect_timeout_seconds = connect_timeout_seconds
+        self.max_buffered_bytes = MAX_BUFFERED_ANSWERS * max_answer_bytes
         self.idle = []
+        # Connections with an exchange, and the bytes that they buffer.
+        self.sending = set()
+        self.buffered_bytes = 0
         self.open = 0
         self.connect_tasks = set()
         self.closed = False
@@ -317,6 +360,13 @@
             connection.removed = True
             self.open -= 1
 
+    def on_buffered(self, size):
+        """Count buffered bytes; give up the largest answer if too many."""
+        self.buffered_bytes += size
+        if self.buffered_bytes > self.max_buffered_bytes:
+            largest = max(self.sending, key=lambda item: item.buffered_bytes)
+            largest.fail_too_large()
+
     def cancel(self, exchange, outcome=Outcome.CANCELLED):
         """End an exchange early and close its connection.
 
@@ -329,7 +379,7 @@
             )
             return
         if connection.exchange is exchange:
-            connection.exchange = None
+            connection.detach()
             connection.close()
         exchange.finish(outcome)
 
