--- a/tests/test_retry_budgets.py
+++ b/tests/test_retry_budgets.py
@@ -41,6 +41,18 @@
         )
 
 
+# A node that restarts again and again had a full reserve each time.
+def test_a_started_node_has_only_the_retries_that_its_calls_earned():
+    random = Random(SEED)
+    limits = RetryLimits(slack=200.0)
+    granted = 0
+    for _ in range(1000):
+        budget = SharedRetryBudget(limits, random)
+        budget.record_call('r', 5.0)
+        granted += budget.try_acquire('r', 10, 5.0)
+    assert granted <= 1.5 * 1000 * limits.retry_ratio, granted
+
+
 # The reserves of 1,000 nodes added up to 3,000 retries of each service.
 def test_reserves_of_a_large_mesh_stay_within_the_budget():
     assert_bound_holds(MeshPlan(1000, 0.5, slack=190.0, herd_fraction=0.4))
