--- a/poplarrack/upstreams.py
+++ b/poplarrack/upstreams.py
@@ -82,7 +82,7 @@
         self.answer = None
         self.chunks = []
         self.size = 0
-        # Bytes of the exchange that belong to no body.
+        # Bytes of the exchange that are not part of a body or its framing.
         self.overhead_bytes = 0
         self.buffered_bytes = 0
         self.complete = False
@@ -147,11 +147,16 @@
 
     def on_chunk_header(self):
         """Allow for the framing of a chunk."""
-        self.overhead_bytes -= MAX_CHUNK_FRAMING_BYTES
+        self._discount(MAX_CHUNK_FRAMING_BYTES)
+
+    def _discount(self, size):
+        # Never below zero, so that many small chunks allow for no more bytes
+        # after them.
+        self.overhead_bytes = max(0, self.overhead_bytes - size)
 
     def on_body(self, body):
         """Add a chunk to the body, unless the answer is complete."""
-        self.overhead_bytes -= len(body)
+        self._discount(len(body))
         if self.complete or self.exchange is None:
             return
         self.size += len(body)
--- a/tests/test_upstreams.py
+++ b/tests/test_upstreams.py
@@ -85,7 +85,7 @@
     for first, rest in (
         (CHUNKED + b'1;', b'a' * 4096),
         (CHUNKED + b'0\r\n', b'x: a\r\n' * 1000),
-        (CHUNKED + b'1\r\na\r\n0\r\nx: ', b'a' * 4096),
+        (CHUNKED + b'1\r\na\r\n' * 50_000 + b'0\r\nx: ', b'a' * 4096),
     ):
         assert outcome_of(first, rest) is Outcome.LOST, (first, rest[:30])
 
