Test the node count of the budget and the counters' page

Cause: the number of nodes that share the retry budget, the routes that are forgotten and the labelled counters had no test. Change: tests only.

--- a/tests/test_retry_budgets.py
+++ b/tests/test_retry_budgets.py
@@ -7,10 +7,16 @@
 
 from random import Random
 
+from poplarrack.balancers import Locality
+from poplarrack.knowledge import Knowledge
+from poplarrack.members import MemberState
 from poplarrack.retry_budgets import RetryLimits
 from poplarrack.retry_budgets import SharedRetryBudget
+from poplarrack.routing_tables import derive_routing_table
 from tests.retry_meshes import MeshPlan
 from tests.retry_meshes import play
+from tests.samples import member
+from tests.samples import member_table
 from tests.support import build_load_tests
 
 load_tests = build_load_tests(__name__)
@@ -93,3 +99,30 @@
     granted = sum(budget.try_acquire('r', 1000, 9.0) for budget in budgets)
     part = limits.node_reserve(1000) + limits.retry_ratio
     assert 0.7 * 1000 * part <= granted <= 1.5 * 1000 * part, granted
+
+
+# A node that a partition cuts off would take the parts of all others.
+def test_nodes_behind_a_partition_keep_their_part():
+    states = {
+        'n1': MemberState.ALIVE,
+        'n2': MemberState.SUSPECT,
+        'n3': MemberState.DEAD,
+        'n4': MemberState.LEFT,
+    }
+    members = member_table(
+        *(member(node_id, state=state) for node_id, state in states.items())
+    )
+    locality = Locality('n1', 'south', 'a')
+    table = derive_routing_table(locality, Knowledge(members=members), 0.0)
+    assert table.node_count == 3
+    assert derive_routing_table(locality, Knowledge(), 0.0).node_count == 1
+
+
+# Names of routes that change with each version would be kept for good.
+def test_dropped_routes_are_forgotten():
+    budget = SharedRetryBudget(RetryLimits(), Random(SEED))
+    for route in ('kept', 'dropped'):
+        budget.record_call(route, 0.0)
+    budget.keep_only({'kept'})
+    assert set(budget.route_buckets) == {'kept'}
+    assert not budget.try_acquire('dropped', 10, 0.0)
--- a/tests/test_sidecar_servers.py
+++ b/tests/test_sidecar_servers.py
@@ -138,6 +138,7 @@
     assert b'expect-instance: i-1\r\n' in endpoint.requests[0]
     assert b'poplarrack_call_seconds_bucket' in metrics
     assert b'poplarrack_call_answers_total 1.0' in metrics
+    assert b'poplarrack_service_calls_total{service="front"} 1.0' in metrics
     assert b'"i-1"' in state
     assert refused.startswith(b'HTTP/1.1 503')
     assert b'retry-after' in refused
