--- a/tests/test_retry_budgets.py
+++ b/tests/test_retry_budgets.py
@@ -29,9 +29,13 @@
     assert excess <= 0, f'{service}: {excess:.0f} too many from {second} s on'
 
 
-# Retries of 4 nodes that fail half of their requests at two services.
+# Retries of 4 nodes that fail half of their requests at two services, also
+# if all of them restart.
 def test_repeats_of_a_small_mesh_stay_within_the_budget():
-    assert_bound_holds(MeshPlan(4, 20.0, slack=56.0))
+    for fraction in (0.0, 1.0):
+        assert_bound_holds(
+            MeshPlan(4, 20.0, slack=56.0, herd_fraction=fraction)
+        )
 
 
 # Repeated runs call the next service again, which no retry budget counted.
