Wait for the connections of the endless servers to close

It comes from a write on a connection that its peer reset; the servers of test_upstreams write until that happens and didn't wait for the end. Six runs of that module alone did not show it, so that this is read, not shown. Change: they wait for their connections to close and count the cut after it.

--- a/tests/test_upstreams.py
+++ b/tests/test_upstreams.py
@@ -1,6 +1,7 @@
 """Test connections to backend servers that send bytes without end."""
 
 import asyncio
+from contextlib import suppress
 
 from poplarrack.upstreams import Outcome
 from poplarrack.upstreams import UpstreamPool
@@ -26,15 +27,15 @@
     async def serve(self, reader, writer):
         await reader.readuntil(b'\r\n\r\n')
         writer.write(self.first)
-        try:
+        with suppress(ConnectionError):
             while True:
                 writer.write(self.rest)
                 await writer.drain()
                 await asyncio.sleep(0)
-        except ConnectionError:
-            self.cut_off += 1
-        finally:
-            writer.close()
+        writer.close()
+        with suppress(ConnectionError):
+            await writer.wait_closed()
+        self.cut_off += 1
 
 
 async def exchange_with(server, exchanges=1):
