Show the evidence that nodes hold on a move

`move_written` doesn't say on how many calls a step was taken, and no metric shows whether a node still holds what it counted or under which share it counts. Change: `move_written` has calls_at_share, new_calls, new_failures and largest_factor; gauges of the share of each move and of the calls and failures held as evidence, by version and share. No decision changed. Measured: tests.test_metrics and the tests of moves, nodes and the adapter pass.

--- a/poplarrack/decisions.py
+++ b/poplarrack/decisions.py
@@ -67,6 +67,8 @@
 
     ``revision`` is the one at which it was read. With a ``service_path``,
     the service's record is written in the same transaction.
+    ``calls_at_share`` is the number of calls to the new version that were
+    counted at the share before this record; it is only logged.
     """
 
     path: str
@@ -75,6 +77,7 @@
     service_path: str = ''
     service_revision: int = 0
     service_value: bytes = b''
+    calls_at_share: int = 0
 
 
 @dataclass(frozen=True)
--- a/poplarrack/dispatchers.py
+++ b/poplarrack/dispatchers.py
@@ -19,6 +19,7 @@
 from poplarrack.errors import resolve_error_kind
 from poplarrack.evidence import EvidenceCounter
 from poplarrack.evidence import Side
+from poplarrack.evidence import stage_of
 from poplarrack.http_messages import build_answer
 from poplarrack.http_messages import build_error
 from poplarrack.http_messages import build_request
@@ -410,7 +411,7 @@
         It is 0 if no move is in effect.
         """
         split = self.table.moves.get(service)
-        return 0 if split is None else round(split.share * 1000)
+        return 0 if split is None else stage_of(split.share)
 
     def _try_retry(self, call, failure, now):
         """Retry the call if allowed; return whether it was retried."""
--- a/poplarrack/evidence.py
+++ b/poplarrack/evidence.py
@@ -90,6 +90,11 @@
     epoch: int
 
 
+def stage_of(share):
+    """Return the CellKey.stage of a share from 0 to 1."""
+    return round(share * FULL_SHARE_STAGE)
+
+
 @dataclass(frozen=True, slots=True)
 class Cell:
     """The counts under one key; ``latency`` maps buckets to calls."""
--- a/poplarrack/executors.py
+++ b/poplarrack/executors.py
@@ -168,10 +168,24 @@
             'state': decision.move.state.value,
             'share': decision.move.share,
             'reason': decision.move.reason,
+            'calls_at_share': decision.calls_at_share,
+            **_summarize_evidence(decision.move),
         },
     )
 
 
+def _summarize_evidence(move):
+    """Return the evidence in a move's record as fields of a log line."""
+    factors = [
+        max(item.failure_factor, item.latency_factor) for item in move.evidence
+    ]
+    return {
+        'new_calls': sum(item.new_calls for item in move.evidence),
+        'new_failures': sum(item.new_failures for item in move.evidence),
+        'largest_factor': round(max(factors, default=0.0), 3),
+    }
+
+
 def move_transaction(decision):
     """Return the compares and operations that write a move's next record."""
     key = CONFIGURATION_PREFIX + decision.path
--- a/poplarrack/metrics.py
+++ b/poplarrack/metrics.py
@@ -5,8 +5,10 @@
 memory.
 """
 
+from collections import Counter
 import re
 
+from poplarrack.evidence import ENTIRE_STAGE
 from poplarrack.pages import Page
 
 # Keys of a Sender's counts of one service, which are labelled with it.
@@ -65,6 +67,7 @@
         for name, value in gauges.items():
             text = name.replace('_', ' ')
             yield GaugeMetricFamily(f'poplarrack_{name}', text, value)
+        yield from self._collect_moves(facts)
         traffic = self.server.traffic
         counters = {
             'peer_messages_in': traffic.messages_in,
@@ -90,6 +93,44 @@
             text = name.replace('_', ' ')
             yield CounterMetricFamily(f'poplarrack_{name}', text, value)
 
+    def _collect_moves(self, facts):
+        """Yield the shares of moves and the calls that this node counted.
+
+        The label ``share`` is the share under which the calls are counted.
+        """
+        from prometheus_client.core import GaugeMetricFamily
+
+        shares = GaugeMetricFamily(
+            'poplarrack_move_share',
+            'share of calls to the new version, as recorded',
+            labels=['service', 'state'],
+        )
+        services = {}
+        for service, move in facts.knowledge.configuration.moves.items():
+            services[move.move_id] = service
+            shares.add_metric([service, move.state.value], move.share)
+        yield shares
+        calls, failures = Counter(), Counter()
+        for cell in facts.cells:
+            key = cell.key
+            if key.epoch == ENTIRE_STAGE and key.move_id in services:
+                labels = (
+                    services[key.move_id],
+                    key.side.name.lower(),
+                    f'{key.stage / 1000:g}',
+                )
+                calls[labels] += cell.calls
+                failures[labels] += cell.failures
+        for name, counts in (('calls', calls), ('failures', failures)):
+            family = GaugeMetricFamily(
+                f'poplarrack_move_{name}',
+                f'{name} held in memory as evidence on a move',
+                labels=['service', 'side', 'share'],
+            )
+            for labels, count in sorted(counts.items()):
+                family.add_metric(list(labels), count)
+            yield family
+
     def _collect_services(self):
         from prometheus_client.core import CounterMetricFamily
 
--- a/poplarrack/move_controllers.py
+++ b/poplarrack/move_controllers.py
@@ -1,5 +1,6 @@
 """Decide on moves: halt bad versions and advance good ones."""
 
+from collections import Counter
 from dataclasses import replace
 
 from poplarrack.decisions import controller
@@ -7,7 +8,9 @@
 from poplarrack.decisions import WriteMove
 from poplarrack.evidence import compare_versions
 from poplarrack.evidence import detect_regression
+from poplarrack.evidence import ENTIRE_STAGE
 from poplarrack.evidence import merge_cells
+from poplarrack.evidence import Side
 from poplarrack.members import EndpointState
 from poplarrack.moves import decide_move
 from poplarrack.moves import is_live
@@ -54,9 +57,13 @@
             < MIN_MOVE_WRITE_INTERVAL_SECONDS
         ):
             continue
-        changed = decide_move(move, observe_move(facts, move, now), now)
+        observed = observe_move(facts, move, now)
+        changed = decide_move(move, observed, now)
         if changed is not None:
-            yield _write_move(configuration, service, changed)
+            decision = _write_move(configuration, service, changed)
+            yield replace(
+                decision, calls_at_share=observed.calls_at(move.share)
+            )
 
 
 def _write_move(configuration, service, changed):
@@ -113,9 +120,21 @@
         new_slots,
         old_slots,
         busy,
+        _count_new_calls(move.move_id, report.cells),
     )
 
 
+def _count_new_calls(move_id, cells):
+    """Return the number of calls to a move's new version by stage."""
+    calls = Counter()
+    for cell in cells:
+        key = cell.key
+        counted = key.move_id == move_id and key.epoch == ENTIRE_STAGE
+        if counted and key.side is Side.NEW:
+            calls[key.stage] += cell.calls
+    return calls
+
+
 def _serves(member, endpoint, service):
     return (
         endpoint is not None
--- a/poplarrack/moves.py
+++ b/poplarrack/moves.py
@@ -6,10 +6,13 @@
 final share before the move is completed.
 """
 
+from collections.abc import Mapping
 from dataclasses import dataclass
+from dataclasses import field
 from dataclasses import replace
 
 from poplarrack.evidence import MAX_FINITE_FACTOR
+from poplarrack.evidence import stage_of
 from poplarrack.resources import Move
 from poplarrack.resources import MoveState
 from poplarrack.resources import RouteEvidence
@@ -137,7 +140,8 @@
 
     ``new_slots`` counts the slots of the new version's servers whose slow
     start has ended, ``busy_slots`` the slots of all versions that calls
-    occupy now.
+    occupy now. ``new_calls_by_stage`` has the calls to the new version by
+    the share, in thousandths, at which they were sent.
     """
 
     findings: tuple = ()
@@ -146,6 +150,11 @@
     new_slots: float = 0.0
     old_slots: float = 0.0
     busy_slots: float = 0.0
+    new_calls_by_stage: Mapping[int, int] = field(default_factory=dict)
+
+    def calls_at(self, share):
+        """Return the calls to the new version sent at a share."""
+        return self.new_calls_by_stage.get(stage_of(share), 0)
 
 
 def watch_end(move):
--- a/poplarrack/senders.py
+++ b/poplarrack/senders.py
@@ -21,6 +21,7 @@
 from poplarrack.errors import resolve_error_kind
 from poplarrack.evidence import EvidenceCounter
 from poplarrack.evidence import Side
+from poplarrack.evidence import stage_of
 from poplarrack.exchanges import RoutedRequest
 from poplarrack.exchanges import Verdict
 from poplarrack.header_names import HeaderNames
@@ -253,7 +254,7 @@
         if call.version is None:
             to_new = self.splitter.goes_to_new_version(split)
             call.version = split.to_version if to_new else ''
-            call.stage = round(split.share * 1000)
+            call.stage = stage_of(split.share)
         return new if call.version and not call.arrivals else old
 
     async def _offer(self, call, placement: Placement, now):
--- /dev/null
+++ b/tests/test_metrics.py
@@ -0,0 +1,72 @@
+"""Test the metrics that tell on-call what a node believes."""
+
+from collections import Counter
+from types import SimpleNamespace
+
+from prometheus_client.core import CollectorRegistry
+from prometheus_client.exposition import generate_latest
+
+from poplarrack.blackboards import Facts
+from poplarrack.evidence import Cell
+from poplarrack.evidence import CellKey
+from poplarrack.evidence import ENTIRE_STAGE
+from poplarrack.evidence import Side
+from poplarrack.knowledge import apply_snapshot
+from poplarrack.knowledge import Knowledge
+from poplarrack.metrics import NodeCollector
+from poplarrack.resources import encode_resource
+from poplarrack.resources import MoveState
+from poplarrack.settings import NodeSettings
+from poplarrack.settings import PlatformSettings
+from poplarrack.traffic import PeerTraffic
+from tests.samples import CHANGES
+from tests.samples import member
+from tests.samples import move
+from tests.samples import snapshot
+from tests.support import build_load_tests
+
+load_tests = build_load_tests(__name__)
+
+
+def scrape(facts):
+    dispatcher = SimpleNamespace(in_flight=0, counts=Counter())
+    node = SimpleNamespace(
+        blackboard=SimpleNamespace(facts=facts), dispatcher=dispatcher
+    )
+    server = SimpleNamespace(
+        node=node, traffic=PeerTraffic(), platform=SimpleNamespace(calls=0)
+    )
+    registry = CollectorRegistry()
+    registry.register(NodeCollector(server))
+    return generate_latest(registry).decode()
+
+
+# A node that had lost its counts could not be told from one that held them.
+def test_the_calls_held_as_evidence_are_shown_by_version_and_share():
+    record = move(share=0.5, state=MoveState.ADVANCING)
+    changes = {**CHANGES, 't/moves/front': encode_resource(record)}
+    knowledge = apply_snapshot(Knowledge(), snapshot(1, changes))
+    cells = tuple(
+        Cell(CellKey('m1', route, side, 0, 500, ENTIRE_STAGE), calls, failures)
+        for route, side, calls, failures in (
+            ('front', Side.OLD, 40, 1),
+            ('front', Side.NEW, 30, 12),
+            ('pay', Side.NEW, 5, 0),
+        )
+    )
+    settings = NodeSettings(
+        'n', 'south', 'a', 'n', '', '', '', PlatformSettings(())
+    )
+    page = scrape(
+        Facts(settings, member('n'), knowledge=knowledge, cells=cells)
+    )
+    assert (
+        'poplarrack_move_share{service="front",state="advancing"} 0.5' in page
+    )
+    for line in (
+        'poplarrack_move_calls{service="front",share="0.5",side="new"} 35.0',
+        'poplarrack_move_calls{service="front",share="0.5",side="old"} 40.0',
+        'poplarrack_move_failures{service="front",share="0.5",side="new"} '
+        '12.0',
+    ):
+        assert line in page, page
