--- /dev/null
+++ b/tests/test_move_recovery.py
@@ -0,0 +1,114 @@
+"""Test what moves do after nodes lost their memory or calls stopped.
+
+The counts and the verdicts on a move are kept in the memory of nodes, its
+share in the store. A completed move of these policies can't be undone.
+"""
+
+import asyncio
+
+from poplarrack.resources import MoveState
+from tests.move_meshes import on_moving_mesh
+from tests.move_meshes import Regression
+from tests.support import build_load_tests
+
+load_tests = build_load_tests(__name__)
+
+POWER_OFF_SECONDS = 2.0
+# From the start of all nodes to the end of a move that they can't judge.
+SETTLE_SECONDS = 4.0
+
+
+# EXPOSURE: after a start of all nodes the worker completed a version that
+# had failed at the whole share before; nothing in its memory said so.
+@on_moving_mesh(Regression(above_share=1.0))
+async def test_a_power_loss_at_the_whole_share_does_not_complete_the_move(
+    moving,
+):
+    await moving.wait_for_share(1.0)
+    await asyncio.sleep(0.4)
+    await moving.lose_power(POWER_OFF_SECONDS)
+    record = await moving.wait_for_end(SETTLE_SECONDS)
+    assert record.state is MoveState.WITHDRAWN, record.log
+
+
+# EXPOSURE: evidence on servers that have restarted says nothing about how
+# the new ones behave once they have run for a while.
+@on_moving_mesh(Regression(above_share=0.0, after_seconds=32.0))
+async def test_servers_that_restarted_are_watched_as_long_as_before(moving):
+    await moving.wait_for_share(0.04)
+    await asyncio.sleep(20.0)
+    await moving.lose_power(POWER_OFF_SECONDS)
+    record = await moving.wait_for_end(2 * moving.window)
+    assert record.state is MoveState.WITHDRAWN, record.log
+    failed = sum(failed for _, failed in moving.calls_to_new)
+    assert failed < 50, failed
+
+
+# A move that waits for evidence after a power loss must not wait for ever.
+@on_moving_mesh()
+async def test_a_good_version_is_completed_in_time_after_a_power_loss(moving):
+    await moving.wait_for_share(0.04)
+    await asyncio.sleep(10.0)
+    await moving.lose_power(POWER_OFF_SECONDS)
+    record = await moving.wait_for_end(moving.window)
+    assert record.state is MoveState.COMPLETED, record.log
+    assert record.ended_at <= moving.deadline, record.log
+
+
+# One that lost power too late for its deadline is still completed.
+@on_moving_mesh()
+async def test_a_good_version_is_completed_after_a_late_power_loss(moving):
+    await moving.wait_for_share(0.2)
+    await moving.lose_power(POWER_OFF_SECONDS)
+    record = await moving.wait_for_end(2 * moving.window)
+    assert record.state is MoveState.COMPLETED, record.log
+
+
+# EXPOSURE: the schedule went on while no calls arrived, and completed a
+# version that nobody had called at its last shares.
+@on_moving_mesh(Regression(above_share=0.0, after_seconds=45.0))
+async def test_no_step_is_taken_while_no_calls_arrive(moving):
+    await moving.wait_for_share(0.08)
+    moving.calls_arrive = False
+    await asyncio.sleep(0.5 * moving.window)
+    assert moving.record.share <= 0.2, moving.record.log
+    moving.calls_arrive = True
+    record = await moving.wait_for_end(0.5 * moving.window)
+    assert record.state is MoveState.WITHDRAWN, record.log
+
+
+# EXPOSURE: after the gap a late move took a step each half second on calls
+# of earlier shares, faster than evidence reached the worker.
+@on_moving_mesh(Regression(above_share=0.5))
+async def test_a_late_move_sees_calls_at_each_share_before_the_next(moving):
+    await moving.wait_for_share(0.08)
+    moving.calls_arrive = False
+    await asyncio.sleep(0.5 * moving.window)
+    moving.calls_arrive = True
+    record = await moving.wait_for_end(0.5 * moving.window)
+    assert record.state is MoveState.WITHDRAWN, record.log
+
+
+# Waiting for calls must not cost a good version its deadline.
+@on_moving_mesh()
+async def test_a_good_version_is_completed_in_time_after_a_gap(moving):
+    await moving.wait_for_share(0.04)
+    await asyncio.sleep(5.0)
+    moving.calls_arrive = False
+    await asyncio.sleep(0.4 * moving.window)
+    moving.calls_arrive = True
+    record = await moving.wait_for_end(moving.window)
+    assert record.state is MoveState.COMPLETED, record.log
+    assert record.ended_at <= moving.deadline, record.log
+
+
+# The worker alone has lost its memory; the other nodes still have theirs.
+@on_moving_mesh()
+async def test_a_restart_of_the_worker_alone_does_not_delay_a_move(moving):
+    for share in (0.04, 0.2, 1.0):
+        await moving.wait_for_share(share)
+        await moving.restart_worker()
+    record = await moving.wait_for_end(moving.window)
+    assert record.state is MoveState.COMPLETED, record.log
+    assert record.ended_at <= moving.deadline, record.log
+    assert moving.shares == sorted(moving.shares), record.log
--- a/tests/test_senders.py
+++ b/tests/test_senders.py
@@ -9,6 +9,8 @@
 from hypothesis import settings
 from hypothesis import strategies
 
+from poplarrack.call_tables import VersionSplit
+from poplarrack.evidence import FULL_SHARE_STAGE
 from poplarrack.exchanges import Delivery
 from poplarrack.exchanges import Occupancy
 from poplarrack.exchanges import Verdict
@@ -317,6 +319,20 @@
     assert abs(asyncio.run(run()) - 100) <= 1
 
 
+# EXPOSURE: calls that only the new version could take were counted under the
+# share 0, at which nothing compares them with the old version's.
+def test_calls_without_an_old_version_are_counted_at_the_whole_share():
+    for share in (0.5, 1.0):
+        new = destination(2)
+        new = replace(new, endpoint=replace(new.endpoint, version='v2'))
+        sender, _ = build_sender([FAILED], {'front': [new]})
+        split = VersionSplit('m1', '', 'v2', share, True)
+        sender.set_table(replace(sender.table, moves={'front': split}))
+        asyncio.run(send(sender))
+        cells = sender.evidence.cells({'m1'}, sender.clock())
+        assert {cell.key.stage for cell in cells} == {FULL_SHARE_STAGE}, cells
+
+
 def test_a_silent_node_is_avoided():
     async def run():
         sender, streams = build_sender([GOOD] * 30)
