Count calls at the whole share under that share

Cause: a Sender sets a call's stage only where it draws the version. At 100%, or with no old endpoint left, it draws none, and the calls are counted under stage 0. The test at the whole share looks at FULL_SHARE_STAGE, so that it never saw a call on the platform; what was compared were the few calls to the old version from before the first step. After a restart of all nodes there are none of these: callers of EXPOSURE got errors from a version that no node tested. Change: such calls are counted under FULL_SHARE_STAGE, as a Dispatcher does.

--- a/poplarrack/carried_calls.py
+++ b/poplarrack/carried_calls.py
@@ -19,9 +19,10 @@
     ``offers`` counts the nodes that it was offered to, ``arrivals`` the
     endpoints that it may have reached. During a move, ``version`` is the new
     version or, if the call goes to the old one, an empty string. ``stage`` is
-    the move's share in thousandths when the version was chosen by it, and 0
-    if all calls went to one version. ``inherited_repeat`` is the
-    probability that a repeated run made the call, if the local endpoint did.
+    the share in thousandths by which the version was chosen: that of the move
+    or, if all calls went to one version, 0 or FULL_SHARE_STAGE.
+    ``inherited_repeat`` is the probability that a repeated run made the call,
+    if the local endpoint did.
     """
 
     request: HttpRequest
--- a/poplarrack/senders.py
+++ b/poplarrack/senders.py
@@ -20,6 +20,7 @@
 from poplarrack.errors import ErrorKind
 from poplarrack.errors import resolve_error_kind
 from poplarrack.evidence import EvidenceCounter
+from poplarrack.evidence import FULL_SHARE_STAGE
 from poplarrack.evidence import Side
 from poplarrack.evidence import stage_of
 from poplarrack.exchanges import RoutedRequest
@@ -250,6 +251,7 @@
         if split.share <= 0 or not new:
             return old
         if split.share >= 1 or not old:
+            call.stage = FULL_SHARE_STAGE
             return new
         if call.version is None:
             to_new = self.splitter.goes_to_new_version(split)
