Split policies and observations from the steps of a move

Change: move_policies.py has the policies and their schedules, move_observations.py what the worker sees. No rule changed.

--- a/poplarrack/benches/moves.py
+++ b/poplarrack/benches/moves.py
@@ -18,12 +18,12 @@
 from poplarrack.evidence import detect_regression
 from poplarrack.evidence import EvidenceCounter
 from poplarrack.evidence import Side
+from poplarrack.move_observations import MoveObservation
+from poplarrack.move_policies import DEFAULT_SCHEDULE
+from poplarrack.move_policies import POLICIES
 from poplarrack.moves import build_move
 from poplarrack.moves import decide_move
-from poplarrack.moves import DEFAULT_SCHEDULE
 from poplarrack.moves import effective_share
-from poplarrack.moves import MoveObservation
-from poplarrack.moves import POLICIES
 from poplarrack.resources import MoveState
 
 MOVE_STARTED_AT = 1000.0
--- a/poplarrack/move_commands.py
+++ b/poplarrack/move_commands.py
@@ -9,10 +9,10 @@
 from poplarrack.editors import Edit
 from poplarrack.errors import ErrorKind
 from poplarrack.errors import PoplarrackError
+from poplarrack.move_policies import POLICIES
 from poplarrack.moves import build_move
 from poplarrack.moves import is_live
 from poplarrack.moves import planned_share
-from poplarrack.moves import POLICIES
 from poplarrack.operator_sessions import read_time_argument
 from poplarrack.reports import describe_move
 from poplarrack.resources import encode_resource
--- a/poplarrack/move_controllers.py
+++ b/poplarrack/move_controllers.py
@@ -1,6 +1,5 @@
 """Decide on moves: halt bad versions and advance good ones."""
 
-from collections import Counter
 from dataclasses import replace
 
 from poplarrack.decisions import controller
@@ -8,14 +7,13 @@
 from poplarrack.decisions import WriteMove
 from poplarrack.evidence import compare_versions
 from poplarrack.evidence import detect_regression
-from poplarrack.evidence import ENTIRE_STAGE
 from poplarrack.evidence import merge_cells
-from poplarrack.evidence import Side
 from poplarrack.members import EndpointState
+from poplarrack.move_observations import count_new_calls
+from poplarrack.move_observations import MoveObservation
+from poplarrack.move_policies import POLICIES
 from poplarrack.moves import decide_move
 from poplarrack.moves import is_live
-from poplarrack.moves import MoveObservation
-from poplarrack.moves import POLICIES
 from poplarrack.reporters import build_report
 from poplarrack.reporters import fresh_reports
 from poplarrack.resources import encode_resource
@@ -120,21 +118,10 @@
         new_slots,
         old_slots,
         busy,
-        _count_new_calls(move.move_id, report.cells),
+        count_new_calls(move.move_id, report.cells),
     )
 
 
-def _count_new_calls(move_id, cells):
-    """Return the number of calls to a move's new version by stage."""
-    calls = Counter()
-    for cell in cells:
-        key = cell.key
-        counted = key.move_id == move_id and key.epoch == ENTIRE_STAGE
-        if counted and key.side is Side.NEW:
-            calls[key.stage] += cell.calls
-    return calls
-
-
 def _serves(member, endpoint, service):
     return (
         endpoint is not None
--- a/poplarrack/moves.py
+++ b/poplarrack/moves.py
@@ -6,49 +6,18 @@
 final share before the move is completed.
 """
 
-from collections.abc import Mapping
-from dataclasses import dataclass
-from dataclasses import field
 from dataclasses import replace
 
 from poplarrack.evidence import MAX_FINITE_FACTOR
-from poplarrack.evidence import stage_of
+from poplarrack.move_policies import POLICIES
 from poplarrack.resources import Move
 from poplarrack.resources import MoveState
 from poplarrack.resources import RouteEvidence
 
-POLICIES = {}
-
 # Bounds of the log in a move's record; the oldest lines are dropped first.
 MAX_LOG_LINES = 24
 MAX_LOG_LINE_CHARACTERS = 200
 
-# Pairs of the fraction of the window at which a step begins and its share.
-# The last step leaves some calls on the old version, so that the two
-# versions can be compared until the move is completed.
-DEFAULT_SCHEDULE = (
-    (0.00, 0.01),
-    (0.12, 0.02),
-    (0.30, 0.05),
-    (0.46, 0.10),
-    (0.60, 0.25),
-    (0.72, 0.50),
-    (0.82, 0.90),
-)
-
-# For moves at whose end the old servers stop. A bad version must not get
-# more than a tenth of the calls, so the larger shares come late and are
-# short. The share reaches 100% before the end, so that the old servers are
-# idle when they stop.
-REPLACEMENT_SCHEDULE = (
-    (0.00, 0.02),
-    (0.15, 0.04),
-    (0.60, 0.08),
-    (0.72, 0.20),
-    (0.79, 0.50),
-    (0.85, 1.00),
-)
-
 # Fraction of the window from which a move may be completed.
 COMPLETION_FRACTION = 0.95
 
@@ -69,94 +38,6 @@
 TARGET_SLOT_UTILIZATION = 0.8
 
 
-@dataclass(frozen=True)
-class Policy:
-    """A trade-off between safe rollback and completion in time.
-
-    ``withdrawal_threshold`` is the Bayes factor at which a move is withdrawn.
-    ``min_calls_per_step`` is the number of calls to the new version that
-    must be seen before the next step. With fewer calls at the deadline
-    the move is completed if ``complete_if_inconclusive``, and otherwise
-    held for an operator. ``schedule`` pairs fractions of the window with
-    the share that begins there. ``stops_old_servers`` means that the old
-    backend servers stop when the move is completed, so that it can't be
-    watched or withdrawn afterwards.
-    """
-
-    name: str
-    withdrawal_threshold: float
-    min_calls_per_step: int
-    complete_if_inconclusive: bool
-    schedule: tuple[tuple[float, float], ...] = DEFAULT_SCHEDULE
-    stops_old_servers: bool = False
-
-    @property
-    def last_share(self):
-        """Return the share of the schedule's last step."""
-        return self.schedule[-1][1]
-
-
-def register_policy(build):
-    """Register the policy that a function builds under its name."""
-    policy = build()
-    POLICIES[policy.name] = policy
-    return build
-
-
-@register_policy
-def take_back_first():
-    """Prefer safe rollback; hold on inconclusive evidence."""
-    return Policy('take_back_first', 1_000.0, 50, False)
-
-
-@register_policy
-def done_in_time():
-    """Prefer the deadline; complete on inconclusive evidence."""
-    return Policy('done_in_time', 5_000.0, 20, True)
-
-
-@register_policy
-def balanced():
-    """Balance both aims; hold on inconclusive evidence."""
-    return Policy('balanced', 2_000.0, 30, False)
-
-
-@register_policy
-def replace_at_end():
-    """Complete in time where the old servers stop at the end."""
-    return Policy(
-        'replace_at_end',
-        1_000.0,
-        20,
-        True,
-        REPLACEMENT_SCHEDULE,
-        stops_old_servers=True,
-    )
-
-
-@dataclass(frozen=True)
-class MoveObservation:
-    """The state of a service on which its move's worker decides.
-
-    ``new_slots`` counts the slots of the new version's servers whose slow
-    start has ended, ``busy_slots`` the slots of all versions that calls
-    occupy now. ``new_calls_by_stage`` has the calls to the new version by
-    the share, in thousandths, at which they were sent.
-    """
-
-    findings: tuple = ()
-    verdict: object = None
-    new_servers: int = 0
-    new_slots: float = 0.0
-    old_slots: float = 0.0
-    busy_slots: float = 0.0
-    new_calls_by_stage: Mapping[int, int] = field(default_factory=dict)
-
-    def calls_at(self, share):
-        """Return the calls to the new version sent at a share."""
-        return self.new_calls_by_stage.get(stage_of(share), 0)
-
-
 def watch_end(move):
     """Return the time until which a completed move is watched."""
     if POLICIES[move.policy].stops_old_servers:
--- a/tests/test_moves.py
+++ b/tests/test_moves.py
@@ -15,11 +15,11 @@
 from poplarrack.evidence import Side
 from poplarrack.evidence import Stratum
 from poplarrack.evidence import Verdict
+from poplarrack.move_observations import MoveObservation
+from poplarrack.move_policies import POLICIES
 from poplarrack.moves import decide_move
 from poplarrack.moves import effective_share
 from poplarrack.moves import is_live
-from poplarrack.moves import MoveObservation
-from poplarrack.moves import POLICIES
 from poplarrack.resources import MoveState
 from tests.samples import move
 from tests.support import build_load_tests
