Take a step of a move on calls at its present share

Cause: the calls that a step asks for were counted over all shares, and a late move of a policy that completes in time took a step each half second without any; it was completed without any, too. After a gap in traffic or a loss of power the schedule caught up faster than evidence reaches the worker. Callers of EXPOSURE got errors from a version that failed 12 of the 18 calls that the worker knew of when it completed the move. Change: a step and the completion need min_calls_per_step calls at the present share and calls in flight, and wait while the evidence against the version is 20 to 1 or more. Only a service whose mean rate is too low for that goes on without them, as before; with no call at all a move whose old servers stop is not completed. A wait is recorded once it is 5% of the window behind. A move that lost its evidence still goes on from its share.

--- a/poplarrack/benches/moves.py
+++ b/poplarrack/benches/moves.py
@@ -18,6 +18,7 @@
 from poplarrack.evidence import detect_regression
 from poplarrack.evidence import EvidenceCounter
 from poplarrack.evidence import Side
+from poplarrack.move_observations import count_new_calls
 from poplarrack.move_observations import MoveObservation
 from poplarrack.move_policies import DEFAULT_SCHEDULE
 from poplarrack.move_policies import POLICIES
@@ -159,7 +160,13 @@
                 self.halted_at = self.now
             self.findings = compare_versions(self.move.move_id, self.reported)
         observed = MoveObservation(
-            self.findings, self.verdict, 4, 40.0, 40.0, 10.0
+            self.findings,
+            self.verdict,
+            4,
+            40.0,
+            40.0,
+            10.0,
+            count_new_calls(self.move.move_id, self.reported),
         )
         self.move = self.plan(self.move, observed, self.now) or self.move
 
--- a/poplarrack/move_observations.py
+++ b/poplarrack/move_observations.py
@@ -8,6 +8,9 @@
 from poplarrack.evidence import ENTIRE_STAGE
 from poplarrack.evidence import Side
 from poplarrack.evidence import stage_of
+from poplarrack.move_policies import POLICIES
+
+MIN_ELAPSED_SECONDS = 0.1
 
 
 @dataclass(frozen=True)
@@ -17,7 +20,8 @@
     ``new_slots`` counts the slots of the new version's servers whose slow
     start has ended, ``busy_slots`` the slots of all versions that calls
     occupy now. ``new_calls_by_stage`` has the calls to the new version by
-    the share, in thousandths, at which they were sent.
+    the share, in thousandths, at which they were sent; all counts are of the
+    calls that nodes hold in memory.
     """
 
     findings: tuple = ()
@@ -28,9 +32,48 @@
     busy_slots: float = 0.0
     new_calls_by_stage: Mapping[int, int] = field(default_factory=dict)
 
+    @property
+    def calls(self):
+        """Return the calls to both versions."""
+        return _count_calls(self.findings)
+
+    @property
+    def largest_factor(self):
+        """Return the strongest evidence against the new version, to 1."""
+        return max(
+            (
+                max(finding.failure_factor, finding.latency_factor)
+                for finding in self.findings
+            ),
+            default=0.0,
+        )
+
     def calls_at(self, share):
-        """Return the calls to the new version sent at a share."""
-        return self.new_calls_by_stage.get(stage_of(share), 0)
+        """Return the calls to the new version at a share or a larger one."""
+        return sum(
+            calls
+            for stage, calls in self.new_calls_by_stage.items()
+            if stage >= stage_of(share)
+        )
+
+
+def has_thin_traffic(move, observed, now):
+    """Return whether the present stage is too short for enough calls.
+
+    The rate of calls is the mean since the move began, of which a gap in
+    traffic or a restart of nodes takes little away.
+    """
+    policy = POLICIES[move.policy]
+    calls = max(observed.calls, _count_calls(move.evidence))
+    calls_per_second = calls / max(MIN_ELAPSED_SECONDS, now - move.started_at)
+    window = move.complete_by - move.started_at
+    stage_seconds = policy.stage_fraction(move.share) * window
+    expected = calls_per_second * move.share * stage_seconds
+    return expected < policy.min_calls_per_step
+
+
+def _count_calls(evidence):
+    return sum(item.old_calls + item.new_calls for item in evidence)
 
 
 def count_new_calls(move_id, cells):
--- a/poplarrack/move_policies.py
+++ b/poplarrack/move_policies.py
@@ -31,18 +31,22 @@
 )
 
 
+# Fraction of the window from which a move may be completed.
+COMPLETION_FRACTION = 0.95
+
+
 @dataclass(frozen=True)
 class Policy:
     """A trade-off between safe rollback and completion in time.
 
     ``withdrawal_threshold`` is the Bayes factor at which a move is withdrawn.
     ``min_calls_per_step`` is the number of calls to the new version that
-    must be seen before the next step. With fewer calls at the deadline
-    the move is completed if ``complete_if_inconclusive``, and otherwise
-    held for an operator. ``schedule`` pairs fractions of the window with
-    the share that begins there. ``stops_old_servers`` means that the old
-    backend servers stop when the move is completed, so that it can't be
-    watched or withdrawn afterwards.
+    must be seen at a share before the next one. A service with fewer calls
+    than that is moved in time all the same if ``complete_if_inconclusive``,
+    and otherwise held for an operator. ``schedule`` pairs fractions of the
+    window with the share that begins there. ``stops_old_servers`` means that
+    the old backend servers stop when the move is completed, so that it can't
+    be watched or withdrawn afterwards.
     """
 
     name: str
@@ -57,6 +61,16 @@
         """Return the share of the schedule's last step."""
         return self.schedule[-1][1]
 
+    def stage_end(self, share):
+        """Return the fraction of the window at which a share is to end."""
+        later = [start for start, step in self.schedule if step > share]
+        return later[0] if later else COMPLETION_FRACTION
+
+    def stage_fraction(self, share):
+        """Return the fraction of the window that a share is scheduled for."""
+        starts = [start for start, step in self.schedule if step <= share]
+        return self.stage_end(share) - (starts[-1] if starts else 0.0)
+
 
 def register_policy(build):
     """Register the policy that a function builds under its name."""
--- a/poplarrack/moves.py
+++ b/poplarrack/moves.py
@@ -9,6 +9,8 @@
 from dataclasses import replace
 
 from poplarrack.evidence import MAX_FINITE_FACTOR
+from poplarrack.move_observations import has_thin_traffic
+from poplarrack.move_policies import COMPLETION_FRACTION
 from poplarrack.move_policies import POLICIES
 from poplarrack.resources import Move
 from poplarrack.resources import MoveState
@@ -18,9 +20,6 @@
 MAX_LOG_LINES = 24
 MAX_LOG_LINE_CHARACTERS = 200
 
-# Fraction of the window from which a move may be completed.
-COMPLETION_FRACTION = 0.95
-
 # Fraction of the window from which a policy that completes on inconclusive
 # evidence takes its next step without enough calls.
 LATE_STEP_FRACTION = 0.88
@@ -29,6 +28,11 @@
 # before the move is completed.
 MIN_LAST_STAGE_FRACTION = 0.05
 
+# Evidence against a new version, to 1, from which its move goes no further.
+SUSPICION_FACTOR = 20.0
+
+DEADLINE_PASSED = 'deadline passed on thin evidence'
+
 # How long a completed move is still watched, as a fraction of its window.
 WATCH_FRACTION = 0.5
 MIN_WATCH_SECONDS = 10.0
@@ -142,20 +146,15 @@
 
 
 def _take_step(move, target, policy, observed, now):
-    """Raise the share by one step of the schedule, or hold the move.
-
-    After the first step, a step needs enough calls. Without them the move
-    is held, unless its policy completes on inconclusive evidence and the
-    move is late: the target is more than one step away, or
-    LATE_STEP_FRACTION of the window has passed.
-    """
+    """Raise the share by one step of the schedule, or hold the move."""
     steps = [share for _, share in policy.schedule if share > move.share]
-    if move.share > 0 and not _has_enough_calls(policy, observed):
+    if move.share > 0:
         late = target > steps[0] or now >= _time_at_fraction(
             move, LATE_STEP_FRACTION
         )
-        if not (late and policy.complete_if_inconclusive):
-            return _hold_for_evidence(move, policy, observed, now)
+        missing = _missing_evidence(move, policy, observed, late, now)
+        if missing:
+            return _hold_for_evidence(move, policy, missing, observed, now)
     share = min(target, steps[0] if steps else 1.0)
     return _change(
         move,
@@ -172,12 +171,41 @@
     return move.started_at + fraction * (move.complete_by - move.started_at)
 
 
-def _hold_for_evidence(move, policy, observed, now):
+def _missing_evidence(move, policy, observed, late, now):
+    """Return what a move waits for at its share, or an empty string.
+
+    Calls of smaller shares don't count: some faults show only at larger
+    ones. Nor do those from before a gap in traffic, after which the version
+    may have turned bad.
+
+    :param late: whether a service with few calls goes on without them.
+    """
+    if observed.largest_factor >= SUSPICION_FACTOR:
+        return 'evidence against the new version'
+    thin = has_thin_traffic(move, observed, now)
+    if observed.calls_at(move.share) < policy.min_calls_per_step:
+        if thin and late and policy.complete_if_inconclusive:
+            return ''
+        return f'waiting for {policy.min_calls_per_step} calls'
+    if observed.busy_slots <= 0 and not thin:
+        return 'no calls in flight'
+    return ''
+
+
+def _hold_for_evidence(move, policy, missing, observed, now):
+    """Hold the move; record it once the next step is well behind schedule."""
+    due_at = _time_at_fraction(move, policy.stage_end(move.share))
+    window = move.complete_by - move.started_at
+    if now < due_at + MIN_LAST_STAGE_FRACTION * window:
+        return None
+    if now < move.complete_by:
+        return _hold(move, missing, now, observed)
+    if move.state is MoveState.HOLDING and move.reason.startswith(
+        DEADLINE_PASSED
+    ):
+        return None
     seen = _count_new_calls(observed)
-    if now >= move.complete_by:
-        reason = f'deadline passed on thin evidence: {seen} calls seen'
-        return _hold(move, reason, now, observed)
-    reason = f'waiting for {policy.min_calls_per_step} calls'
+    reason = f'{DEADLINE_PASSED}: {seen} calls seen, {missing}'
     return _hold(move, reason, now, observed)
 
 
@@ -185,10 +213,6 @@
     return sum(finding.new_calls for finding in observed.findings)
 
 
-def _has_enough_calls(policy, observed):
-    return _count_new_calls(observed) >= policy.min_calls_per_step
-
-
 def _may_complete(move, now):
     window = move.complete_by - move.started_at
     stage_lasted = now - move.stage_since >= MIN_LAST_STAGE_FRACTION * window
@@ -196,11 +220,11 @@
 
 
 def _complete(move, policy, observed, now):
-    if (
-        not _has_enough_calls(policy, observed)
-        and not policy.complete_if_inconclusive
-    ):
-        return _hold_for_evidence(move, policy, observed, now)
+    missing = _missing_evidence(move, policy, observed, True, now)
+    if policy.stops_old_servers and not observed.calls_at(move.share):
+        missing = missing or 'no calls at the last share'
+    if missing:
+        return _hold_for_evidence(move, policy, missing, observed, now)
     return _change(
         move,
         now,
--- a/tests/test_moves.py
+++ b/tests/test_moves.py
@@ -1,5 +1,6 @@
 """Test how moves advance and which evidence withdraws them."""
 
+from dataclasses import replace
 from random import Random
 
 from poplarrack.evidence import bayes_factor
@@ -10,6 +11,7 @@
 from poplarrack.evidence import ENTIRE_STAGE
 from poplarrack.evidence import EvidenceCounter
 from poplarrack.evidence import Finding
+from poplarrack.evidence import FULL_SHARE_STAGE
 from poplarrack.evidence import latency_bucket
 from poplarrack.evidence import RECENT_EPOCHS
 from poplarrack.evidence import Side
@@ -31,7 +33,14 @@
 
 def observation(calls=1000, **changes):
     finding = Finding('front', 9 * calls, 0, calls, 0, 0.0, 0.0)
-    return MoveObservation((finding,), new_servers=2, new_slots=20, **changes)
+    fields = {
+        'new_servers': 2,
+        'new_slots': 20,
+        'busy_slots': 1,
+        'new_calls_by_stage': {FULL_SHARE_STAGE: calls},
+        **changes,
+    }
+    return MoveObservation((finding,), **fields)
 
 
 def run_to_end(record, observed, end=2000):
@@ -84,9 +93,7 @@
     record = decide_move(move(), no_servers, 500.0)
     assert record.state is MoveState.PENDING
     assert 'no server of the new version' in record.reason
-    too_few_slots = MoveObservation(
-        observation().findings, new_servers=1, new_slots=1, busy_slots=40
-    )
+    too_few_slots = observation(new_servers=1, new_slots=1, busy_slots=40)
     record, _ = run_to_end(move(), too_few_slots)
     assert record.share <= 0.02, record
     assert record.state is MoveState.HOLDING
@@ -102,6 +109,35 @@
     assert completed.state is MoveState.COMPLETED
 
 
+# A late move completed a version that was about to be found bad.
+def test_a_move_goes_no_further_on_evidence_against_the_new_version():
+    suspect = replace(observation().findings[0], failure_factor=50.0)
+    accused = replace(observation(), findings=(suspect,))
+    for share, now in ((0.5, 910.0), (1.0, 1010.0)):
+        record = move(
+            policy='replace_at_end', state=MoveState.ADVANCING, share=share
+        )
+        held = decide_move(record, accused, now)
+        assert held.state is MoveState.HOLDING and held.share == share
+        assert 'evidence against the new version' in held.reason
+        cleared = decide_move(record, observation(), now)
+        assert cleared.share == 1.0
+        assert cleared.state is not MoveState.HOLDING
+
+
+# Waiting for calls would keep a service with few calls from its deadline,
+# and one without any would be completed though nothing was ever seen of it.
+def test_a_service_with_few_calls_is_done_in_time_and_one_with_none_waits():
+    done, _ = run_to_end(move(policy='replace_at_end'), observation(calls=1))
+    assert done.state is MoveState.COMPLETED
+    assert done.ended_at <= done.complete_by
+    waiting, _ = run_to_end(
+        move(policy='replace_at_end'), observation(calls=0)
+    )
+    assert waiting.state is MoveState.HOLDING
+    assert 'no calls at the last share' in waiting.reason
+
+
 def test_an_operators_hold_keeps_the_share():
     record = move(state=MoveState.ADVANCING, share=0.1, hold_requested=True)
     record = decide_move(record, observation(), 700.0)
