Go on at a small share after evidence was lost

Cause: nodes keep the evidence on a move in memory, its share is kept in the store. Change: a worker whose nodes hold less than a quarter of the recorded calls, while nearly all have reported, takes the evidence for lost. The move is withdrawn if the record was against the version or, where old servers stop, if the share was over 25%; else it goes on at 10% at most, on schedule if half of its window is left, with its whole window again if not, since servers that restarted may turn bad as late as the first ones.

--- a/poplarrack/executors.py
+++ b/poplarrack/executors.py
@@ -24,6 +24,7 @@
 from poplarrack.messages import DigestsAnswer
 from poplarrack.messages import ProbeRequest
 from poplarrack.messages import Updates
+from poplarrack.move_observations import largest_factor
 from poplarrack.platforms import CONFIGURATION_PREFIX
 from poplarrack.platforms import ZONE_PREFIX
 from poplarrack.resources import encode_resource
@@ -176,13 +177,10 @@
 
 def _summarize_evidence(move):
     """Return the evidence in a move's record as fields of a log line."""
-    factors = [
-        max(item.failure_factor, item.latency_factor) for item in move.evidence
-    ]
     return {
         'new_calls': sum(item.new_calls for item in move.evidence),
         'new_failures': sum(item.new_failures for item in move.evidence),
-        'largest_factor': round(max(factors, default=0.0), 3),
+        'largest_factor': round(largest_factor(move.evidence), 3),
     }
 
 
--- a/poplarrack/move_controllers.py
+++ b/poplarrack/move_controllers.py
@@ -20,6 +20,8 @@
 from poplarrack.resources import MoveState
 
 MIN_MOVE_WRITE_INTERVAL_SECONDS = 0.5
+# Fraction of the nodes whose reports the worker needs to miss evidence.
+MIN_REPORTED_FRACTION = 0.75
 
 
 @controller('braking')
@@ -97,9 +99,10 @@
     """Return the MoveObservation on which a move's worker decides."""
     report = build_report(facts, now)
     service = facts.knowledge.configuration.services[move.service]
-    new_slots, old_slots, new_servers = 0.0, 0.0, 0
+    new_slots, old_slots, new_servers, present = 0.0, 0.0, 0, 0
     for member in facts.knowledge.members.members.values():
         endpoint = member.endpoint
+        present += member.present
         if not _serves(member, endpoint, move.service):
             continue
         warm = now - endpoint.announced_at >= service.warm_up_seconds
@@ -119,6 +122,7 @@
         old_slots,
         busy,
         count_new_calls(move.move_id, report.cells),
+        report.nodes >= MIN_REPORTED_FRACTION * present,
     )
 
 
--- a/poplarrack/move_observations.py
+++ b/poplarrack/move_observations.py
@@ -12,6 +12,9 @@
 
 MIN_ELAPSED_SECONDS = 0.1
 
+# Fraction of the recorded calls below which evidence counts as lost.
+MIN_HELD_FRACTION = 0.25
+
 
 @dataclass(frozen=True)
 class MoveObservation:
@@ -21,7 +24,8 @@
     start has ended, ``busy_slots`` the slots of all versions that calls
     occupy now. ``new_calls_by_stage`` has the calls to the new version by
     the share, in thousandths, at which they were sent; all counts are of the
-    calls that nodes hold in memory.
+    calls that nodes hold in memory. ``reports_complete`` is set when nearly
+    all nodes have reported theirs.
     """
 
     findings: tuple = ()
@@ -31,23 +35,13 @@
     old_slots: float = 0.0
     busy_slots: float = 0.0
     new_calls_by_stage: Mapping[int, int] = field(default_factory=dict)
+    reports_complete: bool = True
 
     @property
     def calls(self):
         """Return the calls to both versions."""
         return _count_calls(self.findings)
 
-    @property
-    def largest_factor(self):
-        """Return the strongest evidence against the new version, to 1."""
-        return max(
-            (
-                max(finding.failure_factor, finding.latency_factor)
-                for finding in self.findings
-            ),
-            default=0.0,
-        )
-
     def calls_at(self, share):
         """Return the calls to the new version at a share or a larger one."""
         return sum(
@@ -57,6 +51,28 @@
         )
 
 
+def largest_factor(evidence):
+    """Return the strongest evidence against a new version, to 1.
+
+    :param evidence: Findings, or the RouteEvidence of a move's record.
+    """
+    factors = [
+        max(item.failure_factor, item.latency_factor) for item in evidence
+    ]
+    return max(factors, default=0.0)
+
+
+def has_lost_evidence(move, observed):
+    """Return whether nodes hold only little of the recorded evidence.
+
+    They keep it in memory, so that it is gone when most of them restart.
+    While reports are missing it may only be late.
+    """
+    recorded = sum(item.new_calls for item in move.evidence)
+    held = sum(finding.new_calls for finding in observed.findings)
+    return observed.reports_complete and held < MIN_HELD_FRACTION * recorded
+
+
 def has_thin_traffic(move, observed, now):
     """Return whether the present stage is too short for enough calls.
 
--- a/poplarrack/moves.py
+++ b/poplarrack/moves.py
@@ -9,7 +9,9 @@
 from dataclasses import replace
 
 from poplarrack.evidence import MAX_FINITE_FACTOR
+from poplarrack.move_observations import has_lost_evidence
 from poplarrack.move_observations import has_thin_traffic
+from poplarrack.move_observations import largest_factor
 from poplarrack.move_policies import COMPLETION_FRACTION
 from poplarrack.move_policies import POLICIES
 from poplarrack.resources import Move
@@ -24,15 +26,27 @@
 # evidence takes its next step without enough calls.
 LATE_STEP_FRACTION = 0.88
 
-# Fraction of the window for which the last share must have been in effect
-# before the move is completed.
-MIN_LAST_STAGE_FRACTION = 0.05
+# Fraction of the window for which a share must have been in effect before
+# the move is completed, or takes a step without enough calls.
+MIN_STAGE_FRACTION = 0.05
 
 # Evidence against a new version, to 1, from which its move goes no further.
 SUSPICION_FACTOR = 20.0
 
+# Fraction of the window from which a wait for evidence is recorded.
+RECORDED_WAIT_FRACTION = 0.1
+
 DEADLINE_PASSED = 'deadline passed on thin evidence'
 
+# Without evidence, a move goes on at SHARE_WITHOUT_EVIDENCE at most, and only
+# if its share was MAX_RESUMED_SHARE at most.
+SHARE_WITHOUT_EVIDENCE = 0.1
+MAX_RESUMED_SHARE = 0.25
+
+# Fraction of the window that must be left for a move that lost its evidence
+# to be done by its deadline.
+MIN_REST_FRACTION = 0.5
+
 # How long a completed move is still watched, as a fraction of its window.
 WATCH_FRACTION = 0.5
 MIN_WATCH_SECONDS = 10.0
@@ -94,11 +108,13 @@
     if move.ordered_seconds:
         return _start_ordered(move, observed, now)
     if observed.verdict is not None:
-        return _withdraw(move, observed, now)
+        return _withdraw(move, _describe(observed.verdict), observed, now)
     if move.state is MoveState.COMPLETED:
         return None
     if move.hold_requested:
         return _hold(move, 'held by an operator', now, observed)
+    if has_lost_evidence(move, observed):
+        return _go_on_without_evidence(move, observed, now)
     if observed.new_servers == 0:
         return _wait(move, 'no server of the new version', now, observed)
     return _advance(move, observed, now)
@@ -117,6 +133,44 @@
     )
 
 
+def _go_on_without_evidence(move, observed, now):
+    """Go on with a move whose evidence was lost, start it again or end it.
+
+    It ends if the recorded evidence was against the new version or, where
+    the old servers stop, if the share was large: bad answers may have been
+    given then that no node had recorded. Otherwise it goes on at a small
+    share: on schedule if half of its window is left, and else with its whole
+    window again, since servers that have restarted may turn bad later than
+    the deadline.
+    """
+    policy = POLICIES[move.policy]
+    is_unsafe = policy.stops_old_servers and move.share > MAX_RESUMED_SHARE
+    if is_unsafe or largest_factor(move.evidence) >= SUSPICION_FACTOR:
+        reason = f'evidence lost at a share of {move.share:.0%}'
+        return _withdraw(move, reason, observed, now)
+    small_share = _largest_step_within(policy, SHARE_WITHOUT_EVIDENCE)
+    window = move.complete_by - move.started_at
+    if move.complete_by - now >= MIN_REST_FRACTION * window:
+        share = min(planned_share(move, now)[0], small_share)
+        resumed = replace(move, share=share)
+        verb = 'goes on'
+    else:
+        share = min(move.share, small_share)
+        resumed = replace(
+            move, share=share, started_at=now, complete_by=now + window
+        )
+        verb = 'started again'
+    return _change(
+        resumed,
+        now,
+        observed,
+        state=MoveState.ADVANCING,
+        stage_since=now,
+        evidence=_record_evidence(observed),
+        reason=f'evidence lost, {verb} at {share:.0%}',
+    )
+
+
 def _advance(move, observed, now):
     """Raise the share to the schedule's or complete the move.
 
@@ -149,9 +203,10 @@
     """Raise the share by one step of the schedule, or hold the move."""
     steps = [share for _, share in policy.schedule if share > move.share]
     if move.share > 0:
-        late = target > steps[0] or now >= _time_at_fraction(
+        behind = target > steps[0] or now >= _time_at_fraction(
             move, LATE_STEP_FRACTION
         )
+        late = behind and _stage_lasted(move, now)
         missing = _missing_evidence(move, policy, observed, late, now)
         if missing:
             return _hold_for_evidence(move, policy, missing, observed, now)
@@ -180,7 +235,7 @@
 
     :param late: whether a service with few calls goes on without them.
     """
-    if observed.largest_factor >= SUSPICION_FACTOR:
+    if largest_factor(observed.findings) >= SUSPICION_FACTOR:
         return 'evidence against the new version'
     thin = has_thin_traffic(move, observed, now)
     if observed.calls_at(move.share) < policy.min_calls_per_step:
@@ -193,10 +248,14 @@
 
 
 def _hold_for_evidence(move, policy, missing, observed, now):
-    """Hold the move; record it once the next step is well behind schedule."""
+    """Hold the move, and record it if the wait is a long one.
+
+    A short wait is not recorded, since each record delays the next one.
+    """
     due_at = _time_at_fraction(move, policy.stage_end(move.share))
+    waits_since = max(due_at, move.stage_since)
     window = move.complete_by - move.started_at
-    if now < due_at + MIN_LAST_STAGE_FRACTION * window:
+    if now < waits_since + RECORDED_WAIT_FRACTION * window:
         return None
     if now < move.complete_by:
         return _hold(move, missing, now, observed)
@@ -214,9 +273,14 @@
 
 
 def _may_complete(move, now):
+    due = now >= _time_at_fraction(move, COMPLETION_FRACTION)
+    return due and _stage_lasted(move, now)
+
+
+def _stage_lasted(move, now):
+    """Return whether the share has been in effect for the shortest stage."""
     window = move.complete_by - move.started_at
-    stage_lasted = now - move.stage_since >= MIN_LAST_STAGE_FRACTION * window
-    return now >= _time_at_fraction(move, COMPLETION_FRACTION) and stage_lasted
+    return now - move.stage_since >= MIN_STAGE_FRACTION * window
 
 
 def _complete(move, policy, observed, now):
@@ -236,12 +300,14 @@
     )
 
 
-def _withdraw(move, observed, now):
-    verdict = observed.verdict
-    reason = (
+def _describe(verdict):
+    return (
         f'{verdict.cause} on route {verdict.route}, evidence '
         f'{verdict.factor:.0f} to 1, found by {verdict.found_by}'
     )
+
+
+def _withdraw(move, reason, observed, now):
     return _change(
         move,
         now,
@@ -269,7 +335,18 @@
 
 def _change(move, now, observed, **changes):
     """Return the changed move, with new evidence and a line in its log."""
-    evidence = tuple(
+    changes.setdefault('evidence', _record_evidence(observed) or move.evidence)
+    changed = replace(move, **changes)
+    line = (
+        f'{now:.1f} {changed.state.value} {changed.share:.0%}: '
+        f'{changed.reason}'
+    )
+    log = (*move.log, line[:MAX_LOG_LINE_CHARACTERS])[-MAX_LOG_LINES:]
+    return replace(changed, log=log)
+
+
+def _record_evidence(observed):
+    return tuple(
         RouteEvidence(
             finding.route,
             finding.old_calls,
@@ -281,13 +358,6 @@
         )
         for finding in observed.findings
     )
-    changed = replace(move, evidence=evidence or move.evidence, **changes)
-    line = (
-        f'{now:.1f} {changed.state.value} {changed.share:.0%}: '
-        f'{changed.reason}'
-    )
-    log = (*move.log, line[:MAX_LOG_LINE_CHARACTERS])[-MAX_LOG_LINES:]
-    return replace(changed, log=log)
 
 
 def _share_capacity(observed):
