Hold the completion on undiscounted evidence at the whole share

Cause: at the whole share calls are compared with earlier ones, and that factor is divided by 1,000, since a burst of bad calls from one caller must not withdraw a version. The same divided factor decided on the completion: 20 calls of which 10 failed gave 9.5 to 1, below the 20 at which a move waits. Callers would get errors from a version that was completed half a second before the verdict. A completion can't be undone, a wait can. Change: a Finding has suspicion_factor, the greatest factor without the discount; steps and the completion wait on it. Measured: test_a_few_failed_calls_at_the_whole_share_hold_its_completion failed before (completed), passes now; tests of moves pass (19).

--- a/poplarrack/evidence.py
+++ b/poplarrack/evidence.py
@@ -291,7 +291,12 @@
 
 @dataclass(frozen=True)
 class Finding:
-    """The counts and Bayes factors of one route."""
+    """The counts and Bayes factors of one route.
+
+    ``suspicion_factor`` is the greatest of them without the discount on
+    comparisons with earlier calls: too weak to withdraw a version, but
+    enough not to complete it.
+    """
 
     route: str
     old_calls: int
@@ -300,6 +305,7 @@
     new_failures: int
     failure_factor: float
     latency_factor: float
+    suspicion_factor: float = 0.0
 
 
 def compare_versions(move_id, cells):
@@ -330,16 +336,18 @@
             _by_stratum(cells, Side.NEW, RECENT_EPOCHS),
         ),
     )
-    failures = [_failure_factor(*window) for window in windows]
-    failures.extend(_historical_factor(entire_old, new) for _, new in windows)
+    failures = max(_failure_factor(*window) for window in windows)
+    latency = max(_latency_factor(*window) for window in windows)
+    historical = max(_historical_factor(entire_old, new) for _, new in windows)
     return Finding(
         route,
         sum(cell.calls for cell in entire_old.values()),
         sum(cell.failures for cell in entire_old.values()),
         sum(cell.calls for cell in entire_new.values()),
         sum(cell.failures for cell in entire_new.values()),
-        max(failures),
-        max(_latency_factor(*window) for window in windows),
+        max(failures, historical / HISTORICAL_DISCOUNT),
+        latency,
+        max(failures, latency, historical),
     )
 
 
@@ -365,7 +373,8 @@
 
     At the full share no calls to the old version run at the same time, so
     that a burst of bad calls from a caller may look like a regression.
-    Far stronger evidence is required for that reason.
+    Far stronger evidence is required for that reason: what is returned here
+    is divided by ``HISTORICAL_DISCOUNT`` before a version is withdrawn.
     """
     strata = [
         Stratum(
@@ -377,8 +386,7 @@
         for (_, _, stage), cell in new.items()
         if stage == FULL_SHARE_STAGE
     ]
-    factor = bayes_factor(strata, HISTORICAL_TOLERANCE)
-    return factor / HISTORICAL_DISCOUNT
+    return bayes_factor(strata, HISTORICAL_TOLERANCE)
 
 
 def _latency_factor(old, new):
--- a/poplarrack/move_observations.py
+++ b/poplarrack/move_observations.py
@@ -42,6 +42,12 @@
         """Return the calls to both versions."""
         return _count_calls(self.findings)
 
+    @property
+    def suspicion_factor(self):
+        """Return the strongest evidence for holding the move, to 1."""
+        factors = (finding.suspicion_factor for finding in self.findings)
+        return max(factors, default=0.0)
+
     def calls_at(self, share):
         """Return the calls to the new version at a share or a larger one."""
         return sum(
@@ -52,9 +58,9 @@
 
 
 def largest_factor(evidence):
-    """Return the strongest evidence against a new version, to 1.
+    """Return the strongest recorded evidence against a new version, to 1.
 
-    :param evidence: Findings, or the RouteEvidence of a move's record.
+    :param evidence: the RouteEvidence of a move's record.
     """
     factors = [
         max(item.failure_factor, item.latency_factor) for item in evidence
--- a/poplarrack/moves.py
+++ b/poplarrack/moves.py
@@ -235,7 +235,7 @@
 
     :param late: whether a service with few calls goes on without them.
     """
-    if largest_factor(observed.findings) >= SUSPICION_FACTOR:
+    if observed.suspicion_factor >= SUSPICION_FACTOR:
         return 'evidence against the new version'
     thin = has_thin_traffic(move, observed, now)
     if observed.calls_at(move.share) < policy.min_calls_per_step:
--- a/tests/test_moves.py
+++ b/tests/test_moves.py
@@ -22,6 +22,7 @@
 from poplarrack.moves import decide_move
 from poplarrack.moves import effective_share
 from poplarrack.moves import is_live
+from poplarrack.moves import SUSPICION_FACTOR
 from poplarrack.resources import MoveState
 from poplarrack.resources import RouteEvidence
 from tests.samples import move
@@ -112,7 +113,7 @@
 
 # A late move completed a version that was about to be found bad.
 def test_a_move_goes_no_further_on_evidence_against_the_new_version():
-    suspect = replace(observation().findings[0], failure_factor=50.0)
+    suspect = replace(observation().findings[0], suspicion_factor=50.0)
     accused = replace(observation(), findings=(suspect,))
     for share, now in ((0.5, 960.0), (1.0, 1060.0)):
         record = move(
@@ -126,6 +127,26 @@
         assert cleared.state is not MoveState.HOLDING
 
 
+# At the whole share there is only the past to compare with. That comparison is
+# discounted so much that 20 calls, half of which failed, did not keep a move
+# from its completion.
+def test_a_few_failed_calls_at_the_whole_share_hold_its_completion():
+    findings = compare_versions(
+        'm1',
+        [
+            build_cell(Side.OLD, ENTIRE_STAGE, 400, 4),
+            build_cell(Side.NEW, ENTIRE_STAGE, 20, 10, stage=FULL_SHARE_STAGE),
+        ],
+    )
+    assert findings[0].failure_factor < SUSPICION_FACTOR, findings
+    record = move(
+        policy='replace_at_end', state=MoveState.ADVANCING, share=1.0
+    )
+    observed = replace(observation(), findings=findings)
+    held = decide_move(record, observed, 1060.0)
+    assert held.state is MoveState.HOLDING, held.log
+
+
 # Waiting for calls would keep a service with few calls from its deadline,
 # and one without any would be completed though nothing was ever seen of it.
 def test_a_service_with_few_calls_is_done_in_time_and_one_with_none_waits():
@@ -175,8 +196,8 @@
     assert (record.state, record.share) == (MoveState.HOLDING, 0.1)
 
 
-def build_cell(side, epoch, calls, failures=0, latency=None):
-    key = CellKey('m1', 'front', side, 0, 50, epoch)
+def build_cell(side, epoch, calls, failures=0, latency=None, stage=50):
+    key = CellKey('m1', 'front', side, 0, stage, epoch)
     return Cell(key, calls, failures, latency or {})
 
 
