Tell lost evidence by a restart of most nodes together

Cause: the worker compared the calls that nodes hold with those in the move's record. The record has those of the last write: after a long share, or a write just after the restart, a second of new calls was enough to hide the loss, and the move went on and was completed on servers that nobody had watched. Which moves were found to have lost their evidence was a matter of when they had last been written. Change: three quarters of the nodes or more that started within 10 s of each other, since the share was set, have lost it. How much of the window is left counts from their start, not from when the worker sees it. An early loss at a small share changes nothing and writes nothing. No new field on the wire or in records. Measured: of the mesh tests, test_a_short_move_is_not_completed_on_few_calls failed before (completed at 21.6 s with no fault found), passes now; a restart of the worker's zone and one of all nodes in turn lower no share on both. A good version that lost its evidence after 40% of its window is late.

--- a/poplarrack/move_controllers.py
+++ b/poplarrack/move_controllers.py
@@ -5,11 +5,13 @@
 from poplarrack.decisions import controller
 from poplarrack.decisions import HaltMove
 from poplarrack.decisions import WriteMove
+from poplarrack.detectors import REJOIN_INTERVAL_SECONDS
 from poplarrack.evidence import compare_versions
 from poplarrack.evidence import detect_regression
 from poplarrack.evidence import merge_cells
 from poplarrack.members import EndpointState
 from poplarrack.move_observations import count_new_calls
+from poplarrack.move_observations import JointRestart
 from poplarrack.move_observations import MoveObservation
 from poplarrack.move_policies import POLICIES
 from poplarrack.moves import decide_move
@@ -20,8 +22,9 @@
 from poplarrack.resources import MoveState
 
 MIN_MOVE_WRITE_INTERVAL_SECONDS = 0.5
-# Fraction of the nodes whose reports the worker needs to miss evidence.
-MIN_REPORTED_FRACTION = 0.75
+# Nodes whose starts lie within this time count as started together. Those that
+# restart in turn, as in an upgrade, keep enough evidence between them.
+RESTART_SPREAD_SECONDS = 10.0
 
 
 @controller('braking')
@@ -99,10 +102,9 @@
     """Return the MoveObservation on which a move's worker decides."""
     report = build_report(facts, now)
     service = facts.knowledge.configuration.services[move.service]
-    new_slots, old_slots, new_servers, present = 0.0, 0.0, 0, 0
+    new_slots, old_slots, new_servers = 0.0, 0.0, 0
     for member in facts.knowledge.members.members.values():
         endpoint = member.endpoint
-        present += member.present
         if not _serves(member, endpoint, move.service):
             continue
         warm = now - endpoint.announced_at >= service.warm_up_seconds
@@ -122,10 +124,24 @@
         old_slots,
         busy,
         count_new_calls(move.move_id, report.cells),
-        report.nodes >= MIN_REPORTED_FRACTION * present,
+        _find_restart(facts, move),
+        now - facts.lifecycle.started_at >= REJOIN_INTERVAL_SECONDS,
     )
 
 
+def _find_restart(facts, move):
+    """Return the latest JointRestart since the present share was set."""
+    starts = [
+        member.incarnation / 1000
+        for member in facts.knowledge.members.members.values()
+        if member.present
+    ]
+    last = max(starts, default=0.0)
+    first = max(move.stage_since, last - RESTART_SPREAD_SECONDS)
+    restarted = sum(start > first for start in starts)
+    return JointRestart(restarted / max(1, len(starts)), last)
+
+
 def _serves(member, endpoint, service):
     return (
         endpoint is not None
--- a/poplarrack/move_observations.py
+++ b/poplarrack/move_observations.py
@@ -12,8 +12,20 @@
 
 MIN_ELAPSED_SECONDS = 0.1
 
-# Fraction of the recorded calls below which evidence counts as lost.
-MIN_HELD_FRACTION = 0.25
+# Fraction of the nodes with whose memory a move's evidence counts as lost.
+MIN_LOST_FRACTION = 0.75
+
+
+@dataclass(frozen=True)
+class JointRestart:
+    """A restart of several nodes at about the same time.
+
+    ``fraction`` is their fraction of the present nodes, and ``last_at`` when
+    the last of them started, in seconds since the epoch.
+    """
+
+    fraction: float = 0.0
+    last_at: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -24,8 +36,9 @@
     start has ended, ``busy_slots`` the slots of all versions that calls
     occupy now. ``new_calls_by_stage`` has the calls to the new version by
     the share, in thousandths, at which they were sent; all counts are of the
-    calls that nodes hold in memory. ``reports_complete`` is set when nearly
-    all nodes have reported theirs.
+    calls that nodes hold in memory. ``restart`` is the latest joint restart
+    since the present share was set. ``nodes_known`` is unset while the worker
+    may not have found the other nodes.
     """
 
     findings: tuple = ()
@@ -35,7 +48,8 @@
     old_slots: float = 0.0
     busy_slots: float = 0.0
     new_calls_by_stage: Mapping[int, int] = field(default_factory=dict)
-    reports_complete: bool = True
+    restart: JointRestart = JointRestart()
+    nodes_known: bool = True
 
     @property
     def calls(self):
@@ -69,14 +83,12 @@
 
 
 def has_lost_evidence(move, observed):
-    """Return whether nodes hold only little of the recorded evidence.
+    """Return whether the evidence on a move is gone with its nodes' memory.
 
-    They keep it in memory, so that it is gone when most of them restart.
-    While reports are missing it may only be late.
+    The number of calls doesn't tell: a worker that has just started has not
+    received all counts, and nodes that restarted count again at once.
     """
-    recorded = sum(item.new_calls for item in move.evidence)
-    held = sum(finding.new_calls for finding in observed.findings)
-    return observed.reports_complete and held < MIN_HELD_FRACTION * recorded
+    return move.share > 0 and observed.restart.fraction >= MIN_LOST_FRACTION
 
 
 def has_thin_traffic(move, observed, now):
--- a/poplarrack/moves.py
+++ b/poplarrack/moves.py
@@ -43,9 +43,9 @@
 SHARE_WITHOUT_EVIDENCE = 0.1
 MAX_RESUMED_SHARE = 0.25
 
-# Fraction of the window that must be left for a move that lost its evidence
-# to be done by its deadline.
-MIN_REST_FRACTION = 0.5
+# Fraction of the window that must be left after a restart of all nodes for a
+# move to be done by its deadline.
+MIN_REST_FRACTION = 0.6
 
 # How long a completed move is still watched, as a fraction of its window.
 WATCH_FRACTION = 0.5
@@ -113,7 +113,7 @@
         return None
     if move.hold_requested:
         return _hold(move, 'held by an operator', now, observed)
-    if has_lost_evidence(move, observed):
+    if _misses_evidence(move, observed):
         return _go_on_without_evidence(move, observed, now)
     if observed.new_servers == 0:
         return _wait(move, 'no server of the new version', now, observed)
@@ -133,29 +133,53 @@
     )
 
 
+def _misses_evidence(move, observed):
+    """Return whether a move can't go on because its evidence was lost.
+
+    It can if the share is small, nothing recorded is against the version,
+    and enough of the window is left to watch servers that have restarted.
+    """
+    if not has_lost_evidence(move, observed):
+        return False
+    return (
+        move.share > SHARE_WITHOUT_EVIDENCE
+        or largest_factor(move.evidence) >= SUSPICION_FACTOR
+        or not _has_enough_time(move, observed)
+    )
+
+
+def _has_enough_time(move, observed):
+    window = move.complete_by - move.started_at
+    rest = move.complete_by - observed.restart.last_at
+    return rest >= MIN_REST_FRACTION * window
+
+
 def _go_on_without_evidence(move, observed, now):
     """Go on with a move whose evidence was lost, start it again or end it.
 
     It ends if the recorded evidence was against the new version or, where
     the old servers stop, if the share was large: bad answers may have been
     given then that no node had recorded. Otherwise it goes on at a small
-    share: on schedule if half of its window is left, and else with its whole
-    window again, since servers that have restarted may turn bad later than
-    the deadline.
+    share: on schedule if enough of its window is left, and else with its
+    whole window again, since servers that have restarted may turn bad later
+    than the deadline. A worker that may not have found the other nodes, and
+    with them the evidence, waits.
     """
+    if not observed.nodes_known:
+        return None
     policy = POLICIES[move.policy]
     is_unsafe = policy.stops_old_servers and move.share > MAX_RESUMED_SHARE
     if is_unsafe or largest_factor(move.evidence) >= SUSPICION_FACTOR:
         reason = f'evidence lost at a share of {move.share:.0%}'
         return _withdraw(move, reason, observed, now)
     small_share = _largest_step_within(policy, SHARE_WITHOUT_EVIDENCE)
-    window = move.complete_by - move.started_at
-    if move.complete_by - now >= MIN_REST_FRACTION * window:
+    if _has_enough_time(move, observed):
         share = min(planned_share(move, now)[0], small_share)
         resumed = replace(move, share=share)
         verb = 'goes on'
     else:
         share = min(move.share, small_share)
+        window = move.complete_by - move.started_at
         resumed = replace(
             move, share=share, started_at=now, complete_by=now + window
         )
