Refuse what may outlast a stopping node, answer what it gives up

Cause: from 2.5 s after SIGTERM a sidecar takes no new connections, but requests on open ones were passed on whatever their deadline. Those whose endpoint had not answered 0.7 s before the end of the grace lost their connection without an answer, among them requests that may not be repeated. Reported by operators of a similar system (LOST); it could happen here. Change: once a Sender knows when its process closes, a request whose deadline is later is refused at once, with 503, Retry-After and the promise that it has not run. At the end, requests in the endpoint's queue are answered with NOT_RUN, and calls in flight with 502, without that promise.

--- a/poplarrack/receivers.py
+++ b/poplarrack/receivers.py
@@ -113,14 +113,14 @@
         previous = self.endpoint
         self.endpoint = endpoint
         if endpoint is None:
-            self._refuse_waiting('no endpoint')
+            self.refuse_waiting('no endpoint')
             return
         if previous is not None and same_start(previous, endpoint):
             self.admission.slots = endpoint.slots
             if endpoint.state is not EndpointState.SERVING:
-                self._refuse_waiting('draining')
+                self.refuse_waiting('draining')
             return
-        self._refuse_waiting('replaced')
+        self.refuse_waiting('replaced')
         if self.pool is not None:
             self.pool.close()
         self.unreachable_until = 0.0
@@ -208,7 +208,8 @@
         self.admission.discard(received.queue_entry)
         self._reply_not_run(received, 'busy')
 
-    def _refuse_waiting(self, reason):
+    def refuse_waiting(self, reason):
+        """Answer the requests in the queue with NOT_RUN."""
         for item in list(self.admission.queue):
             self.admission.discard(item)
             self._reply_not_run(item.received, reason)
--- a/poplarrack/senders.py
+++ b/poplarrack/senders.py
@@ -81,8 +81,10 @@
         self.counts = Counter()
         self.counts_by_service = {}
         self.latencies = Histogram()
-        self.in_flight = 0
+        self.calls = set()
         self.draining = False
+        # Set while the process stops and only takes requests that end by then.
+        self.closes_at = None
 
     def rebuild_table(self, locality, knowledge, now):
         """Derive the routing table from what the node knows and apply it."""
@@ -108,7 +110,7 @@
         now = self.clock()
         call = Call(request, respond, now)
         call.request_id = request.header(self.header_names.request_id) or b''
-        self.in_flight += 1
+        self.calls.add(call)
         self.counts['calls'] += 1
         if not self._route(call, now):
             return call
@@ -137,6 +139,9 @@
         if requested_ms is not None:
             allowed_seconds = min(allowed_seconds, requested_ms / 1000)
         call.deadline = now + allowed_seconds - ANSWER_MARGIN_SECONDS
+        if self.closes_at is not None and call.deadline > self.closes_at:
+            self._refuse(call, ErrorKind.DRAINING, call.service)
+            return False
         call.target_at = now + min(
             allowed_seconds, route.target_latency_seconds or allowed_seconds
         )
@@ -182,6 +187,9 @@
         if now >= call.deadline:
             self._end_timed_out(call)
             return
+        if self.closes_at is not None and now >= self.closes_at:
+            self._refuse(call, ErrorKind.DRAINING, call.service)
+            return
         placement = self._choose_placement(call, now)
         if placement is None:
             self._refuse_unplaced(call)
@@ -474,9 +482,8 @@
         call.respond(raw, keep_alive)
 
     def _end(self, call):
-        if not call.ended:
-            call.ended = True
-            self.in_flight -= 1
+        call.ended = True
+        self.calls.discard(call)
 
     def cancel(self, call):
         """Cancel a call whose caller disconnected."""
@@ -486,6 +493,21 @@
         self._end(call)
         call.task.cancel()
 
+    def give_up_calls(self):
+        """Answer each call in flight, since the process is about to end.
+
+        An endpoint may be running it.
+        """
+        for call in list(self.calls):
+            call.may_have_run = True
+            self._refuse(call, ErrorKind.DRAINING, call.service)
+            call.task.cancel()
+
+    @property
+    def in_flight(self):
+        """Return the number of calls in flight."""
+        return len(self.calls)
+
     def busy(self):
         """Return the numbers of calls in flight by service and version."""
         return self.destinations.busy()
--- a/poplarrack/sidecar_servers.py
+++ b/poplarrack/sidecar_servers.py
@@ -250,7 +250,8 @@
         """Announce that the node leaves, finish its requests and close.
 
         New requests are still served for a while, since callers learn with
-        a delay that this node is not ready.
+        a delay that this node is not ready. Later ones, on connections that
+        are still open, are served only if they end before the node does.
         """
         logger.info('node_draining')
         end = self.clock() + self.settings.grace_seconds - CLOSE_MARGIN_SECONDS
@@ -260,8 +261,13 @@
             lambda: False, self.clock() + DRAIN_ACCEPT_SECONDS
         )
         self.receiver.refuses_new_requests = True
+        self.sender.closes_at = end
         await self.call_server.drain(self.loop)
         await self._wait_until(self._drained, end)
+        self.receiver.refuse_waiting('stopping')
+        # Calls of this node that waited there are answered first.
+        await asyncio.sleep(0)
+        self.sender.give_up_calls()
         await self._close()
         logger.info('node_stopped')
 
--- a/tests/test_senders.py
+++ b/tests/test_senders.py
@@ -370,3 +370,33 @@
         assert deliveries[-1] is GOOD
     arrived = [item for item in deliveries if item not in (BUSY, STOPPING)]
     assert len(arrived) <= 3
+
+
+# LOST: a stopping node took requests late in its grace and was gone before
+# their answers came.
+def test_a_stopping_node_refuses_requests_that_may_outlast_it():
+    sender, streams = build_sender([GOOD])
+    sender.closes_at = sender.clock() + 1.0
+    refused, head, _ = asyncio.run(send(sender))
+    assert refused == 503 and b'retry-after' in head and not streams.sent
+    in_time = ((b'x-deadline', b'900'),)
+    served, _, _ = asyncio.run(send(sender, headers=in_time))
+    assert served == 200
+
+
+# LOST: connections of a stopping node were closed without an answer.
+def test_a_stopping_node_answers_the_calls_that_it_gives_up():
+    async def run():
+        sender, streams = build_sender([])
+        answers = []
+        request = HttpRequest('POST', '/pay/x', [(b'host', b'shop')])
+        call = sender.start(request, lambda raw, keep: answers.append(raw))
+        await streams.script_ended.wait()
+        sender.give_up_calls()
+        await asyncio.wait([call.task])
+        return answers, sender.in_flight, streams.withdrawn
+
+    answers, in_flight, withdrawn = asyncio.run(run())
+    # The endpoint may be running it: no promise that it has not run.
+    assert len(answers) == 1 and answers[0].startswith(b'HTTP/1.1 502')
+    assert (in_flight, withdrawn) == (0, 1)
--- a/tests/test_sidecar_servers.py
+++ b/tests/test_sidecar_servers.py
@@ -68,8 +68,11 @@
 
 
 @asynccontextmanager
-async def running_node(store_address, load_settings=None):
-    """Run a node; yield its server and its settings."""
+async def running_node(store_address, load_settings=None, **changes):
+    """Run a node; yield its server and its settings.
+
+    :param changes: settings that differ from the samples.
+    """
     addresses = free_addresses(5)
     settings = replace(
         parse_settings(SETTINGS),
@@ -79,6 +82,7 @@
         operator_address=addresses[3],
         metrics_address=addresses[4],
         platform=PlatformSettings((store_address,), summary_ttl_seconds=0.0),
+        **changes,
     )
     adapter = PlatformAdapter(
         HEADER_NAMES,
@@ -193,3 +197,73 @@
                 return server.settings == settings
 
     assert asyncio.run(run())
+
+
+class SilentServer:
+    """An endpoint that reads requests and never answers."""
+
+    def __init__(self):
+        self.requests = 0
+        self.writers = []
+
+    async def serve(self, reader, writer):
+        self.writers.append(writer)
+        while await reader.readline():
+            await reader.readuntil(b'\r\n\r\n')
+            self.requests += 1
+
+
+async def announce(settings, listener):
+    """Announce an endpoint that listens on the port of a listener."""
+    port = listener.sockets[0].getsockname()[1]
+    heartbeat = {**HEARTBEAT, 'address': f'127.0.0.1:{port}'}
+    put = build_request('PUT', '/-/instances/i-1', dumps(heartbeat).encode())
+    await exchange(settings.announce_address, put)
+
+
+# LOST: a stopping node passed on requests that came late in its grace, and
+# closed their connections without an answer when the grace was over.
+def test_a_stopping_node_answers_every_request_that_it_has_read():
+    call = CALL.replace(b'deadline-ms: 2000', b'deadline-ms: 9000')
+    split_at = call.index(b'connection')
+    routes = {
+        name: {**route, 'timeout': '9s'}
+        for name, route in CONFIG['routes'].items()
+    }
+
+    async def run():
+        endpoint = SilentServer()
+        listener = await asyncio.start_server(endpoint.serve, '127.0.0.1', 0)
+        with running_store() as (stand_in, store):
+            stand_in.put('op/config', {**CONFIG, 'routes': routes})
+            async with running_node(store, grace_seconds=4.0) as node:
+                server, settings = node
+                await until(lambda: is_ready(settings))
+                await announce(settings, listener)
+                await until(lambda: has_endpoint(server))
+                early = asyncio.ensure_future(
+                    exchange(settings.call_address, call)
+                )
+                late, writer = await asyncio.open_connection(
+                    *split_address(settings.call_address)
+                )
+                writer.write(call[:split_at])
+                server.stopping.set()
+                await until(lambda: refuses_late_requests(server))
+                writer.write(call[split_at:])
+                late_answer = await asyncio.wait_for(late.read(), WAIT_SECONDS)
+                writer.close()
+                early_answer = await early
+        listener.close()
+        for item in endpoint.writers:
+            item.close()
+        return late_answer, early_answer, endpoint.requests
+
+    late, early, requests = asyncio.run(run())
+    assert late.startswith(b'HTTP/1.1 503') and b'retry-after' in late, late
+    assert early.startswith(b'HTTP/1.1 502'), early
+    assert requests == 1
+
+
+async def refuses_late_requests(server):
+    return server.receiver.refuses_new_requests
