End a move whose evidence was lost only if nothing can be compared

Cause: a move that lost its evidence at a share over 25% was withdrawn, also when by the time of that decision both versions had been called at this share for two seconds and showed no fault. A good version was taken back for good. Change: it is withdrawn if either version got fewer calls since the loss than a step needs, or on evidence of 20 to 1; otherwise it starts again at 8%. At the whole share the old version gets no calls, so that nothing can be compared. Measured: test_a_large_share_without_evidence_ends_only_a_move_without_calls failed before (withdrawn), passes now; the tests with bad versions pass.

--- a/poplarrack/moves.py
+++ b/poplarrack/moves.py
@@ -159,19 +159,24 @@
 def _go_on_without_evidence(move, observed, now):
     """Go on with a move whose evidence was lost, start it again or end it.
 
-    It ends if the recorded evidence was against the new version or, where
-    the old servers stop, if the share was large: bad answers may have been
-    given then that no node had recorded. Otherwise it goes on at a small
-    share: on schedule if enough of its window is left, and else with its
-    whole window again, since servers that have restarted may turn bad later
-    than the deadline. A worker that may not have found the other nodes, and
-    with them the evidence, waits.
+    It ends if the evidence is against the new version or, where the old
+    servers stop, if the share is large and the versions can't be compared on
+    the calls since: bad answers may have been given before that no node had
+    recorded. Otherwise it goes on at a small share: on schedule if enough of
+    its window is left, and else with its whole window again, since servers
+    that have restarted may turn bad later than the deadline. A worker that
+    may not have found the other nodes, and with them the evidence, waits.
     """
     if not observed.nodes_known:
         return None
     policy = POLICIES[move.policy]
-    is_unsafe = policy.stops_old_servers and move.share > MAX_RESUMED_SHARE
-    if is_unsafe or largest_factor(move.evidence) >= SUSPICION_FACTOR:
+    is_unsafe = (
+        policy.stops_old_servers
+        and move.share > MAX_RESUMED_SHARE
+        and not _can_compare(move, policy, observed)
+    )
+    factor = max(largest_factor(move.evidence), observed.suspicion_factor)
+    if is_unsafe or factor >= SUSPICION_FACTOR:
         reason = f'evidence lost at a share of {move.share:.0%}'
         return _withdraw(move, reason, observed, now)
     small_share = _largest_step_within(policy, SMALL_SHARE)
@@ -197,6 +202,13 @@
     )
 
 
+def _can_compare(move, policy, observed):
+    """Return whether both versions got enough calls to compare them."""
+    old_calls = sum(finding.old_calls for finding in observed.findings)
+    new_calls = observed.calls_at(move.share)
+    return min(old_calls, new_calls) >= policy.min_calls_per_step
+
+
 def _advance(move, observed, now):
     """Raise the share to the schedule's or complete the move.
 
--- a/tests/test_moves.py
+++ b/tests/test_moves.py
@@ -200,6 +200,19 @@
         assert is_lost == bool(changed and 'lost' in changed.reason), changed
 
 
+# A good version was withdrawn for good because power had been lost at 50%,
+# though calls at that share had shown no fault since.
+def test_a_large_share_without_evidence_ends_only_a_move_without_calls():
+    record = replace(recorded(), share=0.5)
+    for calls, state in (
+        (1000, MoveState.ADVANCING),
+        (0, MoveState.WITHDRAWN),
+    ):
+        observed = observation(calls=calls, restart=JointRestart(1.0, 800.0))
+        changed = decide_move(record, observed, 802.0)
+        assert changed.state is state and changed.share <= 0.1, changed
+
+
 # Starting a move again costs a good version its deadline.
 def test_a_move_that_lost_its_evidence_early_goes_on_as_planned():
     for restarted_at, starts_again in ((300.0, False), (500.0, True)):
