Close a connection after a refusal that bears another call's mark

Cause: reported by operators of a similar system: a faulty endpoint wrote an earlier refusal once more on a kept connection. Here, a node that calls servers directly (Dispatcher) did not believe the refusal, since its mark names another attempt, but passed it on as this call's answer and kept the connection: the server's answer to this call then reached the next one. Change: an exchange may name a mark that its answer has with one value only; after another value the connection is closed. The answer is still passed on, without the promise: a server may forward the mark of a call of its own. Measured: test_an_earlier_refusal_puts_its_connection_out_of_use failed before (the third answer reached the second call), passes now.

--- a/poplarrack/dispatchers.py
+++ b/poplarrack/dispatchers.py
@@ -334,7 +334,13 @@
 
         bodiless = call.request.method == 'HEAD'
         call.pool = pool
-        call.exchange = pool.start(raw, bodiless, seconds_left, on_done)
+        call.exchange = pool.start(
+            raw,
+            bodiless,
+            seconds_left,
+            on_done,
+            mark=(NOT_RUN_HEADER, call.call_id),
+        )
 
     def _on_outcome(self, call, load, outcome, answer):
         now = self.clock()
--- a/poplarrack/upstreams.py
+++ b/poplarrack/upstreams.py
@@ -49,7 +49,8 @@
 
     ``on_done`` is called once, with an Outcome and an HttpAnswer or None.
     ``echo`` is the name and value of a header that the answer must have, or
-    None.
+    None. ``mark`` is a header that the answer may have with this value only;
+    after an answer with another one, the connection is out of step.
     """
 
     pool: object
@@ -57,6 +58,7 @@
     bodiless: bool
     on_done: object
     echo: tuple[bytes, bytes] | None = None
+    mark: tuple[bytes, bytes] | None = None
     timer: object = None
     connection: object = None
     ended: bool = False
@@ -70,6 +72,12 @@
             self.timer.cancel()
         self.on_done(outcome, answer)
 
+    def is_out_of_step(self, answer):
+        """Return whether an answer bears the mark of another exchange."""
+        if self.mark is None:
+            return False
+        return answer.header(self.mark[0]) not in (None, self.mark[1])
+
 
 class UpstreamConnection(SharedBufferProtocol):
     """A connection to a backend server."""
@@ -259,6 +267,7 @@
         can_reuse = (
             self.reusable
             and not exchange.bodiless
+            and not exchange.is_out_of_step(answer)
             and self.transport.get_write_buffer_size() == 0
         )
         if can_reuse:
@@ -307,7 +316,15 @@
         self.connect_tasks = set()
         self.closed = False
 
-    def start(self, request, bodiless, timeout_seconds, on_done, echo=None):
+    def start(
+        self,
+        request,
+        bodiless,
+        timeout_seconds,
+        on_done,
+        echo=None,
+        mark=None,
+    ):
         """Start an exchange.
 
         :param request: bytes of the whole request.
@@ -315,10 +332,11 @@
         :param timeout_seconds: time until the exchange ends as TIMED_OUT.
         :param on_done: called once, with an Outcome and an HttpAnswer or None.
         :param echo: name and value of a header that the answer must have.
+        :param mark: name of a header, and the only value that it may have.
         :returns: the Exchange, to be passed to ``cancel``.
         """
         loop = get_running_loop()
-        exchange = Exchange(self, request, bodiless, on_done, echo)
+        exchange = Exchange(self, request, bodiless, on_done, echo, mark)
         exchange.timer = loop.call_later(
             timeout_seconds, self._expire, exchange
         )
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -185,6 +185,12 @@
     )
 
 
+def refuse_another_call(head, number):
+    return refuse_as_not_run(
+        head.replace(b'poplarrack-call: n', b'poplarrack-call: m'), number
+    )
+
+
 @run
 async def test_a_connection_is_kept_for_the_next_call():
     async with call_path_to(lambda *request: OK) as path:
@@ -228,18 +234,30 @@
 
 @run
 async def test_a_refusal_with_a_strange_mark_is_not_believed():
-    def stale(head, number):
-        return refuse_as_not_run(
-            head.replace(b'poplarrack-call: n', b'poplarrack-call: m'), 1
-        )
-
-    async with call_path_to(stale, stale) as path:
+    async with call_path_to(refuse_another_call, refuse_another_call) as path:
         status, headers, _ = await path.call('/pay')
         assert status == 503
         assert 'poplarrack-not-run' not in headers
         assert sum(len(s.requests) for s in path.servers) == 1
 
 
+# MIXED: a server wrote an earlier refusal once more, and the answer that came
+# after it on the kept connection reached the next call.
+@run
+async def test_an_earlier_refusal_puts_its_connection_out_of_use():
+    def script(head, number):
+        if number == 1:
+            return refuse_another_call(head, number)
+        is_kept = path.servers[0].connections == 1
+        body = b'answer 1' if is_kept else b'answer 2'
+        return b'HTTP/1.1 200 OK\r\ncontent-length: 8\r\n\r\n' + body
+
+    async with call_path_to(script) as path:
+        status, headers, _ = await path.call('/pay')
+        assert status == 503 and 'poplarrack-not-run' not in headers
+        assert (await path.call('/pay'))[2] == b'answer 2'
+
+
 @run
 async def test_refused_everywhere_is_answered_as_not_run_with_the_mark():
     async with call_path_to(refuse_as_not_run) as path:
