Show that repeated refusals and cut heads do not reach callers

Cause: two reports of operators of similar systems: an earlier refusal that is written once more (REFUSED, TWICE), and an answer that ends within its head and is passed on as whole (MIXED, ORDER). Change: tests only. A sidecar skips answers without the id of the request, also refusals, and never sends a request to the same endpoint again. An answer has a status only after the end of its head; without one, the end of the connection is a lost answer. The store's client reads truncated heads as whole ones, but their empty body is no JSON and counts as an unknown outcome.

--- a/tests/test_receivers.py
+++ b/tests/test_receivers.py
@@ -3,6 +3,7 @@
 import asyncio
 from contextlib import asynccontextmanager
 from dataclasses import replace
+from types import SimpleNamespace
 
 from poplarrack.exchanges import RoutedRequest
 from poplarrack.exchanges import Verdict
@@ -174,6 +175,53 @@
     assert asyncio.run(run()) == b'ok'
 
 
+# REFUSED, TWICE: an endpoint that wrote an earlier refusal once more on a kept
+# connection had the next request, which it ran, answered as not run.
+def test_an_earlier_refusal_is_not_taken_for_the_next_request():
+    async def run(repeated):
+        def script(head, number):
+            refusal = answer(503, x_not_run='1')
+            if number == 1:
+                return refusal
+            return repeated + answer(x_id='r2')
+
+        server = ScriptedServer(script)
+        async with receiver_of(server) as receiver:
+            refused = await deliver(receiver)
+            headers = [(b'x-id', b'r2')]
+            served = await deliver(receiver, request_id=b'r2', headers=headers)
+            return refused.verdict, served.verdict, server.connections
+
+    for repeated in (
+        answer(503, x_not_run='1'),
+        answer(503, x_not_run='1', x_id=None),
+    ):
+        verdicts = asyncio.run(run(repeated))
+        assert verdicts == (Verdict.REFUSED, Verdict.ANSWERED, 1), verdicts
+
+
+# MIXED, ORDER: an answer whose connection ended within its head was passed on
+# as a whole one with an empty or short body.
+def test_an_answer_that_ends_within_its_head_is_lost():
+    whole = b'HTTP/1.1 200 OK\r\nx-id: r1\r\nx-stamp: s\r\n\r\n'
+
+    async def run():
+        heads = (whole[:length] for length in range(len(whole)))
+        lengths = iter(heads)
+
+        async def serve(reader, writer):
+            await reader.readuntil(b'\r\n\r\n')
+            writer.write(next(lengths))
+            writer.close()
+
+        server = SimpleNamespace(serve=serve, writers=())
+        async with receiver_of(server) as receiver:
+            return [await deliver(receiver) for _ in range(len(whole))]
+
+    for length, delivery in enumerate(asyncio.run(run())):
+        assert delivery.verdict is Verdict.LOST, whole[:length]
+
+
 def test_an_answer_without_a_length_ends_with_its_connection():
     raw = b'HTTP/1.1 200 OK\r\nx-id: r1\r\nx-stamp: s\r\n\r\nnot cut off'
     delivery, _ = verdict_of(lambda *x: raw)
--- a/tests/test_senders.py
+++ b/tests/test_senders.py
@@ -372,6 +372,16 @@
     assert len(arrived) <= 3
 
 
+# REFUSED, TWICE: endpoints echo a request's id, so that an earlier refusal can
+# only be mistaken where the same request comes to the same endpoint again.
+def test_a_refused_request_never_returns_to_the_endpoint():
+    sender, streams = build_sender(
+        [REFUSED, GOOD], {'front': [destination(2)]}
+    )
+    status, _, _ = asyncio.run(send(sender))
+    assert status == 503 and len(streams.sent) == 1
+
+
 # LOST: a stopping node took requests late in its grace and was gone before
 # their answers came.
 def test_a_stopping_node_refuses_requests_that_may_outlast_it():
