Let the demo wait for the servers that take calls

Cause: `make demo` failed once on a machine's first run, with 8 answers of 503. It waited until each node knew two backend servers; two of the versions that take no calls before their move were enough. Change: it waits for all eight. Measured: test_the_demo_waits_for_the_servers_that_take_calls failed before (a node knew two of v3-bad and none of v1), passes now.

--- a/tools/demo.py
+++ b/tools/demo.py
@@ -18,6 +18,8 @@
 
 ZONES = ('toowoomba', 'ipswich')
 NODES_PER_ZONE = 4
+# Of the backend servers in each zone.
+VERSIONS = ('v1', 'v1', 'v2', 'v3-bad')
 CALLERS = 4
 CALL_INTERVAL_SECONDS = 0.004
 MOVE_DURATION = '9s'
@@ -105,13 +107,14 @@
             )
             seeds.append(node.peer_address)
     for zone in ZONES:
-        for number, version in enumerate(('v1', 'v1', 'v2', 'v3-bad'), 1):
+        for number, version in enumerate(VERSIONS, 1):
             faults = {'fail_rate': 0.3} if version == 'v3-bad' else {}
             node = mesh.nodes[f'{zone}-{number}']
             mesh.start_backend(node, SERVICE, version, **faults)
     mesh.wait_until_ready()
+    # All of them: only those of v1 take calls before the first move.
     for node_id in mesh.nodes:
-        mesh.wait_for_servers(node_id, 2)
+        mesh.wait_for_servers(node_id, len(ZONES) * len(VERSIONS))
 
 
 def change_configuration(mesh):
