Close the connections of two tests before their loop ends

Cause: test runs printed an ignored `RuntimeError: Event loop is closed` from StreamWriter.__del__ beside tests of test_upstreams. It is printed beside whichever test runs when the garbage collector does. With a collection after each test it comes from test_calls.test_a_late_answer_reaches_nobody (twice) and test_streams.test_a_silent_connection_is_avoided_then_given_up, in four runs of four: their servers kept connections that nobody closed. Change: both close them. Measured: with a collection after each test of test_calls, test_receivers, test_upstreams and test_streams, three such errors before, none in two runs now.

--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -287,6 +287,7 @@
     class LateServer(ScriptedServer):
         async def serve(self, reader, writer):
             self.connections += 1
+            self.writers.add(writer)
             head = await reader.readuntil(b'\r\n\r\n')
             self.requests.append(head)
             if b'/quick' in head:
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -158,8 +158,9 @@
 
 def test_a_silent_connection_is_avoided_then_given_up():
     async def run():
+        writers = []
         silent = await asyncio.start_server(
-            lambda reader, writer: asyncio.Event().wait(), '127.0.0.1', 0
+            lambda reader, writer: writers.append(writer), '127.0.0.1', 0
         )
         port = silent.sockets[0].getsockname()[1]
         address = f'127.0.0.1:{port}'
@@ -176,6 +177,8 @@
         streams.check_liveness(now + PROBE_TIMEOUT_SECONDS + 0.01)
         delivery = await request_task
         silent.close()
+        for writer in writers:
+            writer.close()
         return avoided_before_abort == [address], delivery
 
     avoided, delivery = asyncio.run(run())
