Split records of moves and offers of calls from what decides

Change: move_records.py writes a move's steps into its record; offers.py builds the request that a node offers, and TrafficSplitter chooses the version of a call. The functions that change a record take their arguments in one order. No rule changed.

--- a/poplarrack/benches/cuts.py
+++ b/poplarrack/benches/cuts.py
@@ -12,7 +12,7 @@
 from poplarrack.evidence import Side
 from poplarrack.members import Endpoint
 from poplarrack.members import EndpointState
-from poplarrack.moves import build_move
+from poplarrack.move_records import build_move
 from poplarrack.resources import encode_resource
 from poplarrack.resources import MoveState
 from poplarrack.stand_ins.fakes import run_on_virtual_clock
--- a/poplarrack/benches/moves.py
+++ b/poplarrack/benches/moves.py
@@ -22,7 +22,7 @@
 from poplarrack.move_observations import MoveObservation
 from poplarrack.move_policies import DEFAULT_SCHEDULE
 from poplarrack.move_policies import POLICIES
-from poplarrack.moves import build_move
+from poplarrack.move_records import build_move
 from poplarrack.moves import decide_move
 from poplarrack.moves import effective_share
 from poplarrack.resources import MoveState
--- a/poplarrack/move_commands.py
+++ b/poplarrack/move_commands.py
@@ -10,7 +10,7 @@
 from poplarrack.errors import ErrorKind
 from poplarrack.errors import PoplarrackError
 from poplarrack.move_policies import POLICIES
-from poplarrack.moves import build_move
+from poplarrack.move_records import build_move
 from poplarrack.moves import is_live
 from poplarrack.moves import planned_share
 from poplarrack.operator_sessions import read_time_argument
--- a/poplarrack/moves.py
+++ b/poplarrack/moves.py
@@ -8,19 +8,17 @@
 
 from dataclasses import replace
 
-from poplarrack.evidence import MAX_FINITE_FACTOR
 from poplarrack.move_observations import has_lost_evidence
 from poplarrack.move_observations import has_thin_traffic
 from poplarrack.move_observations import largest_factor
 from poplarrack.move_policies import COMPLETION_FRACTION
 from poplarrack.move_policies import POLICIES
-from poplarrack.resources import Move
+from poplarrack.move_records import change_move
+from poplarrack.move_records import hold_move
+from poplarrack.move_records import keep_share
+from poplarrack.move_records import record_evidence
+from poplarrack.move_records import withdraw_move
 from poplarrack.resources import MoveState
-from poplarrack.resources import RouteEvidence
-
-# Bounds of the log in a move's record; the oldest lines are dropped first.
-MAX_LOG_LINES = 24
-MAX_LOG_LINE_CHARACTERS = 200
 
 # Fraction of the window from which a policy that completes on inconclusive
 # evidence takes its next step without enough calls.
@@ -110,24 +108,24 @@
     if move.ordered_seconds:
         return _start_ordered(move, observed, now)
     if observed.verdict is not None:
-        return _withdraw(move, _describe(observed.verdict), observed, now)
+        return withdraw_move(move, _describe(observed.verdict), observed, now)
     if move.state is MoveState.COMPLETED:
         return None
     if move.hold_requested:
-        return _hold(move, 'held by an operator', now, observed)
+        return hold_move(move, 'held by an operator', observed, now)
     if _misses_evidence(move, observed):
         return _go_on_without_evidence(move, observed, now)
     if observed.new_servers == 0:
-        return _wait(move, 'no server of the new version', now, observed)
+        return keep_share(move, 'no server of the new version', observed, now)
     return _advance(move, observed, now)
 
 
 def _start_ordered(move, observed, now):
     """Start a move whose order states a duration, not a deadline."""
-    return _change(
+    return change_move(
         move,
-        now,
         observed,
+        now,
         started_at=now,
         complete_by=now + move.ordered_seconds,
         ordered_seconds=0.0,
@@ -178,7 +176,7 @@
     factor = max(largest_factor(move.evidence), observed.suspicion_factor)
     if is_unsafe or factor >= SUSPICION_FACTOR:
         reason = f'evidence lost at a share of {move.share:.0%}'
-        return _withdraw(move, reason, observed, now)
+        return withdraw_move(move, reason, observed, now)
     small_share = _largest_step_within(policy, SMALL_SHARE)
     if _has_enough_time(move, observed):
         share = min(planned_share(move, now)[0], small_share)
@@ -191,13 +189,13 @@
             move, share=share, started_at=now, complete_by=now + window
         )
         verb = 'started again'
-    return _change(
+    return change_move(
         resumed,
-        now,
         observed,
+        now,
         state=MoveState.ADVANCING,
         stage_since=now,
-        evidence=_record_evidence(observed),
+        evidence=record_evidence(observed),
         reason=f'evidence lost, {verb} at {share:.0%}',
     )
 
@@ -221,16 +219,16 @@
     if target > capacity and target > move.share:
         target = max(move.share, _largest_step_within(policy, capacity))
         if target <= move.share:
-            return _wait(move, 'too few warm servers', now, observed)
+            return keep_share(move, 'too few warm servers', observed, now)
     if target > move.share:
         return _take_step(move, target, policy, observed, now)
     if move.share >= policy.last_share and _may_complete(move, now):
         return _complete(move, policy, observed, now)
     if move.state is not MoveState.ADVANCING:
-        return _change(
+        return change_move(
             move,
-            now,
             observed,
+            now,
             state=MoveState.ADVANCING,
             reason='advancing on schedule',
         )
@@ -254,10 +252,10 @@
         if missing:
             return _hold_for_evidence(move, policy, missing, observed, now)
     share = min(target, steps[0] if steps else 1.0)
-    return _change(
+    return change_move(
         move,
-        now,
         observed,
+        now,
         state=MoveState.ADVANCING,
         share=share,
         stage_since=now,
@@ -302,14 +300,14 @@
     if now < waits_since + RECORDED_WAIT_FRACTION * window:
         return None
     if now < move.complete_by:
-        return _hold(move, missing, now, observed)
+        return hold_move(move, missing, observed, now)
     if move.state is MoveState.HOLDING and move.reason.startswith(
         DEADLINE_PASSED
     ):
         return None
     seen = _count_new_calls(observed)
     reason = f'{DEADLINE_PASSED}: {seen} calls seen, {missing}'
-    return _hold(move, reason, now, observed)
+    return hold_move(move, reason, observed, now)
 
 
 def _count_new_calls(observed):
@@ -333,10 +331,10 @@
         missing = missing or 'no calls at the last share'
     if missing:
         return _hold_for_evidence(move, policy, missing, observed, now)
-    return _change(
+    return change_move(
         move,
-        now,
         observed,
+        now,
         state=MoveState.COMPLETED,
         share=1.0,
         ended_at=now,
@@ -351,59 +349,6 @@
     )
 
 
-def _withdraw(move, reason, observed, now):
-    return _change(
-        move,
-        now,
-        observed,
-        state=MoveState.WITHDRAWN,
-        share=0.0,
-        ended_at=now,
-        reason=reason,
-    )
-
-
-def _wait(move, reason, now, observed):
-    """Keep the share: PENDING before the first step, then HOLDING."""
-    state = MoveState.HOLDING if move.share > 0 else MoveState.PENDING
-    if move.state is state and move.reason == reason:
-        return None
-    return _change(move, now, observed, state=state, reason=reason)
-
-
-def _hold(move, reason, now, observed):
-    if move.state is MoveState.HOLDING and move.reason == reason:
-        return None
-    return _change(move, now, observed, state=MoveState.HOLDING, reason=reason)
-
-
-def _change(move, now, observed, **changes):
-    """Return the changed move, with new evidence and a line in its log."""
-    changes.setdefault('evidence', _record_evidence(observed) or move.evidence)
-    changed = replace(move, **changes)
-    line = (
-        f'{now:.1f} {changed.state.value} {changed.share:.0%}: '
-        f'{changed.reason}'
-    )
-    log = (*move.log, line[:MAX_LOG_LINE_CHARACTERS])[-MAX_LOG_LINES:]
-    return replace(changed, log=log)
-
-
-def _record_evidence(observed):
-    return tuple(
-        RouteEvidence(
-            finding.route,
-            finding.old_calls,
-            finding.old_failures,
-            finding.new_calls,
-            finding.new_failures,
-            min(finding.failure_factor, MAX_FINITE_FACTOR),
-            min(finding.latency_factor, MAX_FINITE_FACTOR),
-        )
-        for finding in observed.findings
-    )
-
-
 def _share_capacity(observed):
     """Return the share of calls that the new version's slots can take.
 
@@ -422,23 +367,3 @@
 def _largest_step_within(policy, share):
     steps = [step for _, step in policy.schedule if step <= share]
     return steps[-1] if steps else 0.0
-
-
-def build_move(service, from_version, to_version, complete_by, policy, now):
-    """Build the record of a new move.
-
-    The ids of a service's moves sort by the time of their start.
-
-    :param complete_by: the deadline, in seconds since the epoch.
-    :param now: the start, in seconds since the epoch.
-    """
-    return Move(
-        service=service,
-        from_version=from_version,
-        to_version=to_version,
-        complete_by=complete_by,
-        move_id=f'{service}-{int(now * 1000)}-{to_version}',
-        started_at=now,
-        policy=policy,
-        log=(f'{now:.1f} pending 0%: started by an operator',),
-    )
--- /dev/null
+++ b/poplarrack/offers.py
@@ -0,0 +1,47 @@
+"""Build the requests that a sending node offers to endpoints' nodes."""
+
+from poplarrack.exchanges import RoutedRequest
+from poplarrack.http_messages import connection_options
+from poplarrack.http_messages import is_end_to_end
+
+
+def build_routed_request(call, placement, header_names, caller_service, now):
+    """Build the offer of a call.
+
+    Headers of the caller's connection, and those that the mesh sets itself,
+    are left out.
+
+    :param call: the Call.
+    :param placement: the Placement that was chosen for it.
+    :param header_names: the HeaderNames of the mesh.
+    :param caller_service: the service on the machine of the sending node.
+    :param now: seconds on the clock of the call's deadline.
+    :returns: a RoutedRequest.
+    """
+    request, route = call.request, call.route
+    connection_headers = connection_options(request.headers)
+    overwritten = header_names.overwritten
+    headers = [
+        (name, value)
+        for name, value in request.headers
+        if is_end_to_end(name)
+        and name not in connection_headers
+        and name not in overwritten
+    ]
+    return RoutedRequest(
+        call.request_id,
+        request.method,
+        request.target,
+        headers,
+        request.body,
+        call.service,
+        placement.state.destination.endpoint.instance_id,
+        caller_service,
+        max(1, int((call.deadline - now) * 1000)),
+        int(placement.max_wait_seconds * 1000),
+        route.queue_rank,
+        route.repeatable,
+        placement.spare_slot_fraction,
+        max(0, int((call.target_at - now) * 1000)),
+        call.arrivals > 0,
+    )
--- a/poplarrack/senders.py
+++ b/poplarrack/senders.py
@@ -20,17 +20,13 @@
 from poplarrack.errors import ErrorKind
 from poplarrack.errors import resolve_error_kind
 from poplarrack.evidence import EvidenceCounter
-from poplarrack.evidence import FULL_SHARE_STAGE
 from poplarrack.evidence import Side
-from poplarrack.evidence import stage_of
-from poplarrack.exchanges import RoutedRequest
 from poplarrack.exchanges import Verdict
 from poplarrack.header_names import HeaderNames
 from poplarrack.histograms import Histogram
 from poplarrack.http_messages import build_answer
 from poplarrack.http_messages import build_error
-from poplarrack.http_messages import connection_options
-from poplarrack.http_messages import is_end_to_end
+from poplarrack.offers import build_routed_request
 from poplarrack.placements import choose_destination
 from poplarrack.placements import choose_queue
 from poplarrack.placements import Placement
@@ -237,35 +233,11 @@
         return placement
 
     def _candidates(self, call):
-        """Return the endpoints of the version that the call goes to.
-
-        During a move the version is chosen once for a call; a retry after
-        an attempt that reached an endpoint uses the old version.
-        """
         states = self.destinations.for_service(call.service)
         split = self.table.moves.get(call.service)
         if split is None:
             return states
-        new = [
-            state
-            for state in states
-            if state.destination.endpoint.version == split.to_version
-        ]
-        old = [
-            state
-            for state in states
-            if state.destination.endpoint.version != split.to_version
-        ]
-        if split.share <= 0 or not new:
-            return old
-        if split.share >= 1 or not old:
-            call.stage = FULL_SHARE_STAGE
-            return new
-        if call.version is None:
-            to_new = self.splitter.goes_to_new_version(split)
-            call.version = split.to_version if to_new else ''
-            call.stage = stage_of(split.share)
-        return new if call.version and not call.arrivals else old
+        return self.splitter.choose_version(call, states, split)
 
     async def _offer(self, call, placement: Placement, now):
         loop = asyncio.get_running_loop()
@@ -275,7 +247,9 @@
             if not future.done():
                 future.set_result(delivery)
 
-        routed = self._build_routed_request(call, placement, now)
+        routed = build_routed_request(
+            call, placement, self.header_names, self.settings.service, now
+        )
         destination = placement.state.destination
         if destination.tier is Tier.OWN:
             received = self.receiver.receive(routed, done)
@@ -293,36 +267,6 @@
             cancel()
             raise
 
-    def _build_routed_request(self, call, placement, now):
-        request = call.request
-        connection_headers = connection_options(request.headers)
-        overwritten = self.header_names.overwritten
-        headers = [
-            (name, value)
-            for name, value in request.headers
-            if is_end_to_end(name)
-            and name not in connection_headers
-            and name not in overwritten
-        ]
-        route = call.route
-        return RoutedRequest(
-            call.request_id,
-            request.method,
-            request.target,
-            headers,
-            request.body,
-            call.service,
-            placement.state.destination.endpoint.instance_id,
-            self.settings.service,
-            max(1, int((call.deadline - now) * 1000)),
-            int(placement.max_wait_seconds * 1000),
-            route.queue_rank,
-            route.repeatable,
-            placement.spare_slot_fraction,
-            max(0, int((call.target_at - now) * 1000)),
-            call.arrivals > 0,
-        )
-
     # Outcomes of an attempt, by verdict.
 
     def _on_answered(self, call, state, delivery, sent_at, now):
--- a/poplarrack/traffic_splitters.py
+++ b/poplarrack/traffic_splitters.py
@@ -4,6 +4,9 @@
 calls each keep the shares in total too.
 """
 
+from poplarrack.evidence import FULL_SHARE_STAGE
+from poplarrack.evidence import stage_of
+
 
 class TrafficSplitter:
     """Splits the calls of weighted routes and of moves.
@@ -53,3 +56,28 @@
         to_new = phase >= 1.0
         self.phases[split.move_id] = phase - 1.0 if to_new else phase
         return to_new
+
+    def choose_version(self, call, states, split):
+        """Return the endpoints of the version that a call goes to.
+
+        The version is chosen once for a call; a retry after an attempt that
+        reached an endpoint uses the old version.
+
+        :param call: the Call, which gets its version and its stage.
+        :param states: the DestinationStates of its service.
+        :param split: the VersionSplit of the service's move.
+        """
+        new, old = [], []
+        for state in states:
+            is_new = state.destination.endpoint.version == split.to_version
+            (new if is_new else old).append(state)
+        if split.share <= 0 or not new:
+            return old
+        if split.share >= 1 or not old:
+            call.stage = FULL_SHARE_STAGE
+            return new
+        if call.version is None:
+            to_new = self.goes_to_new_version(split)
+            call.version = split.to_version if to_new else ''
+            call.stage = stage_of(split.share)
+        return new if call.version and not call.arrivals else old
--- a/tests/move_meshes.py
+++ b/tests/move_meshes.py
@@ -13,7 +13,7 @@
 from poplarrack.errors import PoplarrackError
 from poplarrack.evidence import Side
 from poplarrack.evidence import stage_of
-from poplarrack.moves import build_move
+from poplarrack.move_records import build_move
 from poplarrack.moves import effective_share
 from poplarrack.resources import encode_resource
 from poplarrack.stand_ins.fakes import run_on_virtual_clock
