Keep the evidence of nodes that restart in turn

Cause: three quarters of the nodes that started within 10 s of each other were taken for a loss of all evidence. The nodes of a small mesh that restart in turn, one each half second, are within that time, but between them hold the calls of a third of the move's time. A good version was started again and completed 9 s late. Change: the evidence is lost only if the nodes also hold the calls of a quarter of the move's time or less, by their starts. Measured: test_nodes_that_restart_quickly_in_turn_do_not_delay_a_move failed before (started again at 4%), passes now; the tests with power losses pass.

--- a/poplarrack/move_controllers.py
+++ b/poplarrack/move_controllers.py
@@ -12,6 +12,7 @@
 from poplarrack.members import EndpointState
 from poplarrack.move_observations import count_new_calls
 from poplarrack.move_observations import JointRestart
+from poplarrack.move_observations import MIN_ELAPSED_SECONDS
 from poplarrack.move_observations import MoveObservation
 from poplarrack.move_policies import POLICIES
 from poplarrack.moves import decide_move
@@ -22,8 +23,7 @@
 from poplarrack.resources import MoveState
 
 MIN_MOVE_WRITE_INTERVAL_SECONDS = 0.5
-# Nodes whose starts lie within this time count as started together. Those that
-# restart in turn, as in an upgrade, keep enough evidence between them.
+# Nodes whose starts lie within this time count as started together.
 RESTART_SPREAD_SECONDS = 10.0
 
 
@@ -124,22 +124,27 @@
         old_slots,
         busy,
         count_new_calls(move.move_id, report.cells),
-        _find_restart(facts, move),
+        _find_restart(facts, move, now),
         now - facts.lifecycle.started_at >= REJOIN_INTERVAL_SECONDS,
     )
 
 
-def _find_restart(facts, move):
+def _find_restart(facts, move, now):
     """Return the latest JointRestart since the present share was set."""
     starts = [
         member.incarnation / 1000
         for member in facts.knowledge.members.members.values()
         if member.present
     ]
-    last = max(starts, default=0.0)
+    if not starts:
+        return JointRestart()
+    last = max(starts)
     first = max(move.stage_since, last - RESTART_SPREAD_SECONDS)
-    restarted = sum(start > first for start in starts)
-    return JointRestart(restarted / max(1, len(starts)), last)
+    restarted = [start for start in starts if start > first]
+    unchanged = len(starts) - len(restarted)
+    age = max(MIN_ELAPSED_SECONDS, now - move.started_at)
+    kept = unchanged + sum((now - start) / age for start in restarted)
+    return JointRestart(len(restarted) / len(starts), last, kept / len(starts))
 
 
 def _serves(member, endpoint, service):
--- a/poplarrack/move_observations.py
+++ b/poplarrack/move_observations.py
@@ -12,7 +12,8 @@
 
 MIN_ELAPSED_SECONDS = 0.1
 
-# Fraction of the nodes with whose memory a move's evidence counts as lost.
+# Fraction of the nodes, and of a move's time, with whose calls its evidence
+# counts as lost.
 MIN_LOST_FRACTION = 0.75
 
 
@@ -21,11 +22,14 @@
     """A restart of several nodes at about the same time.
 
     ``fraction`` is their fraction of the present nodes, and ``last_at`` when
-    the last of them started, in seconds since the epoch.
+    the last of them started, in seconds since the epoch. ``kept_fraction`` is
+    the part of the move's time, on average over all nodes, whose calls they
+    still hold.
     """
 
     fraction: float = 0.0
     last_at: float = 0.0
+    kept_fraction: float = 1.0
 
 
 @dataclass(frozen=True)
@@ -88,7 +92,12 @@
     The number of calls doesn't tell: a worker that has just started has not
     received all counts, and nodes that restarted count again at once.
     """
-    return move.share > 0 and observed.restart.fraction >= MIN_LOST_FRACTION
+    restart = observed.restart
+    return (
+        move.share > 0
+        and restart.fraction >= MIN_LOST_FRACTION
+        and restart.kept_fraction <= 1 - MIN_LOST_FRACTION
+    )
 
 
 def has_thin_traffic(move, observed, now):
--- a/tests/test_move_recovery.py
+++ b/tests/test_move_recovery.py
@@ -153,6 +153,20 @@
     assert moving.shares == sorted(moving.shares), record.log
 
 
+# The nodes of a small mesh restarted in turn within 10 s, taken for a joint
+# restart, although between them they still held enough evidence.
+@on_moving_mesh(window=16.0)
+async def test_nodes_that_restart_quickly_in_turn_do_not_delay_a_move(moving):
+    await moving.wait_for_share(0.04)
+    for name in list(moving.localities):
+        await moving.restart_nodes([name], 0.3)
+        await asyncio.sleep(0.2)
+    record = await moving.wait_for_end(moving.window)
+    assert record.state is MoveState.COMPLETED, record.log
+    assert moving.shares == sorted(moving.shares), record.log
+    assert record.complete_by == moving.deadline, record.log
+
+
 # An upgrade restarts all nodes during one share, but never loses the evidence
 # of all of them at once.
 @on_moving_mesh()
--- a/tests/test_moves.py
+++ b/tests/test_moves.py
@@ -172,7 +172,7 @@
     )
 
 
-ALL_RESTARTED = JointRestart(1.0, 300.0)
+ALL_RESTARTED = JointRestart(1.0, 300.0, 0.0)
 
 
 # EXPOSURE: a verdict that was found just before the nodes lost their memory
@@ -188,13 +188,15 @@
 # A worker that has just started knows few nodes, and would end a good move
 # whose evidence all the others still hold.
 def test_evidence_is_lost_only_with_the_memory_of_most_nodes():
-    for fraction, nodes_known, is_lost in (
-        (1.0, True, True),
-        (0.5, True, False),
-        (1.0, False, False),
+    for fraction, kept_fraction, nodes_known, is_lost in (
+        (1.0, 0.1, True, True),
+        (0.5, 0.1, True, False),
+        (1.0, 0.5, True, False),
+        (1.0, 0.1, False, False),
     ):
         observed = observation(
-            restart=JointRestart(fraction, 700.0), nodes_known=nodes_known
+            restart=JointRestart(fraction, 700.0, kept_fraction),
+            nodes_known=nodes_known,
         )
         changed = decide_move(recorded(), observed, 702.0)
         assert is_lost == bool(changed and 'lost' in changed.reason), changed
@@ -208,7 +210,9 @@
         (1000, MoveState.ADVANCING),
         (0, MoveState.WITHDRAWN),
     ):
-        observed = observation(calls=calls, restart=JointRestart(1.0, 800.0))
+        observed = observation(
+            calls=calls, restart=JointRestart(1.0, 800.0, 0.0)
+        )
         changed = decide_move(record, observed, 802.0)
         assert changed.state is state and changed.share <= 0.1, changed
 
@@ -216,7 +220,7 @@
 # Starting a move again costs a good version its deadline.
 def test_a_move_that_lost_its_evidence_early_goes_on_as_planned():
     for restarted_at, starts_again in ((300.0, False), (500.0, True)):
-        observed = observation(restart=JointRestart(1.0, restarted_at))
+        observed = observation(restart=JointRestart(1.0, restarted_at, 0.0))
         for now in (restarted_at + 2.0, 599.0):
             changed = decide_move(recorded(), observed, now)
             again = changed is not None and changed.started_at == now
