Take the endpoint's calls a little longer while a node stops

Cause: found on reading again: the endpoint beside a stopping node still runs requests that it got before, and makes calls for them through this node, which can't tell them from callers' requests. They were refused as soon as the listener closed if their deadline was after the node's end. Change: requests are refused by their deadline only from half a second later. Measured: tests of the sidecar server pass; the end of a calm stop was not measured beyond that.

--- a/poplarrack/sidecar_servers.py
+++ b/poplarrack/sidecar_servers.py
@@ -44,6 +44,9 @@
 # How long new requests are still accepted after SIGTERM, until callers have
 # learnt that this node is not ready.
 DRAIN_ACCEPT_SECONDS = 2.5
+# How long after that requests on open connections are taken whatever their
+# deadline: the local endpoint makes calls for requests that it still runs.
+LATE_CALL_SECONDS = 0.5
 # Part of the grace period that is kept for closing connections.
 CLOSE_MARGIN_SECONDS = 0.7
 DRAIN_POLL_SECONDS = 0.05
@@ -261,8 +264,11 @@
             lambda: False, self.clock() + DRAIN_ACCEPT_SECONDS
         )
         self.receiver.refuses_new_requests = True
-        self.sender.closes_at = end
         await self.call_server.drain(self.loop)
+        await self._wait_until(
+            self._drained, min(end, self.clock() + LATE_CALL_SECONDS)
+        )
+        self.sender.closes_at = end
         await self._wait_until(self._drained, end)
         self.receiver.refuse_waiting('stopping')
         # Calls of this node that waited there are answered first.
