Simulate calls in flight in the bench cases of two moves and of a cut

Cause: since no step is taken while no calls are in flight. The two cases record the outcomes of simulated calls, but none was ever in flight, so that both ended with "condition did not hold within 120.0 s". Change: each node reports the calls in flight that its rate and latency make.

--- a/poplarrack/benches/cuts.py
+++ b/poplarrack/benches/cuts.py
@@ -21,6 +21,7 @@
 MOVE_SECONDS = 120.0
 CALLS_PER_SECOND_PER_NODE = 40
 BASE_FAILURE_RATE = 0.002
+MEAN_CALL_SECONDS = 0.02
 MAX_HALT_SECONDS = 20.0
 
 
@@ -78,7 +79,12 @@
     def _count_calls(self, node):
         """Record the evidence of one second of simulated calls of a node."""
         random = self.mesh.random
+        in_flight = {}
+        node.dispatcher.busy = lambda: in_flight
         for service, move in node.dispatcher.table.moves.items():
+            in_flight[(service, 'v1')] = (
+                CALLS_PER_SECOND_PER_NODE * MEAN_CALL_SECONDS
+            )
             stage = round(move.share * 1000)
             new_failure_rate = self.failure_rates.get(
                 (service, node.settings.zone), 0.0
@@ -91,7 +97,9 @@
                 failed = random.random() < max(failure_rate, BASE_FAILURE_RATE)
                 side = Side.NEW if is_new else Side.OLD
                 key = (move.move_id, service, side, 0, stage)
-                latency = None if failed else 0.02 * random.uniform(0.5, 2)
+                latency = None
+                if not failed:
+                    latency = MEAN_CALL_SECONDS * random.uniform(0.5, 2)
                 now = self.mesh.clock()
                 node.dispatcher.evidence.record(key, failed, latency, now)
 
