Keep evidence lost while nodes wait for the store

Callers saw, on a simulated mesh: a version that had failed at the whole share before all nodes lost power was completed, and its old servers were stopped, because the store came back 8 s after the nodes.

Cause: a joint restart counted as lost evidence only until the nodes held the calls of a quarter of the move's time again. The calls since don't make up for what was lost before.

Change: what the nodes held is measured at the start of the last of them, not at present. A joint restart now counts until the share changes, which the move then does at once: it goes on, starts again or ends.

--- a/poplarrack/move_controllers.py
+++ b/poplarrack/move_controllers.py
@@ -124,12 +124,12 @@
         old_slots,
         busy,
         count_new_calls(move.move_id, report.cells),
-        _find_restart(facts, move, now),
+        _find_restart(facts, move),
         now - facts.lifecycle.started_at >= REJOIN_INTERVAL_SECONDS,
     )
 
 
-def _find_restart(facts, move, now):
+def _find_restart(facts, move):
     """Return the latest JointRestart since the present share was set."""
     starts = [
         member.incarnation / 1000
@@ -142,8 +142,8 @@
     first = max(move.stage_since, last - RESTART_SPREAD_SECONDS)
     restarted = [start for start in starts if start > first]
     unchanged = len(starts) - len(restarted)
-    age = max(MIN_ELAPSED_SECONDS, now - move.started_at)
-    kept = unchanged + sum((now - start) / age for start in restarted)
+    age = max(MIN_ELAPSED_SECONDS, last - move.started_at)
+    kept = unchanged + sum((last - start) / age for start in restarted)
     return JointRestart(len(restarted) / len(starts), last, kept / len(starts))
 
 
--- a/poplarrack/move_observations.py
+++ b/poplarrack/move_observations.py
@@ -26,8 +26,8 @@
 
     ``fraction`` is their fraction of the present nodes, and ``last_at`` when
     the last of them started, in seconds since the epoch. ``kept_fraction`` is
-    the part of the move's time, on average over all nodes, whose calls they
-    still hold.
+    the part of the move's time until then, on average over all nodes, whose
+    calls they still held.
     """
 
     fraction: float = 0.0
--- a/tests/test_move_recovery.py
+++ b/tests/test_move_recovery.py
@@ -60,6 +60,18 @@
     assert record.state is MoveState.WITHDRAWN, record.log
 
 
+# EXPOSURE: nodes that had run for a quarter of the move's time since they all
+# lost their memory were taken to hold its evidence.
+@on_moving_mesh(window=16.0)
+async def test_evidence_stays_lost_while_nodes_wait_for_the_store(moving):
+    await moving.wait_for_share(1.0)
+    moving.turn_bad()
+    await asyncio.sleep(0.3)
+    await moving.lose_power(POWER_OFF_SECONDS, store_away_seconds=8.0)
+    record = await moving.wait_for_end(SETTLE_SECONDS)
+    assert record.state is MoveState.WITHDRAWN, record.log
+
+
 # EXPOSURE: evidence on servers that have restarted says nothing about how
 # the new ones behave once they have run for a while.
 @on_moving_mesh(Regression(above_share=0.0, after_seconds=32.0))
