Report failures of a new version at shorter intervals

Callers saw, on simulated meshes: a version that began to fail half of its calls at the whole share, 0.5 to 0.8 s before the completion, was completed and its old servers stopped, with up to 143 bad answers given by then. No node had restarted and no calls had stopped.

Cause: evidence is reported once in evidence_seconds (1 s, 0.5 s on the platform) by each level of the tree. The completion asks for calls at the present share and no suspicion, but what the worker sees is as old as the reports.

Change: a report with more failures of a new version than the last one goes out after 0.2 s. Other evidence keeps its interval.

The test of the move failed before: "completed 100%: no fault found up to the whole share".

--- a/poplarrack/reporters.py
+++ b/poplarrack/reporters.py
@@ -6,7 +6,9 @@
 from poplarrack.decisions import controller
 from poplarrack.decisions import SendReport
 from poplarrack.decisions import WriteSummary
+from poplarrack.evidence import ENTIRE_STAGE
 from poplarrack.evidence import merge_cells
+from poplarrack.evidence import Side
 from poplarrack.messages import InFlightCalls
 from poplarrack.messages import Lag
 from poplarrack.messages import Report
@@ -16,6 +18,8 @@
 # Bounds both the lags and the rejections in a report.
 MAX_LAGS = 5
 MIN_REPORT_INTERVAL_SECONDS = 0.1
+# Between reports with more failures of a move's new version.
+FAILURE_REPORT_INTERVAL_SECONDS = 0.2
 REPORT_TTL_FACTOR = 3
 
 
@@ -101,7 +105,11 @@
 
 @controller('reports')
 def send_report(facts, now):
-    """Report at once when versions or receivers change, else at intervals."""
+    """Report at once when versions or receivers change, else at intervals.
+
+    Failures of a move's new version are reported at shorter intervals: the
+    move may be completed before a report that is not urgent arrives.
+    """
     receivers = _receivers(facts)
     since = now - facts.sent.report_at
     if not receivers or since < MIN_REPORT_INTERVAL_SECONDS:
@@ -114,16 +122,30 @@
         != (last.lowest_revision, last.nodes, last.rejections)
     )
     evidence_changed = last is not None and report.cells != last.cells
+    evidence_seconds = peers.evidence_seconds
+    if evidence_changed and _count_new_failures(
+        report.cells
+    ) > _count_new_failures(last.cells):
+        evidence_seconds = FAILURE_REPORT_INTERVAL_SECONDS
     due = (
         versions_changed
         or receivers != facts.sent.report_receivers
         or since >= peers.report_seconds
-        or (evidence_changed and since >= peers.evidence_seconds)
+        or (evidence_changed and since >= evidence_seconds)
     )
     if due:
         yield SendReport(receivers, report)
 
 
+def _count_new_failures(cells):
+    """Return the failed calls to the new versions of all moves."""
+    return sum(
+        cell.failures
+        for cell in cells
+        if cell.key.side is Side.NEW and cell.key.epoch == ENTIRE_STAGE
+    )
+
+
 def _report_for(facts, now):
     """Build the report for the receivers.
 
--- a/tests/test_move_recovery.py
+++ b/tests/test_move_recovery.py
@@ -72,6 +72,19 @@
     assert record.state is MoveState.WITHDRAWN, record.log
 
 
+# EXPOSURE: failures of the new version reached the worker only after it had
+# completed the move, without any restart or gap.
+@on_moving_mesh(window=16.0)
+async def test_a_version_that_turns_bad_before_the_end_is_not_completed(
+    moving,
+):
+    await moving.wait_for_share(1.0)
+    await asyncio.sleep(0.3)
+    moving.turn_bad()
+    record = await moving.wait_for_end(moving.window)
+    assert record.state is MoveState.WITHDRAWN, record.log
+
+
 # EXPOSURE: evidence on servers that have restarted says nothing about how
 # the new ones behave once they have run for a while.
 @on_moving_mesh(Regression(above_share=0.0, after_seconds=32.0))
--- a/tests/test_nodes.py
+++ b/tests/test_nodes.py
@@ -18,6 +18,10 @@
 from poplarrack.detectors import rejoin_others
 from poplarrack.detectors import ZONE_SEARCH_INTERVAL_SECONDS
 from poplarrack.errors import ErrorKind
+from poplarrack.evidence import Cell
+from poplarrack.evidence import CellKey
+from poplarrack.evidence import ENTIRE_STAGE
+from poplarrack.evidence import Side
 from poplarrack.evidence import Verdict
 from poplarrack.knowledge import Knowledge
 from poplarrack.members import MemberState
@@ -346,6 +350,26 @@
     assert list(send_report(moved, 10.0))
 
 
+# Reports of failures must not wait for the interval of other evidence, in
+# which a move may be completed, nor may other evidence be sent as often.
+def test_only_failures_of_a_new_version_shorten_the_interval_of_reports():
+    topology = Topology(rank=3, parent='p1')
+    key = CellKey('m1', 'front', Side.NEW, 0, 500, ENTIRE_STAGE)
+    old_key = replace(key, side=Side.OLD)
+    report = build_report(
+        facts(topology, cells=(Cell(key, 9, 0), Cell(old_key, 9, 0))), 9.0
+    )
+    sent = Sent(report, 9.75, ('p1',))
+    for cells, is_sent in (
+        ((Cell(key, 10, 1), Cell(old_key, 9, 0)), True),
+        ((Cell(key, 10, 0), Cell(old_key, 9, 0)), False),
+        ((Cell(key, 9, 0), Cell(old_key, 10, 1)), False),
+    ):
+        seen = facts(topology, sent=sent, cells=cells)
+        assert bool(list(send_report(seen, 10.0))) is is_sent, cells
+        assert not list(send_report(seen, 9.9)), cells
+
+
 def test_a_node_that_hears_nobody_accuses_nobody():
     names = ('x', 'y', 'z')
     members = [member(name) for name in names]
