Compare with the old version's calls on record

Callers saw, on a simulated mesh: all nodes restarted in turn while the new version had the whole share (window of 200 s, 17 s for twelve nodes); then it began to fail half of its calls, 3.2 s before the completion. It was completed after 369 more bad answers, and its old servers were stopped.

Cause: at the whole share only earlier calls to the old version are left to compare with, and nodes that restart forget them. Without any, the evidence against any version is none, for a verdict as well as for the completion.

Change: where the nodes remember fewer calls to the old version than the move's record has, those on record are compared with. Every node has the record, so that a verdict needs no worker. Nothing changes in what nodes send.

The test failed before: "completed 100%: no fault found up to the whole share".

--- a/poplarrack/evidence.py
+++ b/poplarrack/evidence.py
@@ -308,9 +308,11 @@
     suspicion_factor: float = 0.0
 
 
-def compare_versions(move_id, cells):
+def compare_versions(move_id, cells, recorded=()):
     """Test the new version of a move against the old one on each route.
 
+    :param recorded: the RouteEvidence of the move's record, whose calls to
+        the old version count where no node remembers as many.
     :returns: a tuple of Findings, one per route with calls to the new
         version.
     """
@@ -319,12 +321,13 @@
         if cell.key.move_id == move_id:
             by_route.setdefault(cell.key.route, []).append(cell)
     findings = (
-        _compare_route(route, group) for route, group in by_route.items()
+        _compare_route(route, group, [r for r in recorded if r.route == route])
+        for route, group in by_route.items()
     )
     return tuple(finding for finding in findings if finding is not None)
 
 
-def _compare_route(route, cells):
+def _compare_route(route, cells, recorded):
     entire_old = _by_stratum(cells, Side.OLD, ENTIRE_STAGE)
     entire_new = _by_stratum(cells, Side.NEW, ENTIRE_STAGE)
     if not entire_new:
@@ -338,7 +341,8 @@
     )
     failures = max(_failure_factor(*window) for window in windows)
     latency = max(_latency_factor(*window) for window in windows)
-    historical = max(_historical_factor(entire_old, new) for _, new in windows)
+    earlier = _count_earlier_calls(entire_old, recorded)
+    historical = max(_historical_factor(*earlier, new) for _, new in windows)
     return Finding(
         route,
         sum(cell.calls for cell in entire_old.values()),
@@ -368,7 +372,23 @@
     return bayes_factor(strata, FAILURE_TOLERANCE)
 
 
-def _historical_factor(old, new):
+def _count_earlier_calls(old, recorded):
+    """Return the calls and failures of the old version, from memory or record.
+
+    Nodes that restart at the whole share forget what is on record.
+    """
+    remembered = (
+        sum(cell.calls for cell in old.values()),
+        sum(cell.failures for cell in old.values()),
+    )
+    on_record = (
+        sum(item.old_calls for item in recorded),
+        sum(item.old_failures for item in recorded),
+    )
+    return max(remembered, on_record)
+
+
+def _historical_factor(old_calls, old_failures, new):
     """Compare calls at the full share with earlier ones to the old version.
 
     At the full share no calls to the old version run at the same time, so
@@ -377,12 +397,7 @@
     is divided by ``HISTORICAL_DISCOUNT`` before a version is withdrawn.
     """
     strata = [
-        Stratum(
-            sum(cell.calls for cell in old.values()),
-            sum(cell.failures for cell in old.values()),
-            cell.calls,
-            cell.failures,
-        )
+        Stratum(old_calls, old_failures, cell.calls, cell.failures)
         for (_, _, stage), cell in new.items()
         if stage == FULL_SHARE_STAGE
     ]
@@ -430,18 +445,19 @@
     return max(counts)
 
 
-def detect_regression(move_id, cells, threshold, now, found_by):
+def detect_regression(move_id, cells, threshold, now, found_by, recorded=()):
     """Return a Verdict if a Bayes factor reaches the threshold, or None.
 
     Each route is tested, and all routes together, which detects a small
     regression on several routes sooner.
 
     :param found_by: the id of the node that tests.
+    :param recorded: the RouteEvidence of the move's record.
     """
     own = [cell for cell in cells if cell.key.move_id == move_id]
-    overall = _compare_route(ALL_ROUTES, own)
+    overall = _compare_route(ALL_ROUTES, own, recorded)
     findings = [
-        *compare_versions(move_id, own),
+        *compare_versions(move_id, own, recorded),
         *([overall] if overall else []),
     ]
     for finding in findings:
--- a/poplarrack/move_controllers.py
+++ b/poplarrack/move_controllers.py
@@ -42,7 +42,12 @@
             cells = merge_cells([facts.cells, *groups])
         threshold = POLICIES[move.policy].withdrawal_threshold
         verdict = detect_regression(
-            move.move_id, cells, threshold, now, facts.own.node_id
+            move.move_id,
+            cells,
+            threshold,
+            now,
+            facts.own.node_id,
+            move.evidence,
         )
         if verdict is not None:
             yield HaltMove(verdict)
@@ -117,7 +122,7 @@
         item.in_flight for item in report.busy if item.service == move.service
     )
     return MoveObservation(
-        compare_versions(move.move_id, report.cells),
+        compare_versions(move.move_id, report.cells, move.evidence),
         facts.knowledge.verdicts.get(move.move_id),
         new_servers,
         new_slots,
--- a/tests/test_move_recovery.py
+++ b/tests/test_move_recovery.py
@@ -220,3 +220,17 @@
     assert record.state is MoveState.COMPLETED, record.log
     assert record.ended_at <= moving.deadline, record.log
     assert moving.shares == sorted(moving.shares), record.log
+
+
+# EXPOSURE: at the whole share no calls go to the old version. When all nodes
+# had restarted in turn, its earlier calls were forgotten, and any new version
+# was completed without a comparison.
+@on_moving_mesh(window=200.0)
+async def test_nodes_that_restart_in_turn_compare_with_recorded_calls(moving):
+    await moving.wait_for_share(1.0)
+    for name in list(moving.localities):
+        await moving.restart_nodes([name], 0.6)
+        await asyncio.sleep(0.8)
+    moving.turn_bad()
+    record = await moving.wait_for_end(moving.window)
+    assert record.state is MoveState.WITHDRAWN, record.log
