--- a/poplarrack/moves.py
+++ b/poplarrack/moves.py
@@ -163,20 +163,17 @@
     """Go on with a move whose evidence was lost, start it again or end it.
 
     It ends if the evidence is against the new version or, where the old
-    servers stop, if the share is large and the versions can't be compared on
-    the calls since: bad answers may have been given before that no node had
-    recorded. Otherwise it goes on at a small share: on schedule if enough of
-    its window is left, and else with its whole window again, since servers
-    that have restarted may turn bad later than the deadline. A worker that
-    may not have found the other nodes, and with them the evidence, waits.
+    servers stop, if the version may have failed unseen. Otherwise it goes on
+    at a small share: on schedule if enough of its window is left, and else
+    with its whole window again, since servers that have restarted may turn
+    bad later than the deadline. A worker that may not have found the other
+    nodes, and with them the evidence, waits.
     """
     if not observed.nodes_known:
         return None
     policy = POLICIES[move.policy]
-    is_unsafe = policy.stops_old_servers and (
-        unrecorded_calls(move) > MAX_UNRECORDED_CALLS
-        or move.share > MAX_RESUMED_SHARE
-        and not _can_compare(move, policy, observed)
+    is_unsafe = policy.stops_old_servers and _may_have_failed_unseen(
+        move, policy, observed
     )
     factor = max(largest_factor(move.evidence), observed.suspicion_factor)
     if is_unsafe or factor >= SUSPICION_FACTOR:
@@ -205,6 +202,19 @@
     )
 
 
+def _may_have_failed_unseen(move, policy, observed):
+    """Return whether bad answers may have been given that no node knows of.
+
+    That is so if many calls are on no record, or if the share is large and
+    the versions can't be compared on the calls since.
+    """
+    if unrecorded_calls(move) > MAX_UNRECORDED_CALLS:
+        return True
+    return move.share > MAX_RESUMED_SHARE and not _can_compare(
+        move, policy, observed
+    )
+
+
 def _can_compare(move, policy, observed):
     """Return whether both versions got enough calls to compare them."""
     old_calls = sum(finding.old_calls for finding in observed.findings)
