Compare the whole share with the last calls before it

Cause: calls at the whole share are compared with all earlier calls to the old version that nodes remember, at five times their odds of a failure. All nodes had lost power 9 s before, so that most of what they remembered was the recovery, in which many calls fail with any version.

Change: the calls of the latest shares are compared with, and those of earlier shares only until there are 500. They are also the nearest in time.

The test failed before: a suspicion of 0.0 to 1 for 43 failures of 210 calls, after 97 of 1,350 of the old version, 7 of 650 of which since the recovery.

--- a/poplarrack/evidence.py
+++ b/poplarrack/evidence.py
@@ -62,6 +62,9 @@
 HISTORICAL_TOLERANCE = 5.0
 HISTORICAL_DISCOUNT = 1000.0
 
+# Earlier calls to the old version that suffice for that comparison.
+ENOUGH_EARLIER_CALLS = 500
+
 
 class Side(IntEnum):
     """The version of a move that a call was sent to."""
@@ -373,19 +376,26 @@
 
 
 def _count_earlier_calls(old, recorded):
-    """Return the calls and failures of the old version, from memory or record.
+    """Return the calls and failures of the old version at its last shares.
 
-    Nodes that restart at the whole share forget what is on record.
+    Earlier ones count only until there are enough: they may lie in a burst or
+    in the recovery from a loss of power. Nodes that restart at the whole share
+    forget them all, but not those on record.
     """
-    remembered = (
-        sum(cell.calls for cell in old.values()),
-        sum(cell.failures for cell in old.values()),
-    )
+    by_stage = {}
+    for (_, _, stage), cell in old.items():
+        by_stage.setdefault(stage, []).append(cell)
+    calls, failures = 0, 0
+    for stage in sorted(by_stage, reverse=True):
+        calls += sum(cell.calls for cell in by_stage[stage])
+        failures += sum(cell.failures for cell in by_stage[stage])
+        if calls >= ENOUGH_EARLIER_CALLS:
+            return calls, failures
     on_record = (
         sum(item.old_calls for item in recorded),
         sum(item.old_failures for item in recorded),
     )
-    return max(remembered, on_record)
+    return max((calls, failures), on_record)
 
 
 def _historical_factor(old_calls, old_failures, new):
--- a/tests/test_moves.py
+++ b/tests/test_moves.py
@@ -318,6 +318,27 @@
     assert detect_regression('m1', failure_burst, 300, 1.0, 'n') is None
 
 
+# EXPOSURE: a version that failed a fifth of its calls at the whole share was
+# completed: the old version had failed as many while power came back, and
+# these calls counted as much as those of the last shares.
+def test_failures_of_a_recovery_do_not_hide_those_at_the_whole_share():
+    old = [
+        build_cell(Side.OLD, ENTIRE_STAGE, calls, failures, stage=stage)
+        for stage, calls, failures in (
+            (20, 700, 90),
+            (80, 360, 4),
+            (200, 200, 2),
+            (500, 90, 1),
+        )
+    ]
+    for failures, is_suspect in ((43, True), (6, False)):
+        new = build_cell(
+            Side.NEW, ENTIRE_STAGE, 210, failures, stage=FULL_SHARE_STAGE
+        )
+        (finding,) = compare_versions('m1', [*old, new])
+        assert (finding.suspicion_factor >= 20) is is_suspect, finding
+
+
 def test_localities_are_compared_apart():
     slow_far_servers = [
         Cell(
