Say what the calls on record are compared with

The description said that they count where no node remembers as many, but each node decides by the calls that it sees itself. Only a docstring and a comment change.

--- a/poplarrack/evidence.py
+++ b/poplarrack/evidence.py
@@ -62,7 +62,7 @@
 HISTORICAL_TOLERANCE = 5.0
 HISTORICAL_DISCOUNT = 1000.0
 
-# Earlier calls to the old version that suffice for that comparison.
+# Earlier calls to the old version that are enough for that comparison.
 ENOUGH_EARLIER_CALLS = 500
 
 
@@ -314,8 +314,8 @@
 def compare_versions(move_id, cells, recorded=()):
     """Test the new version of a move against the old one on each route.
 
-    :param recorded: the RouteEvidence of the move's record, whose calls to
-        the old version count where no node remembers as many.
+    :param recorded: the RouteEvidence of the move's record. Its calls to the
+        old version are compared with where the cells have few of them.
     :returns: a tuple of Findings, one per route with calls to the new
         version.
     """
