Explain where a reader of the moves would stop

Read as by a newcomer: comments and docstrings now say that a share above the bound goes on only where versions can be compared, why evidence that was lost is measured at the last start, what the rate of unrecorded calls is taken from, and what the interval of reports bounds.

--- a/poplarrack/move_controllers.py
+++ b/poplarrack/move_controllers.py
@@ -148,6 +148,8 @@
     restarted = [start for start in starts if start > first]
     unchanged = len(starts) - len(restarted)
     age = max(MIN_ELAPSED_SECONDS, last - move.started_at)
+    # Measured at the last start: calls since then, however many, don't make
+    # up for those that were lost before.
     kept = unchanged + sum((last - start) / age for start in restarted)
     return JointRestart(len(restarted) / len(starts), last, kept / len(starts))
 
--- a/poplarrack/move_observations.py
+++ b/poplarrack/move_observations.py
@@ -16,7 +16,8 @@
 # counts as lost.
 MIN_LOST_FRACTION = 0.75
 
-# Time from a regression's first failures until it is in the move's record.
+# Time from a regression's first failures until the move's record has it. A
+# restart of all nodes within that time leaves no trace of it.
 MAX_RECORDING_SECONDS = 1.0
 
 
@@ -106,8 +107,9 @@
 def unrecorded_calls(move):
     """Return the calls to the new version that its record may not cover.
 
-    These are the calls in the time that a regression takes to be recorded,
-    at the recorded rate. It is 0 at the first share, before any record.
+    These are the calls in the time that a regression takes to be recorded.
+    Their rate is the mean until the present share was set, when the evidence
+    was recorded; it is 0 at the first share, before any record.
     """
     seconds = move.stage_since - move.started_at
     if seconds <= 0:
--- a/poplarrack/moves.py
+++ b/poplarrack/moves.py
@@ -41,11 +41,11 @@
 SMALL_SHARE = 0.1
 
 # Share up to which a move whose evidence was lost goes on, at SMALL_SHARE at
-# most.
+# most, though the versions can't be compared since.
 MAX_RESUMED_SHARE = 0.25
 
-# Calls to the new version without a record up to which a move whose evidence
-# was lost goes on where the old servers stop.
+# Calls to the new version that no record covers, up to which a move whose
+# evidence was lost goes on where the old servers stop.
 MAX_UNRECORDED_CALLS = 100
 
 # Fraction of the window that must be left after a restart of all nodes for a
--- a/poplarrack/reporters.py
+++ b/poplarrack/reporters.py
@@ -18,7 +18,7 @@
 # Bounds both the lags and the rejections in a report.
 MAX_LAGS = 5
 MIN_REPORT_INTERVAL_SECONDS = 0.1
-# Between reports with more failures of a move's new version.
+# Minimum time between reports if the new version of a move failed more calls.
 FAILURE_REPORT_INTERVAL_SECONDS = 0.2
 REPORT_TTL_FACTOR = 3
 
