Leave out odd entries by themselves

Cause: what other writers put into the store, into heartbeats, summaries and addresses was decoded in places that expected two or three kinds of errors. Deep nesting raises RecursionError, a missing field KeyError, a port out of range OverflowError. The thread that follows the store, the join and the task that connects ended with it, so that the node never followed the store again, stayed out of the mesh, or kept a slot for ever. An order for an unknown service or version made the whole configuration invalid. A record with an unknown policy ended the process of every node ten times a second.

The translator leaves out an order or a record that can't be used and keeps the last configuration that can, logs it once per revision and shows it in the dump and the metrics. Heartbeats of a service that nobody configured are rejected. A defect in one controller, or an unexpected error in the fetcher's thread, is logged and does not end them.

--- a/poplarrack/announcements.py
+++ b/poplarrack/announcements.py
@@ -5,10 +5,13 @@
 from msgspec import convert
 from msgspec import ValidationError
 
+from poplarrack.addresses import split_destination
 from poplarrack.errors import ErrorKind
 from poplarrack.errors import PoplarrackError
 from poplarrack.members import Endpoint
 from poplarrack.members import EndpointState
+from poplarrack.members import MAX_CONNECTIONS
+from poplarrack.members import MAX_SLOTS
 
 
 @dataclass(frozen=True)
@@ -37,20 +40,21 @@
     """
     try:
         announcement = convert(body, Announcement)
-    except ValidationError as error:
+        split_destination(announcement.address)
+    except (ValidationError, ValueError) as error:
         raise PoplarrackError(
             ErrorKind.MALFORMED_REQUEST, f'announcement: {error}'
         ) from error
     if (
-        announcement.slots < 1
-        or announcement.max_connections < 1
+        not 1 <= announcement.slots <= MAX_SLOTS
+        or not 1 <= announcement.max_connections <= MAX_CONNECTIONS
         or not announcement.service
     ):
         raise PoplarrackError(
             ErrorKind.MALFORMED_REQUEST,
-            'announcement: service must not be empty, slots and '
-            'max_connections must be at least 1, got '
-            f'{announcement.slots} and {announcement.max_connections}',
+            'announcement: service must not be empty, slots must be from 1 '
+            f'to {MAX_SLOTS} and max_connections from 1 to {MAX_CONNECTIONS},'
+            f' got {announcement.slots} and {announcement.max_connections}',
         )
     return Endpoint(
         announcement.service,
--- a/poplarrack/configurations.py
+++ b/poplarrack/configurations.py
@@ -6,6 +6,9 @@
 
 from poplarrack.errors import ErrorKind
 from poplarrack.errors import PoplarrackError
+from poplarrack.members import MAX_CONNECTIONS
+from poplarrack.members import MAX_SLOTS
+from poplarrack.move_policies import POLICIES
 from poplarrack.resources import CallerLimits
 from poplarrack.resources import decode_resource
 from poplarrack.resources import Move
@@ -23,6 +26,14 @@
 # Bound of a route's timeout_seconds.
 MAX_TIMEOUT_SECONDS = 600
 
+# Bound of a weight and of a rank.
+MAX_WEIGHT = 1_000_000
+
+# Bounds of the times in a move's record, in seconds since the epoch, and of
+# its window.
+MAX_TIME_SECONDS = 1e11
+MAX_WINDOW_SECONDS = 1e8
+
 
 @dataclass(frozen=True)
 class Configuration:
@@ -132,15 +143,20 @@
     for service in services.values():
         yield from _service_faults(service, services)
     for move in configuration.moves.values():
-        yield from _move_faults(move, services)
+        yield from move_faults(move, services)
 
 
 def _route_faults(route, services):
     for weighted in route.weighted_services:
         if weighted.service not in services:
             yield f'route {route.name}: no service {weighted.service!r}'
-        if weighted.weight < 0:
-            yield f'route {route.name}: weight {weighted.weight} is negative'
+        if not 0 <= weighted.weight <= MAX_WEIGHT:
+            yield (
+                f'route {route.name}: weight {weighted.weight} is not from 0 '
+                f'to {MAX_WEIGHT}'
+            )
+    if not abs(route.queue_rank) <= MAX_WEIGHT:
+        yield f'route {route.name}: rank {route.queue_rank} is out of range'
     if route.max_attempts < 1:
         yield (
             f'route {route.name}: max_attempts must be at least 1, got '
@@ -156,23 +172,51 @@
 
 
 def _service_faults(service, services):
-    if service.slots < 1 or service.max_connections < 1:
+    in_range = (
+        1 <= service.slots <= MAX_SLOTS
+        and 1 <= service.max_connections <= MAX_CONNECTIONS
+    )
+    if not in_range:
         yield (
-            f'service {service.name}: slots and max_connections must be at '
-            f'least 1, got {service.slots} and {service.max_connections}'
+            f'service {service.name}: slots must be from 1 to {MAX_SLOTS} '
+            f'and max_connections from 1 to {MAX_CONNECTIONS}, got '
+            f'{service.slots} and {service.max_connections}'
         )
     for called in service.calls:
         if called not in services:
             yield f'service {service.name}: calls no service {called!r}'
 
 
-def _move_faults(move, services):
+def move_faults(move, services):
+    """Yield what is wrong with a move.
+
+    :param services: a container of the names of the services.
+    """
     if move.service not in services:
         yield f'move {move.service}: no such service'
     if move.from_version == move.to_version:
         yield f'move {move.service}: both versions are {move.to_version!r}'
     if not 0 <= move.share <= 1:
         yield f'move {move.service}: share {move.share} is not from 0 to 1'
+    if move.policy not in POLICIES:
+        yield f'move {move.service}: unknown policy {move.policy!r}'
+    if not _has_valid_times(move):
+        yield f'move {move.service}: its times are out of range'
+
+
+def _has_valid_times(move):
+    times = (
+        move.started_at,
+        move.complete_by,
+        move.stage_since,
+        move.ended_at,
+    )
+    window = abs(move.complete_by - move.started_at)
+    return (
+        all(0 <= time <= MAX_TIME_SECONDS for time in times)
+        and 0 <= move.ordered_seconds <= MAX_WINDOW_SECONDS
+        and window <= MAX_WINDOW_SECONDS
+    )
 
 
 def _cycle_faults(services):
--- a/poplarrack/dumps.py
+++ b/poplarrack/dumps.py
@@ -34,6 +34,7 @@
         'platform': to_builtins(facts.platform),
         'traffic': vars(traffic),
         'platform_bytes': node.dependencies.platform.bytes,
+        'rejected_entries': dict(node.dependencies.platform.rejected_entries),
         'moves': _dump_moves(knowledge),
         'verdicts': to_builtins(dict(knowledge.verdicts)),
         'evidence': to_builtins(facts.cells),
--- a/poplarrack/fetchers.py
+++ b/poplarrack/fetchers.py
@@ -115,6 +115,10 @@
                 self.read_and_watch()
             except PoplarrackError as error:
                 self.on_error(error)
+            except Exception as error:
+                # A node that ends this thread never follows the store again.
+                logger.exception('fetcher_failed_internally')
+                self.on_error(PoplarrackError(ErrorKind.INTERNAL, repr(error)))
 
     def on_error(self, error):
         """Report a failure and wait before the next attempt.
--- a/poplarrack/joiners.py
+++ b/poplarrack/joiners.py
@@ -111,7 +111,18 @@
     }
     near, far = [], []
     for item in answer.items:
-        summary = decode_summary(item.value)
+        try:
+            summary = decode_summary(item.value)
+        except PoplarrackError as error:
+            logger.warning(
+                'entry_rejected',
+                extra={
+                    'key': item.key,
+                    'revision': item.mod_revision,
+                    'detail': error.detail,
+                },
+            )
+            continue
         if (summary.region, summary.zone) in known:
             continue
         if (summary.region, summary.zone) == (own.region, own.zone):
--- a/poplarrack/members.py
+++ b/poplarrack/members.py
@@ -16,6 +16,10 @@
 
 DIGEST_BUCKETS = 32
 
+# Bounds of what a backend server may announce of itself.
+MAX_SLOTS = 10_000
+MAX_CONNECTIONS = 100_000
+
 
 class MemberState(IntEnum):
     """The state of a node.
--- a/poplarrack/messages.py
+++ b/poplarrack/messages.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 from zlib import compress
 from zlib import decompressobj
+from zlib import error as ZlibError
 
 from msgspec import MsgspecError
 from msgspec.msgpack import Decoder
@@ -161,7 +162,7 @@
             if raw[:1] == DEFLATED:
                 body = _inflate(body)
             return self.decoder.decode(body)
-        except (MsgspecError, ValueError, OSError) as error:
+        except (MsgspecError, ValueError, ZlibError) as error:
             raise PoplarrackError(
                 ErrorKind.MALFORMED_REQUEST, f'cannot decode message: {error}'
             ) from error
--- a/poplarrack/nodes.py
+++ b/poplarrack/nodes.py
@@ -151,7 +151,7 @@
         self._refresh(now)
         facts = self.facts
         for name, decide in CONTROLLERS.items():
-            for decision in decide(facts, now):
+            for decision in _decide_safely(name, decide, facts, now):
                 self.last_decisions[name] = (now, decision)
                 self.execute(decision)
 
@@ -471,6 +471,18 @@
         return lifecycle.joined and revision > 0 and not lifecycle.draining
 
 
+def _decide_safely(name, decide, facts, now):
+    """Return a controller's decisions; none if it has a defect.
+
+    The other controllers and the calls of the node go on without it.
+    """
+    try:
+        return list(decide(facts, now))
+    except Exception:
+        logger.exception('controller_failed', extra={'controller': name})
+        return []
+
+
 def _decision_key(decision):
     """Return a key that is equal for decisions on the same target."""
     target = getattr(decision, 'node_id', None)
--- a/poplarrack/page_servers.py
+++ b/poplarrack/page_servers.py
@@ -65,7 +65,7 @@
         try:
             raw = environ['wsgi.input'].read(length) if length else b''
             return serve(loads(raw) if raw else None)
-        except (JSONDecodeError, UnicodeDecodeError) as error:
+        except (JSONDecodeError, UnicodeDecodeError, RecursionError) as error:
             return json_page({'error': f'not JSON: {error}'}, 400)
         except PoplarrackError as error:
             status = error.answer.http_status
--- a/poplarrack/platform/configurations.py
+++ b/poplarrack/platform/configurations.py
@@ -5,10 +5,17 @@
 record of its progress are translated into one move.
 """
 
-from msgspec.json import decode
+import logging
+
 from msgspec.json import encode
 
+from poplarrack.configurations import load_configuration
+from poplarrack.configurations import move_faults
+from poplarrack.errors import ErrorKind
+from poplarrack.errors import PoplarrackError
 from poplarrack.fetchers import HEAD_KEY
+from poplarrack.fetchers import snapshot_from_items
+from poplarrack.json_values import decode_json
 from poplarrack.platform.settings import parse_duration
 from poplarrack.platforms import CONFIGURATION_PREFIX
 from poplarrack.resources import CallerLimits
@@ -21,6 +28,8 @@
 from poplarrack.resources import WeightedService
 from poplarrack.stores import KeyValue
 
+logger = logging.getLogger(__name__)
+
 TEAM = 'mesh'
 # Common prefix of the operator's keys and of poplarrack's records, so that one
 # watch covers both.
@@ -32,6 +41,16 @@
 MOVES_PREFIX = f'{CONFIGURATION_PREFIX}{TEAM}/moves/'
 MOVE_POLICY = 'replace_at_end'
 
+# Raised where a decoded value has another shape than expected.
+UNEXPECTED_SHAPE = (
+    AttributeError,
+    IndexError,
+    KeyError,
+    TypeError,
+    ValueError,
+)
+MAX_DETAIL_CHARACTERS = 500
+
 STATUS_OF_STATE = {
     MoveState.COMPLETED: 'completed',
     MoveState.WITHDRAWN: 'rolled_back',
@@ -42,12 +61,18 @@
     """Translates the store's items into poplarrack's resources.
 
     The configuration is kept with its revision and translated again only
-    after a change.
+    after a change. An item that can't be used is left out, so that the others
+    stay in force: an order names no move then, a record none that has begun,
+    and for a configuration the last one that could be used is kept.
+
+    ``rejected`` has the revision and the fault of each such item by key.
     """
 
     def __init__(self):
         self.revision = 0
         self.resources = {}
+        self.services = frozenset()
+        self.rejected = {}
 
     def translate(self, items):
         """Return poplarrack's KeyValues by key.
@@ -62,8 +87,11 @@
             if key.startswith(ORDER_PREFIX):
                 service = key.removeprefix(ORDER_PREFIX)
                 record = present.get(RECORD_PREFIX + service)
-                move = _translate_move(service, item, record)
-                translated[move.key] = move
+                move = self._translate_move(service, item, record)
+                if move is not None:
+                    translated[move.key] = move
+        for key in set(self.rejected) - set(present):
+            del self.rejected[key]
         head = max((item.mod_revision for item in items.values()), default=0)
         if translated:
             translated[HEAD_KEY] = KeyValue(HEAD_KEY, b'', head, head)
@@ -73,12 +101,79 @@
         if item is None:
             return {}
         if item.mod_revision != self.revision:
-            self.resources = _translate_configuration(decode(item.value))
             self.revision = item.mod_revision
+            try:
+                resources = _translate_configuration(item)
+                snapshot = snapshot_from_items(resources.values())
+                configuration = load_configuration(snapshot)
+            except PoplarrackError as error:
+                self._reject(item, error.detail)
+            else:
+                self.rejected.pop(item.key, None)
+                self.resources = resources
+                self.services = frozenset(configuration.services)
         return self.resources
 
-
-def _translate_configuration(raw):
+    def _reject(self, item, detail):
+        """Record an item that can't be used; log it once."""
+        fault = (item.mod_revision, detail[:MAX_DETAIL_CHARACTERS])
+        if self.rejected.get(item.key) != fault:
+            self.rejected[item.key] = fault
+            logger.error(
+                'entry_rejected',
+                extra={
+                    'key': item.key,
+                    'revision': fault[0],
+                    'detail': fault[1],
+                },
+            )
+
+    def _translate_move(self, service, order, record):
+        """Return the move of an order, or None if it can't be used.
+
+        It is the order's record, or a move that has not started yet.
+        """
+        key = MOVES_PREFIX + service
+        path = f'{TEAM}/moves/{service}'
+        move_id = f'{service}-{order.mod_revision}'
+        if record is not None:
+            try:
+                recorded = decode_resource(path, record.value)
+                if recorded.move_id == move_id:
+                    self._check_move(recorded)
+                    self.rejected.pop(record.key, None)
+                    return KeyValue(key, record.value, 0, record.mod_revision)
+            except PoplarrackError as error:
+                self._reject(record, error.detail)
+        try:
+            value = encode_resource(_read_order(service, order, move_id))
+            self._check_move(decode_resource(path, value))
+        except PoplarrackError as error:
+            self._reject(order, error.detail)
+            return None
+        self.rejected.pop(order.key, None)
+        revision = record.mod_revision if record is not None else 0
+        return KeyValue(key, value, 0, revision)
+
+    def _check_move(self, move):
+        faults = list(move_faults(move, self.services))
+        if faults:
+            raise PoplarrackError(
+                ErrorKind.INVALID_CONFIGURATION, '; '.join(faults)
+            )
+
+
+def _translate_configuration(item):
+    raw = decode_json(item.value, ErrorKind.INVALID_CONFIGURATION, item.key)
+    try:
+        return _translate_resources(raw)
+    except UNEXPECTED_SHAPE as error:
+        raise PoplarrackError(
+            ErrorKind.INVALID_CONFIGURATION, f'{item.key}: {error!r}'
+        ) from error
+
+
+def _translate_resources(raw):
     resources = {
         f'routes/{name}': _translate_route(name, route)
         for name, route in raw['routes'].items()
@@ -124,27 +219,24 @@
     )
 
 
-def _translate_move(service, order, record):
-    """Return the move of an order: its record, or a move not yet started."""
-    key = MOVES_PREFIX + service
-    move_id = f'{service}-{order.mod_revision}'
-    if record is not None:
-        recorded = decode_resource(f'{TEAM}/moves/{service}', record.value)
-        if recorded.move_id == move_id:
-            return KeyValue(key, record.value, 0, record.mod_revision)
-    raw = decode(order.value)
-    move = Move(
-        service,
-        '',
-        raw['target_version'],
-        0.0,
-        move_id,
-        0.0,
-        MOVE_POLICY,
-        ordered_seconds=parse_duration(raw['duration']),
-    )
-    revision = record.mod_revision if record is not None else 0
-    return KeyValue(key, encode_resource(move), 0, revision)
+def _read_order(service, order, move_id):
+    """Return the Move that an order asks for."""
+    raw = decode_json(order.value, ErrorKind.INVALID_CONFIGURATION, order.key)
+    try:
+        return Move(
+            service,
+            '',
+            raw['target_version'],
+            0.0,
+            move_id,
+            0.0,
+            MOVE_POLICY,
+            ordered_seconds=parse_duration(raw['duration']),
+        )
+    except UNEXPECTED_SHAPE as error:
+        raise PoplarrackError(
+            ErrorKind.INVALID_CONFIGURATION, f'{order.key}: {error!r}'
+        ) from error
 
 
 def record_key_of(key):
--- a/poplarrack/platform/pages.py
+++ b/poplarrack/platform/pages.py
@@ -31,12 +31,11 @@
 
 def _handle_heartbeat(server, instance_id, body):
     try:
-        heartbeat = decode_heartbeat(instance_id, body)
+        server.on_heartbeat(decode_heartbeat(instance_id, body))
     except PoplarrackError as error:
         logger.warning('heartbeat_rejected', extra={'detail': error.detail})
         status = error.answer.http_status
         return Page(status, TEXT, error.detail.encode())
-    server.on_heartbeat(heartbeat)
     return json_page({})
 
 
--- a/poplarrack/platform/settings.py
+++ b/poplarrack/platform/settings.py
@@ -29,6 +29,8 @@
 # Where the settings have no slack, nodes keep no reserve of retries.
 RETRY_BUDGET_SLACK = 0.0
 RETRY_BUDGET_WINDOW = '10s'
+# A week, longer than any duration on this platform.
+MAX_DURATION_SECONDS = 604_800.0
 UNITS = (('ms', 0.001), ('s', 1.0))
 
 
@@ -65,7 +67,7 @@
         detail = f'{source}: {error}'
     except KeyError as error:
         detail = f'{source}: {error.args[0]} is missing'
-    except (TypeError, ValueError, AttributeError) as error:
+    except (TypeError, ValueError, AttributeError, RecursionError) as error:
         detail = f'{source}: {error}'
     raise PoplarrackError(ErrorKind.INVALID_SETTINGS, detail)
 
@@ -122,6 +124,8 @@
     :raises ValueError: for any other text.
     """
     for unit, factor in UNITS:
-        if text.endswith(unit):
-            return float(text.removesuffix(unit)) * factor
-    raise ValueError(f'{text!r} is no duration')
+        if isinstance(text, str) and text.endswith(unit):
+            seconds = float(text.removesuffix(unit)) * factor
+            if 0 <= seconds <= MAX_DURATION_SECONDS:
+                return seconds
+    raise ValueError(f'{text!r:.80} is no duration')
--- a/poplarrack/platform/store_client.py
+++ b/poplarrack/platform/store_client.py
@@ -43,6 +43,7 @@
         super().__init__(addresses)
         self.sleep = sleep
         self.translator = Translator()
+        self.rejected_entries = self.translator.rejected
         # The store's items at the revisions that a watch may continue from.
         self.items_by_revision = OrderedDict()
 
@@ -180,7 +181,7 @@
         self.bytes += len(response.data) + ESTIMATED_HEADER_BYTES
         try:
             return loads(response.data)
-        except ValueError as error:
+        except (ValueError, RecursionError) as error:
             raise PoplarrackError(
                 ErrorKind.OUTCOME_UNKNOWN, f'{path}: {error}'
             ) from error
--- a/poplarrack/platforms.py
+++ b/poplarrack/platforms.py
@@ -92,6 +92,8 @@
         self.circuit = CircuitBreaker()
         self.calls = 0
         self.bytes = 0
+        # The revision and the fault of entries that were left out, by key.
+        self.rejected_entries = {}
         # The shortest call so far bounds the network's round trip from above.
         self.min_round_trip_seconds = 0.0
         self.lock = Lock()
--- a/poplarrack/resources.py
+++ b/poplarrack/resources.py
@@ -11,12 +11,12 @@
 from functools import lru_cache
 
 from msgspec import convert
-from msgspec import ValidationError
-from msgspec.json import decode
+from msgspec import MsgspecError
 from msgspec.json import encode
 
 from poplarrack.errors import ErrorKind
 from poplarrack.errors import PoplarrackError
+from poplarrack.json_values import decode_json
 
 MAX_VALUE_BYTES = 1_000_000
 MAX_PATH_BYTES = 256
@@ -232,10 +232,10 @@
         )
     resource_type = RESOURCE_TYPES[kind]
     try:
-        fields = decode(value)
+        fields = decode_json(value, ErrorKind.INVALID_CONFIGURATION, path)
         _reject_unknown_fields(path, fields, resource_type)
         resource = convert(fields, resource_type)
-    except (ValidationError, ValueError, TypeError) as error:
+    except (MsgspecError, ValueError, TypeError) as error:
         raise PoplarrackError(
             ErrorKind.INVALID_CONFIGURATION, f'{path}: {error}'
         ) from error
--- a/poplarrack/sidecar_servers.py
+++ b/poplarrack/sidecar_servers.py
@@ -217,10 +217,20 @@
     # The local endpoint.
 
     def on_heartbeat(self, heartbeat):
-        """Apply a heartbeat of the local endpoint."""
+        """Apply a heartbeat of the local endpoint.
+
+        :raises PoplarrackError: MALFORMED_REQUEST if its service is neither
+            configured nor this node's. Another writer sent it then.
+        """
         now = self.clock()
         services = self.node.knowledge.configuration.services
         service = services.get(heartbeat.service)
+        is_known = service or heartbeat.service == self.settings.service
+        if services and not is_known:
+            raise PoplarrackError(
+                ErrorKind.MALFORMED_REQUEST,
+                f'heartbeat: unknown service {heartbeat.service!r:.80}',
+            )
         service = service or Service(heartbeat.service, '')
         record = apply_heartbeat(self.record, heartbeat, service, now)
         if record is not self.record:
--- a/poplarrack/stream_servers.py
+++ b/poplarrack/stream_servers.py
@@ -109,8 +109,8 @@
         task.add_done_callback(self.tasks.discard)
 
     async def _answer(self, stream, message_id, payload):
-        end = 1 + payload[0]
-        method = payload[1:end].decode()
+        end = 1 + int.from_bytes(payload[:1])
+        method = payload[1:end].decode('utf-8', 'replace')
         try:
             request, answer = CODECS[method]
             message = request.decode(payload[end:])
--- a/poplarrack/streams.py
+++ b/poplarrack/streams.py
@@ -17,7 +17,7 @@
 
 from msgspec import MsgspecError
 
-from poplarrack.addresses import split_address
+from poplarrack.addresses import split_destination
 from poplarrack.errors import ErrorKind
 from poplarrack.errors import PoplarrackError
 from poplarrack.exchanges import ANSWER_CODEC
@@ -166,7 +166,7 @@
     def __init__(self, address, traffic, on_unresponsive):
         self.address = address
         self.on_unresponsive = on_unresponsive
-        self.host, self.port = split_address(address)
+        self.host, self.port = split_destination(address)
         self.traffic = traffic
         self.stream = None
         self.connect_task = None
@@ -232,7 +232,8 @@
                 await loop.create_connection(
                     lambda: stream, self.host, self.port
                 )
-        except (OSError, TimeoutError) as error:
+        except (OSError, TimeoutError, ValueError) as error:
+            # ValueError is raised for a host that can't be looked up.
             logger.info(
                 'peer_unreachable',
                 extra={'peer': self.address, 'detail': repr(error)},
@@ -292,10 +293,18 @@
         self.peers = {}
 
     def peer(self, address):
-        """Return the peer at an address."""
+        """Return the peer at an address.
+
+        :raises PoplarrackError: PEER_UNAVAILABLE if it is no address.
+        """
         found = self.peers.get(address)
         if found is None:
-            found = Peer(address, self.traffic, self._on_peer_unresponsive)
+            try:
+                found = Peer(address, self.traffic, self._on_peer_unresponsive)
+            except ValueError as error:
+                raise PoplarrackError(
+                    ErrorKind.PEER_UNAVAILABLE, str(error)
+                ) from error
             self.peers[address] = found
         return found
 
@@ -314,10 +323,11 @@
             if not future.done():
                 future.set_result((kind, payload))
 
+        peer = self.peer(address)
         request, answer = CODECS[method]
         name = method.encode()
         payload = bytes([len(name)]) + name + request.encode(message)
-        cancel = self.peer(address).send_request(
+        cancel = peer.send_request(
             FrameKind.CONTROL, payload, self.call_timeout_seconds, on_done
         )
         try:
@@ -346,8 +356,17 @@
         def on_answer(kind, payload):
             on_done(_decode_delivery(kind, payload))
 
+        try:
+            peer = self.peer(address)
+        except PoplarrackError as error:
+            logger.info(
+                'peer_unreachable',
+                extra={'peer': address, 'detail': error.detail},
+            )
+            on_done(Delivery(Verdict.NOT_RUN, reason='unreachable'))
+            return lambda: None
         payload = REQUEST_CODEC.encode(request)
-        return self.peer(address).send_request(
+        return peer.send_request(
             FrameKind.REQUEST, payload, timeout_seconds, on_answer
         )
 
--- a/poplarrack/summaries.py
+++ b/poplarrack/summaries.py
@@ -2,10 +2,11 @@
 
 from dataclasses import dataclass
 
-from msgspec.json import decode
 from msgspec.json import encode
 
 from poplarrack.configurations import Rejection
+from poplarrack.errors import ErrorKind
+from poplarrack.json_values import decode_json
 from poplarrack.messages import Lag
 
 MAX_SEEDS = 6
@@ -45,5 +46,10 @@
 
 
 def decode_summary(raw):
-    """Return the ZoneSummary that JSON bytes encode."""
-    return decode(raw, type=ZoneSummary)
+    """Return the ZoneSummary that JSON bytes encode.
+
+    :raises PoplarrackError: MALFORMED_REQUEST for other bytes.
+    """
+    return decode_json(
+        raw, ErrorKind.MALFORMED_REQUEST, 'summary', ZoneSummary
+    )
--- a/poplarrack/upstreams.py
+++ b/poplarrack/upstreams.py
@@ -14,7 +14,7 @@
 from httptools import HttpParserError
 from httptools import HttpResponseParser
 
-from poplarrack.addresses import split_address
+from poplarrack.addresses import split_destination
 from poplarrack.buffers import SharedBufferProtocol
 from poplarrack.http_messages import HttpAnswer
 
@@ -304,7 +304,7 @@
     """
 
     def __init__(self, address, max_answer_bytes, connect_timeout_seconds):
-        self.host, self.port = split_address(address)
+        self.host, self.port = split_destination(address)
         self.max_answer_bytes = max_answer_bytes
         self.connect_timeout_seconds = connect_timeout_seconds
         self.max_buffered_bytes = MAX_BUFFERED_ANSWERS * max_answer_bytes
@@ -358,7 +358,8 @@
             )
             async with timeout(self.connect_timeout_seconds):
                 await connecting
-        except (OSError, TimeoutError):
+        except (OSError, TimeoutError, OverflowError, ValueError):
+            # The last two are raised for a port or a host out of range.
             self.open -= 1
             exchange.finish(Outcome.NEVER_SENT)
             return
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -34,7 +34,9 @@
         blackboard=SimpleNamespace(facts=facts), dispatcher=dispatcher
     )
     server = SimpleNamespace(
-        node=node, traffic=PeerTraffic(), platform=SimpleNamespace(calls=0)
+        node=node,
+        traffic=PeerTraffic(),
+        platform=SimpleNamespace(calls=0, rejected_entries={}),
     )
     registry = CollectorRegistry()
     registry.register(NodeCollector(server))
