Pass loads on within a zone, compare two endpoints

Cause: a node decided by what it alone had seen. With 195 nodes it meets an endpoint of its zone every few seconds, while a reported load counted for half a second. Endpoints that it had not met were tried first, slow machines as often as fast ones, and a request might wait a fifth of its deadline in one queue, whatever its target latency, beside free slots.

A reported load approaches the endpoint's usual one instead of vanishing. In tiers of more than four endpoints the better of two drawn at random is taken, so that nodes which know the same don't all choose the same. A request waits no longer than its target latency allows while another endpoint may be free. The load of the local endpoint is read, not remembered.

Messages stay readable by the previous build: the new fields come last and have defaults.

--- a/poplarrack/destinations.py
+++ b/poplarrack/destinations.py
@@ -3,6 +3,7 @@
 from collections import Counter
 import logging
 
+from poplarrack.placements import DestinationGroup
 from poplarrack.placements import DestinationState
 from poplarrack.placements import may_eject
 
@@ -11,6 +12,7 @@
 # How long an endpoint is avoided after its node did not answer or could not
 # run a request.
 AVOIDANCE_SECONDS = 0.3
+NO_DESTINATIONS = DestinationGroup()
 
 
 class DestinationTable:
@@ -23,19 +25,20 @@
     def __init__(self, clock):
         self.clock = clock
         self.states = {}
-        self.states_by_service = {}
+        self.groups = {}
+        self.states_by_instance = {}
         self.is_initial = True
 
     def set_destinations(self, destinations_by_service):
         """Replace the set of endpoints; those that stay keep their state."""
         now = self.clock()
-        states, states_by_service = {}, {}
+        states, groups = {}, {}
         for service, destinations in destinations_by_service.items():
             group = [
                 self._state_for(destination, now)
                 for destination in destinations
             ]
-            states_by_service[service] = group
+            groups[service] = DestinationGroup(group)
             states.update(
                 (_key_of(state.destination), state) for state in group
             )
@@ -43,7 +46,11 @@
             # Only endpoints that join later go through slow start.
             self.is_initial = False
         self.states = states
-        self.states_by_service = states_by_service
+        self.groups = groups
+        self.states_by_instance = {
+            state.destination.endpoint.instance_id: state
+            for state in states.values()
+        }
 
     def _state_for(self, destination, now):
         existing = self.states.get(_key_of(destination))
@@ -53,8 +60,8 @@
         return existing
 
     def for_service(self, service):
-        """Return the states of a service's endpoints."""
-        return self.states_by_service.get(service, ())
+        """Return the DestinationGroup of a service's endpoints."""
+        return self.groups.get(service, NO_DESTINATIONS)
 
     def avoid_node(self, address):
         """Avoid the endpoint of an unresponsive node for a short time."""
--- a/poplarrack/exchanges.py
+++ b/poplarrack/exchanges.py
@@ -29,6 +29,20 @@
     TIMED_OUT = 4
 
 
+class EndpointLoad(Struct, frozen=True, array_like=True):
+    """The load of an endpoint of the zone, as some node last heard of it.
+
+    ``running`` includes the requests that wait; the other fields are those of
+    Occupancy. ``age_ms`` is the time since the endpoint's node measured it.
+    """
+
+    instance_id: str
+    running: int
+    wait_ms: int
+    service_ms: float
+    age_ms: int
+
+
 class RoutedRequest(Struct, frozen=True, array_like=True):
     """A request as a sending node offers it to an endpoint's node.
 
@@ -38,6 +52,7 @@
     slots that must be free to admit it, ``rank`` its priority (0 is the
     highest) and ``instance_id`` the endpoint that it is meant for.
     ``is_repeat`` says that it may have reached another endpoint before.
+    ``loads`` tells a node of the same zone of endpoints there.
     """
 
     request_id: bytes
@@ -55,6 +70,7 @@
     spare_slot_fraction: float = 0.0
     target_left_ms: int = 0
     is_repeat: bool = False
+    loads: tuple[EndpointLoad, ...] = ()
 
 
 class Occupancy(Struct, frozen=True, array_like=True):
@@ -72,7 +88,10 @@
 
 
 class Delivery(Struct, frozen=True, array_like=True):
-    """A receiving node's answer to a RoutedRequest."""
+    """A receiving node's answer to a RoutedRequest.
+
+    ``loads`` answers those of the request.
+    """
 
     verdict: Verdict
     status: int = 0
@@ -80,6 +99,7 @@
     body: bytes = b''
     reason: str = ''
     occupancy: Occupancy | None = None
+    loads: tuple[EndpointLoad, ...] = ()
 
 
 class _StructCodec:
--- a/poplarrack/offers.py
+++ b/poplarrack/offers.py
@@ -5,7 +5,9 @@
 from poplarrack.http_messages import is_end_to_end
 
 
-def build_routed_request(call, placement, header_names, caller_service, now):
+def build_routed_request(
+    call, placement, header_names, caller_service, now, loads=()
+):
     """Build the offer of a call.
 
     Headers of the caller's connection, and those that the mesh sets itself,
@@ -16,6 +18,7 @@
     :param header_names: the HeaderNames of the mesh.
     :param caller_service: the service on the machine of the sending node.
     :param now: seconds on the clock of the call's deadline.
+    :param loads: the EndpointLoads to pass on to the other node.
     :returns: a RoutedRequest.
     """
     request, route = call.request, call.route
@@ -44,4 +47,5 @@
         placement.spare_slot_fraction,
         max(0, int((call.target_at - now) * 1000)),
         call.arrivals > 0,
+        loads,
     )
--- a/poplarrack/placements.py
+++ b/poplarrack/placements.py
@@ -1,10 +1,13 @@
 """Choose the endpoint for a request by its expected latency.
 
-Pure functions over the state that a sending node keeps of each endpoint.
+Pure functions over the state that a sending node keeps of each endpoint. In
+a large group, the better of two endpoints drawn at random is chosen: nodes
+that know the same old loads would all choose the same best one.
 """
 
 from dataclasses import dataclass
 from enum import IntEnum
+from math import exp
 
 from poplarrack.members import Endpoint
 
@@ -21,9 +24,15 @@
 MAX_EJECTION_DOUBLINGS = 8
 # Fraction of a service's endpoints that may be ejected at a time.
 MAX_EJECTED_FRACTION = 0.34
-# The load in reports of an endpoint's occupancy that are older than this is
-# ignored; their service time is still used.
-MAX_OCCUPANCY_AGE_SECONDS = 0.5
+# Weight of the newest report in the moving average of an endpoint's load.
+USUAL_LOAD_EWMA_WEIGHT = 0.3
+# A reported load approaches the usual one as the requests behind it end: by
+# the factor e in a service time, or in this time if that is longer.
+MIN_LOAD_DECAY_SECONDS = 0.2
+# A report whose weight has fallen to this no longer counts.
+MIN_REPORT_WEIGHT = 0.01
+# Reported waits that are older than this are ignored.
+MAX_WAIT_AGE_SECONDS = 0.5
 # Slow start: a new endpoint answers slowly at first and is offered only a
 # fraction of its slots. It is counted from when this node learnt of the
 # endpoint, not from its announcement as the Dispatcher's is.
@@ -34,8 +43,15 @@
 FULL_LOAD_PENALTY = 0.5
 FAILURE_PENALTY = 2
 # Fraction of the remaining deadline that a request may wait for a slot while
-# another endpoint may have a free one.
+# another endpoint may have a free one, and the multiple of the service time
+# that must be left of the target latency after the wait.
 MAX_WAIT_FRACTION = 0.2
+SERVICE_TIME_ALLOWANCE = 1.3
+# Endpoints drawn from a tier, and how many of them that can answer in time
+# are compared. The endpoints of a small tier are all compared.
+MAX_DRAWN = 8
+COMPARED_ENDPOINTS = 2
+SMALL_TIER = 4
 # Fraction of the remaining deadline that the wait and the answer may take
 # together when every endpoint is busy.
 QUEUE_DEADLINE_FRACTION = 0.9
@@ -99,6 +115,7 @@
             now if skip_slow_start else now + SLOW_START_SECONDS
         )
         self.in_flight = 0
+        self.usual_running = None
         self.reported_running = 0
         self.reported_wait_seconds = 0.0
         self.reported_at = -1.0
@@ -112,10 +129,30 @@
 
     def record_occupancy(self, occupancy, now):
         """Record the occupancy that the endpoint's node reported."""
-        self.reported_running = occupancy.running + occupancy.waiting
-        self.reported_wait_seconds = occupancy.wait_ms / 1000
-        self.service_seconds = occupancy.service_ms / 1000
-        self.reported_at = now
+        self.record_load(
+            occupancy.running + occupancy.waiting,
+            occupancy.wait_ms,
+            occupancy.service_ms,
+            now,
+        )
+
+    def record_load(self, running, wait_ms, service_ms, at):
+        """Record a load that the endpoint's node reported.
+
+        :param running: the requests that run and that wait.
+        :param at: when it was reported, in seconds.
+        """
+        self.reported_running = running
+        self.reported_wait_seconds = wait_ms / 1000
+        self.service_seconds = service_ms / 1000
+        self.reported_at = at
+        # One that was full is expected to have a free slot again later.
+        bounded = min(running, self.destination.endpoint.slots - 1)
+        if self.usual_running is None:
+            self.usual_running = bounded
+        self.usual_running += USUAL_LOAD_EWMA_WEIGHT * (
+            bounded - self.usual_running
+        )
 
     def record_answer(self, failed):
         """Update the failure statistics after an attempt.
@@ -131,9 +168,16 @@
 
     def running(self, now):
         """Return the estimated number of requests at the endpoint."""
-        if now - self.reported_at > MAX_OCCUPANCY_AGE_SECONDS:
+        usual = self.usual_running
+        if usual is None:
             return self.in_flight
-        return max(self.in_flight, self.reported_running)
+        decay_seconds = max(MIN_LOAD_DECAY_SECONDS, self.service_seconds)
+        weight = exp((self.reported_at - now) / decay_seconds)
+        if weight < MIN_REPORT_WEIGHT:
+            return max(self.in_flight, usual)
+        return max(
+            self.in_flight, usual + (self.reported_running - usual) * weight
+        )
 
     def usable_slots(self, now):
         """Return the slots to count on, a fraction during slow start."""
@@ -152,7 +196,7 @@
         estimated = (
             excess * self.service_seconds / self.destination.endpoint.slots
         )
-        if now - self.reported_at <= MAX_OCCUPANCY_AGE_SECONDS:
+        if now - self.reported_at <= MAX_WAIT_AGE_SECONDS:
             return max(estimated, self.reported_wait_seconds)
         return estimated
 
@@ -206,6 +250,49 @@
     spare_slot_fraction: float = 0.0
 
 
+# The tiers that are tried together, nearest first.
+TIER_GROUPS = ((Tier.OWN, Tier.ZONE), (Tier.REGION,), (Tier.FAR,))
+
+
+class DestinationGroup:
+    """The DestinationStates of a service, or of some of its versions.
+
+    ``by_tiers`` has those of each of TIER_GROUPS.
+    """
+
+    def __init__(self, states=()):
+        self.states = tuple(states)
+        self.by_tiers = tuple(
+            tuple(
+                state
+                for state in self.states
+                if state.destination.tier in tiers
+            )
+            for tiers in TIER_GROUPS
+        )
+        self.splits = {}
+
+    def __iter__(self):
+        return iter(self.states)
+
+    def __len__(self):
+        return len(self.states)
+
+    def split_by_version(self, version):
+        """Return the groups of a version's endpoints and of all others."""
+        split = self.splits.get(version)
+        if split is None:
+            new, old = [], []
+            for state in self.states:
+                is_new = state.destination.endpoint.version == version
+                (new if is_new else old).append(state)
+            split = self.splits[version] = (
+                DestinationGroup(new),
+                DestinationGroup(old),
+            )
+        return split
+
+
 def may_eject(state, group, now):
     """Return whether an endpoint's failures justify an ejection.
 
@@ -223,39 +310,73 @@
     return ejected + 1 <= MAX_EJECTED_FRACTION * len(group)
 
 
-def choose_destination(states, remaining, tried, now, random):
+def choose_destination(group, remaining, tried, now, random):
     """Choose the endpoint for a request's next attempt.
 
     The nearest tier that can answer within the target latency takes
-    precedence, so that traffic stays local.
+    precedence, so that traffic stays local. Ejected endpoints are a last
+    resort.
 
-    :param states: the DestinationStates of the service.
+    :param group: the DestinationGroup of the service.
     :param remaining: the request's RemainingTime.
     :param tried: ids of the instances that are not to be tried again.
-    :param random: a ``random.Random`` that breaks ties.
+    :param random: a ``random.Random`` that draws endpoints and breaks ties.
     :returns: a Placement, or None when no endpoint is expected to answer
         within the target latency after a short enough wait.
     """
-    available = _available(states, tried, now)
-    max_wait = max(0.0, remaining.deadline_seconds) * MAX_WAIT_FRACTION
-    for tiers in ((Tier.OWN, Tier.ZONE), (Tier.REGION,), (Tier.FAR,)):
-        near = [
-            state
-            for state in available
-            if state.destination.tier in tiers
-            and state.expected_wait(now) <= max_wait
-            and state.expected_latency(now)
-            <= max(remaining.target_seconds, 0.0)
-        ]
-        if near:
-            spare_fraction = SPARE_SLOT_FRACTION[tiers[0]]
-            return Placement(
-                _fastest(near, now, random), max_wait, spare_fraction
-            )
+    for with_ejected in (False, True):
+        any_usable = False
+        for tiers, members in zip(TIER_GROUPS, group.by_tiers):
+            drawn = _draw(members, tried, now, random, with_ejected)
+            any_usable = any_usable or bool(drawn)
+            is_small = len(members) <= SMALL_TIER
+            most = len(members) if is_small else COMPARED_ENDPOINTS
+            best = _find_fastest(drawn, most, remaining, now)
+            if best is not None:
+                return Placement(
+                    best,
+                    _max_wait(best, remaining),
+                    SPARE_SLOT_FRACTION[tiers[0]],
+                )
+        if any_usable:
+            return None
     return None
 
 
-def choose_queue(states, remaining, tried, now, random, already_offered):
+def _find_fastest(states, most, remaining, now):
+    """Return the fastest of the first endpoints that can answer in time.
+
+    :param most: how many of those that can are compared.
+    """
+    fastest, least_seconds, compared = None, 0.0, 0
+    for state in states:
+        seconds = state.expected_latency(now)
+        if seconds > remaining.target_seconds:
+            continue
+        if state.expected_wait(now) > _max_wait(state, remaining):
+            continue
+        if fastest is None or seconds < least_seconds:
+            fastest, least_seconds = state, seconds
+        compared += 1
+        if compared == most:
+            break
+    return fastest
+
+
+def _max_wait(state, remaining):
+    """Return the seconds that a request may wait to be answered in time."""
+    spare_seconds = (
+        remaining.target_seconds
+        - ROUND_TRIP_SECONDS[state.destination.tier]
+        - SERVICE_TIME_ALLOWANCE * state.service_seconds
+    )
+    return max(
+        0.0,
+        min(remaining.deadline_seconds * MAX_WAIT_FRACTION, spare_seconds),
+    )
+
+
+def choose_queue(group, remaining, tried, now, random, already_offered):
     """Choose the endpoint whose queue a request joins when all are busy.
 
     The request may wait as long as its answer can still meet the deadline;
@@ -267,41 +388,42 @@
         the recorded occupancies may be stale.
     :returns: a Placement, or None when no answer can come in time.
     """
-    available = _available(states, tried, now)
-    near = [state for state in available if state.destination.tier < Tier.FAR]
-    far = [state for state in available if state.destination.tier is Tier.FAR]
-    for group in (near, far):
-        if not group:
-            continue
-        best = _fastest(group, now, random)
-        answer_seconds = (
-            best.service_seconds + ROUND_TRIP_SECONDS[best.destination.tier]
-        )
-        max_wait = (
-            remaining.deadline_seconds * QUEUE_DEADLINE_FRACTION
-            - answer_seconds
-        )
-        if max_wait > 0 and (
-            not already_offered or max_wait >= best.expected_wait(now)
-        ):
-            return Placement(best, max_wait)
+    *near, far = group.by_tiers
+    for with_ejected in (False, True):
+        any_usable = False
+        for members in (sum(near, ()), far):
+            drawn = _draw(members, tried, now, random, with_ejected)
+            if not drawn:
+                continue
+            any_usable = True
+            best = min(drawn, key=lambda state: state.expected_latency(now))
+            max_wait = _max_queueing(best, remaining)
+            if max_wait > 0 and (
+                not already_offered or max_wait >= best.expected_wait(now)
+            ):
+                return Placement(best, max_wait)
+        if any_usable:
+            return None
     return None
 
 
-def _available(states, tried, now):
-    """Return the endpoints to choose from, ejected ones as a last resort."""
-    usable = [
-        state
-        for state in states
-        if state.destination.endpoint.instance_id not in tried
-        and now >= state.away_until
-    ]
-    healthy = [state for state in usable if state.ejected_until <= now]
-    return healthy or usable
+def _max_queueing(state, remaining):
+    """Return the seconds that a request may wait to meet its deadline."""
+    answer_seconds = (
+        state.service_seconds + ROUND_TRIP_SECONDS[state.destination.tier]
+    )
+    return (
+        remaining.deadline_seconds * QUEUE_DEADLINE_FRACTION - answer_seconds
+    )
 
 
-def _fastest(states, now, random):
-    return min(
-        states,
-        key=lambda state: (state.expected_latency(now), random.random()),
-    )
+def _draw(members, tried, now, random, with_ejected):
+    """Return endpoints of a tier that may be tried, in random order."""
+    drawn = random.sample(members, min(MAX_DRAWN, len(members)))
+    return [
+        state
+        for state in drawn
+        if now >= state.away_until
+        and (with_ejected or state.ejected_until <= now)
+        and state.destination.endpoint.instance_id not in tried
+    ]
--- a/poplarrack/receivers.py
+++ b/poplarrack/receivers.py
@@ -10,6 +10,8 @@
 from dataclasses import dataclass
 import logging
 
+from msgspec.structs import replace
+
 from poplarrack.admissions import Admission
 from poplarrack.exchanges import Delivery
 from poplarrack.exchanges import Occupancy
@@ -101,6 +103,8 @@
         self.refuses_new_requests = False
         self.counts = Counter()
         self.received_requests = set()
+        # Set where the node also sends requests: its LoadReports.
+        self.load_reports = None
         self.running_repeats = RunningRepeats()
 
     def set_endpoint(self, endpoint):
@@ -154,6 +158,8 @@
         :returns: the ReceivedRequest, to pass to ``cancel``.
         """
         now = self.clock()
+        if request.loads and self.load_reports is not None:
+            self.load_reports.learn(request.loads, now)
         deadline = now + request.time_left_ms / 1000 - ANSWER_MARGIN_SECONDS
         received = ReceivedRequest(request, reply, deadline)
         reason = self._refusal_reason(request, now)
@@ -344,6 +350,9 @@
     def _reply(self, received, delivery):
         if not received.ended:
             self._end(received)
+            if received.request.loads and self.load_reports is not None:
+                loads = self.load_reports.collect(self.clock())
+                delivery = replace(delivery, loads=loads)
             received.reply(delivery)
 
     def _end(self, received):
--- a/poplarrack/senders.py
+++ b/poplarrack/senders.py
@@ -26,6 +26,7 @@
 from poplarrack.histograms import Histogram
 from poplarrack.http_messages import build_answer
 from poplarrack.http_messages import build_error
+from poplarrack.load_reports import LoadReports
 from poplarrack.offers import build_routed_request
 from poplarrack.placements import choose_destination
 from poplarrack.placements import choose_queue
@@ -71,6 +72,7 @@
         self.random = random
         self.table = RoutingTable()
         self.destinations = DestinationTable(clock)
+        self.load_reports = LoadReports(self.destinations, receiver)
         self.splitter = TrafficSplitter(random)
         self.evidence = EvidenceCounter()
         self.budgets = {}
@@ -89,6 +91,7 @@
     def set_table(self, table):
         """Apply a new table; endpoints that stay keep their state."""
         self.destinations.set_destinations(table.destinations)
+        self.load_reports.keep_only(self.destinations.states.values())
         if table.revision != self.table.revision:
             names = {route.name for route in table.router.routes}
             for budget in self.budgets.values():
@@ -202,6 +205,9 @@
         now = self.clock()
         if delivery.occupancy is not None:
             state.record_occupancy(delivery.occupancy, now)
+            self.load_reports.mark_heard(state)
+        if delivery.loads:
+            self.load_reports.learn(delivery.loads, now)
         VERDICT_HANDLERS[delivery.verdict](
             self, call, state, delivery, sent_at, now
         )
@@ -209,10 +215,11 @@
     def _choose_placement(self, call, now):
         if call.offers >= MAX_OFFERS:
             return None
-        states = self._candidates(call)
+        self._record_own_load(call.service, now)
+        group = self._candidates(call)
         remaining = RemainingTime(call.target_at - now, call.deadline - now)
         placement = choose_destination(
-            states,
+            group,
             remaining,
             call.tried_instances | call.busy_instances,
             now,
@@ -223,7 +230,7 @@
             call.has_queued = True
             already_offered = bool(call.busy_instances)
             placement = choose_queue(
-                states,
+                group,
                 remaining,
                 call.tried_instances,
                 now,
@@ -233,11 +240,20 @@
         return placement
 
     def _candidates(self, call):
-        states = self.destinations.for_service(call.service)
+        group = self.destinations.for_service(call.service)
         split = self.table.moves.get(call.service)
         if split is None:
-            return states
-        return self.splitter.choose_version(call, states, split)
+            return group
+        return self.splitter.choose_version(call, group, split)
+
+    def _record_own_load(self, service, now):
+        """Record the load of the local endpoint, which is known exactly."""
+        endpoint = self.receiver.endpoint
+        if endpoint is None or endpoint.service != service:
+            return
+        state = self.destinations.states_by_instance.get(endpoint.instance_id)
+        if state is not None:
+            state.record_occupancy(self.receiver.occupancy(), now)
 
     async def _offer(self, call, placement: Placement, now):
         loop = asyncio.get_running_loop()
@@ -247,10 +263,18 @@
             if not future.done():
                 future.set_result(delivery)
 
+        destination = placement.state.destination
+        loads = ()
+        if destination.tier is Tier.ZONE:
+            loads = self.load_reports.collect(now)
         routed = build_routed_request(
-            call, placement, self.header_names, self.settings.service, now
+            call,
+            placement,
+            self.header_names,
+            self.settings.service,
+            now,
+            loads,
         )
-        destination = placement.state.destination
         if destination.tier is Tier.OWN:
             received = self.receiver.receive(routed, done)
 
--- a/poplarrack/sidecar_servers.py
+++ b/poplarrack/sidecar_servers.py
@@ -112,6 +112,7 @@
             self.clock,
             Random(),
         )
+        self.receiver.load_reports = self.sender.load_reports
         self.streams.on_unresponsive = self.sender.destinations.avoid_node
         dependencies = NodeDependencies(
             self.streams,
--- a/poplarrack/traffic_splitters.py
+++ b/poplarrack/traffic_splitters.py
@@ -57,20 +57,17 @@
         self.phases[split.move_id] = phase - 1.0 if to_new else phase
         return to_new
 
-    def choose_version(self, call, states, split):
+    def choose_version(self, call, group, split):
         """Return the endpoints of the version that a call goes to.
 
         The version is chosen once for a call; a retry after an attempt that
         reached an endpoint uses the old version.
 
         :param call: the Call, which gets its version and its stage.
-        :param states: the DestinationStates of its service.
+        :param group: the DestinationGroup of its service.
         :param split: the VersionSplit of the service's move.
         """
-        new, old = [], []
-        for state in states:
-            is_new = state.destination.endpoint.version == split.to_version
-            (new if is_new else old).append(state)
+        new, old = group.split_by_version(split.to_version)
         if split.share <= 0 or not new:
             return old
         if split.share >= 1 or not old:
--- /dev/null
+++ b/tests/test_many_nodes.py
@@ -0,0 +1,32 @@
+"""Test placement on a mesh of many nodes; no network is needed.
+
+The pattern is many small endpoints with long runs, each of which a node
+meets seldom. On a calm day a tenth of the requests were late there, since
+nodes sent them to slow machines and into queues beside free slots.
+"""
+
+from poplarrack.benches.many_nodes import counter_mesh
+from poplarrack.benches.many_nodes import run_mesh
+from tests.support import build_load_tests
+
+load_tests = build_load_tests(__name__)
+
+SEED = 90211
+
+
+# 11% of the browses were late at 40% of the slots, 2% at 16 nodes.
+def test_few_requests_are_late_on_a_calm_day_of_many_nodes():
+    shape = counter_mesh(195, 1.0, seconds=4.0)
+    seen = run_mesh(shape, SEED)
+    late = {kind.name: seen.late_share(kind) for kind in shape.kinds}
+    assert late['browse'] < 0.03, late
+    assert seen.refused_share() == 0
+
+
+# 32% were late at 80% of the slots; with full knowledge of all loads 2%.
+def test_a_busy_day_of_many_nodes_uses_the_slots_that_are_free():
+    shape = counter_mesh(195, 1.6, seconds=4.0)
+    seen = run_mesh(shape, SEED)
+    late = {kind.name: seen.late_share(kind) for kind in shape.kinds}
+    assert late['browse'] < 0.1, late
+    assert seen.refused_share() < 0.01
--- a/tests/test_placements.py
+++ b/tests/test_placements.py
@@ -5,6 +5,7 @@
 from poplarrack.exchanges import Occupancy
 from poplarrack.placements import choose_destination
 from poplarrack.placements import choose_queue
+from poplarrack.placements import DestinationGroup
 from poplarrack.placements import DestinationState
 from poplarrack.placements import may_eject
 from poplarrack.placements import RemainingTime
@@ -31,7 +32,7 @@
 
 def choose(group, now=10.0, tried=()):
     placement = choose_destination(
-        group, REMAINING, set(tried), now, Random(1)
+        DestinationGroup(group), REMAINING, set(tried), now, Random(1)
     )
     return placement and placement.state.destination.tier
 
@@ -50,7 +51,9 @@
     group = one_state_per_tier()
     for state in group[:-1]:
         report(state, 10, 60, 900)
-    placement = choose_destination(group, REMAINING, set(), 10.0, Random(1))
+    placement = choose_destination(
+        DestinationGroup(group), REMAINING, set(), 10.0, Random(1)
+    )
     assert placement.state.destination.tier is Tier.FAR
     assert placement.spare_slot_fraction > 0
 
@@ -67,6 +70,7 @@
     group = one_state_per_tier()
     for state in group:
         report(state, 10, 99, 5000)
+    group = DestinationGroup(group)
     first = choose_queue(group, REMAINING, set(), 10.0, Random(1), False)
     assert first is not None and first.max_wait_seconds > 0
     assert choose_queue(group, REMAINING, set(), 10.0, Random(1), True) is None
@@ -97,6 +101,6 @@
         state.record_occupancy(Occupancy(1, 0, 10, 0, 20.0), 10.0)
     new = DestinationState(destination(3, Tier.ZONE), 10.0, False)
     placement = choose_destination(
-        [*old, new], REMAINING, set(), 10.0, Random(1)
+        DestinationGroup([*old, new]), REMAINING, set(), 10.0, Random(1)
     )
     assert placement.state is new
--- a/tests/test_senders.py
+++ b/tests/test_senders.py
@@ -108,7 +108,7 @@
 
 def build_sender(script, destinations=None):
     streams = FakeStreams(script)
-    receiver = SimpleNamespace(running_repeats=RunningRepeats())
+    receiver = SimpleNamespace(running_repeats=RunningRepeats(), endpoint=None)
     sender = Sender(
         SETTINGS, HEADER_NAMES, receiver, streams, Clock(), Random(7)
     )
