Compare latencies at the whole share too

A version of which about a third of the answers is several times slower got 52 calls below the whole share, as the service has 62 calls a second and all nodes restart in turn; the evidence rose to 17 to 1 at 50%. At the whole share latency was not compared with anything, so that the move was completed on 5 to 1.

Change: latencies at the whole share are compared with those of the old version at all earlier shares, by route and locality, at an odds ratio of 5 and a latency bound twice as high. As for failures, the result holds the move at 20 to 1 and, divided by 1,000, withdraws it at the policy's threshold.

--- a/poplarrack/evidence.py
+++ b/poplarrack/evidence.py
@@ -57,9 +57,11 @@
 # Name under which all routes together are tested.
 ALL_ROUTES = '(all)'
 
-# Tolerated odds ratio and divisor of the Bayes factor for comparing the new
-# version at the full share with earlier calls to the old one.
+# Tolerated odds ratio, latency buckets and divisor of the Bayes factor for
+# comparing the new version at the full share with earlier calls to the old
+# one.
 HISTORICAL_TOLERANCE = 5.0
+HISTORICAL_LATENCY_TOLERANCE_BUCKETS = 4
 HISTORICAL_DISCOUNT = 1000.0
 
 # Earlier calls to the old version that are enough for that comparison.
@@ -346,6 +348,9 @@
     latency = max(_latency_factor(*window) for window in windows)
     earlier = _count_earlier_calls(entire_old, recorded)
     historical = max(_historical_factor(*earlier, new) for _, new in windows)
+    slowed = max(
+        _historical_latency_factor(entire_old, new) for _, new in windows
+    )
     return Finding(
         route,
         sum(cell.calls for cell in entire_old.values()),
@@ -353,8 +358,8 @@
         sum(cell.calls for cell in entire_new.values()),
         sum(cell.failures for cell in entire_new.values()),
         max(failures, historical / HISTORICAL_DISCOUNT),
-        latency,
-        max(failures, latency, historical),
+        max(latency, slowed / HISTORICAL_DISCOUNT),
+        max(failures, latency, historical, slowed),
     )
 
 
@@ -414,6 +419,35 @@
     return bayes_factor(strata, HISTORICAL_TOLERANCE)
 
 
+def _historical_latency_factor(old, new):
+    """Compare latencies at the full share with the old version's before it.
+
+    As of failures, far stronger evidence is required than within a stage.
+    """
+    earlier = {}
+    for (route, tier, _), cell in old.items():
+        latency = earlier.setdefault((route, tier), {})
+        for bucket, calls in cell.latency.items():
+            latency[bucket] = latency.get(bucket, 0) + calls
+    pairs = [
+        (earlier[(route, tier)], cell.latency)
+        for (route, tier, stage), cell in new.items()
+        if stage == FULL_SHARE_STAGE and earlier.get((route, tier))
+    ]
+    return max(
+        bayes_factor(
+            [
+                _slow_stratum(
+                    *pair, quantile, HISTORICAL_LATENCY_TOLERANCE_BUCKETS
+                )
+                for pair in pairs
+            ],
+            HISTORICAL_TOLERANCE,
+        )
+        for quantile in LATENCY_QUANTILES
+    )
+
+
 def _latency_factor(old, new):
     factors = [
         bayes_factor(
@@ -428,15 +462,15 @@
     return max(factors)
 
 
-def _slow_stratum(old, new, quantile):
+def _slow_stratum(old, new, quantile, tolerance=LATENCY_TOLERANCE_BUCKETS):
     """Count the calls slower than a quantile of the old version's.
 
-    The bound of the new version is LATENCY_TOLERANCE_BUCKETS higher, so
-    that a difference too small to matter never counts as a regression,
-    however many calls there are.
+    The bound of the new version is some buckets higher, so that a difference
+    too small to matter never counts as a regression, however many calls
+    there are.
     """
     old_bound = _quantile_bucket(old, quantile)
-    new_bound = old_bound + LATENCY_TOLERANCE_BUCKETS
+    new_bound = old_bound + tolerance
     return Stratum(
         sum(old.values()),
         sum(calls for bucket, calls in old.items() if bucket > old_bound),
--- a/tests/test_moves.py
+++ b/tests/test_moves.py
@@ -339,6 +339,53 @@
         assert (finding.suspicion_factor >= 20) is is_suspect, finding
 
 
+def spread_latencies(calls, slow_fraction, seconds, times_slower):
+    """Return latencies by bucket, of which a fraction is slower."""
+    latency = {}
+    for number in range(calls):
+        fast = seconds * (0.7 + 0.6 * number / calls)
+        slow = number * slow_fraction % 1 < slow_fraction
+        bucket = latency_bucket(fast * (times_slower if slow else 1.0))
+        latency[bucket] = latency.get(bucket, 0) + 1
+    return latency
+
+
+def latency_cell(side, stage, calls, slow_fraction=0.0, times_slower=3.4):
+    latency = spread_latencies(calls, slow_fraction, 0.16, times_slower)
+    key = CellKey('m1', 'front', side, 0, stage, ENTIRE_STAGE)
+    return Cell(key, calls, 0, latency)
+
+
+# EXPOSURE: a version of which every third answer was several times slower was
+# completed. Few calls met it at small shares, in nodes that restarted in turn,
+# and latency was not compared at the whole share.
+def test_a_slow_version_is_found_at_the_whole_share():
+    old = [
+        latency_cell(Side.OLD, stage, calls)
+        for stage, calls in ((20, 300), (80, 90), (500, 60))
+    ]
+    small = [latency_cell(Side.NEW, 80, 3, 0.34)]
+    (before,) = compare_versions('m1', [*old, *small])
+    assert before.suspicion_factor < SUSPICION_FACTOR
+    few = latency_cell(Side.NEW, FULL_SHARE_STAGE, 36, 0.34)
+    (held,) = compare_versions('m1', [*old, *small, few])
+    assert held.suspicion_factor >= SUSPICION_FACTOR
+    more = latency_cell(Side.NEW, FULL_SHARE_STAGE, 150, 0.34)
+    verdict = detect_regression('m1', [*old, *small, more], 1000, 1.0, 'n')
+    assert verdict is not None and verdict.cause == 'latency'
+
+
+# At the whole share the load differs from that of the earlier calls.
+def test_a_good_version_may_be_somewhat_slower_at_the_whole_share():
+    old = [latency_cell(Side.OLD, 500, 300, 0.05)]
+    for slow_fraction, times_slower in ((0.05, 4.0), (1.0, 1.8), (0.1, 3.0)):
+        new = latency_cell(
+            Side.NEW, FULL_SHARE_STAGE, 400, slow_fraction, times_slower
+        )
+        (finding,) = compare_versions('m1', [*old, new])
+        assert finding.suspicion_factor < SUSPICION_FACTOR, finding
+
+
 def test_localities_are_compared_apart():
     slow_far_servers = [
         Cell(
