Count very slow calls by one bound for both versions

Change: calls of both versions that take twice as long as nine in ten of the old version's, or longer, are counted, at an odds ratio of 2. 36 calls hold the move, 150 withdraw it; a version that is 1.8 times slower is not suspected.

--- a/poplarrack/evidence.py
+++ b/poplarrack/evidence.py
@@ -57,10 +57,12 @@
 # Name under which all routes together are tested.
 ALL_ROUTES = '(all)'
 
-# Tolerated odds ratio, latency buckets and divisor of the Bayes factor for
-# comparing the new version at the full share with earlier calls to the old
-# one.
+# Tolerated odds ratios of failures and of very slow calls, and divisor of the
+# Bayes factor, for comparing the new version at the full share with earlier
+# calls to the old one. Very slow calls take twice as long as nearly all of
+# the old version's, or longer.
 HISTORICAL_TOLERANCE = 5.0
+HISTORICAL_LATENCY_TOLERANCE = 2.0
 HISTORICAL_LATENCY_TOLERANCE_BUCKETS = 4
 HISTORICAL_DISCOUNT = 1000.0
 
@@ -434,17 +436,21 @@
         for (route, tier, stage), cell in new.items()
         if stage == FULL_SHARE_STAGE and earlier.get((route, tier))
     ]
-    return max(
-        bayes_factor(
-            [
-                _slow_stratum(
-                    *pair, quantile, HISTORICAL_LATENCY_TOLERANCE_BUCKETS
-                )
-                for pair in pairs
-            ],
-            HISTORICAL_TOLERANCE,
-        )
-        for quantile in LATENCY_QUANTILES
+    strata = [_very_slow_stratum(*pair) for pair in pairs]
+    return bayes_factor(strata, HISTORICAL_LATENCY_TOLERANCE)
+
+
+def _very_slow_stratum(old, new):
+    """Count the calls far slower than nearly all of the old version's."""
+    bound = (
+        _quantile_bucket(old, max(LATENCY_QUANTILES))
+        + HISTORICAL_LATENCY_TOLERANCE_BUCKETS
+    )
+    return Stratum(
+        sum(old.values()),
+        sum(calls for bucket, calls in old.items() if bucket > bound),
+        sum(new.values()),
+        sum(calls for bucket, calls in new.items() if bucket > bound),
     )
 
 
@@ -462,15 +468,15 @@
     return max(factors)
 
 
-def _slow_stratum(old, new, quantile, tolerance=LATENCY_TOLERANCE_BUCKETS):
+def _slow_stratum(old, new, quantile):
     """Count the calls slower than a quantile of the old version's.
 
-    The bound of the new version is some buckets higher, so that a difference
-    too small to matter never counts as a regression, however many calls
-    there are.
+    The bound of the new version is LATENCY_TOLERANCE_BUCKETS higher, so
+    that a difference too small to matter never counts as a regression,
+    however many calls there are.
     """
     old_bound = _quantile_bucket(old, quantile)
-    new_bound = old_bound + tolerance
+    new_bound = old_bound + LATENCY_TOLERANCE_BUCKETS
     return Stratum(
         sum(old.values()),
         sum(calls for bucket, calls in old.items() if bucket > old_bound),
