Check each setting once, build the router per version

Cause: each node validates the whole configuration again for each version, and builds the router of all routes again for each change of members.

Change: what can be said of a setting by itself is found once and kept with its decoded form; the router belongs to the configuration. Numbers are bounded by the checks of their fields, which leave out no field that is sent on, instead of by a walk over each decoded value.

Nothing that is decided has changed.

--- a/poplarrack/call_tables.py
+++ b/poplarrack/call_tables.py
@@ -66,7 +66,7 @@
     members = knowledge.members.members.values()
     callers = count_callers(services, members, locality)
     return CallTable(
-        Router(configuration.routes),
+        configuration.router,
         {name: service.version for name, service in services.items()},
         moves,
         derive_candidates(locality, members, callers.__getitem__),
--- a/poplarrack/configurations.py
+++ b/poplarrack/configurations.py
@@ -3,6 +3,9 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 from dataclasses import field
+from functools import cached_property
+from functools import lru_cache
+from operator import attrgetter
 
 from poplarrack.errors import ErrorKind
 from poplarrack.errors import PoplarrackError
@@ -11,10 +14,12 @@
 from poplarrack.move_policies import POLICIES
 from poplarrack.resources import CallerLimits
 from poplarrack.resources import decode_resource
+from poplarrack.resources import MAX_CACHED_RESOURCES
 from poplarrack.resources import Move
 from poplarrack.resources import Route
 from poplarrack.resources import Service
 from poplarrack.resources import split_path
+from poplarrack.routers import Router
 from poplarrack.snapshots import Snapshot
 
 MAX_ENTRIES = 5_000
@@ -26,14 +31,23 @@
 # Bound of a route's timeout_seconds.
 MAX_TIMEOUT_SECONDS = 600
 
+# Bounds of a route's max_attempts and of a service's warm_up_seconds.
+MAX_ATTEMPTS = 1_000
+MAX_WARM_UP_SECONDS = 86_400
+
 # Bound of a weight and of a rank.
 MAX_WEIGHT = 1_000_000
 
+# Bound of a caller's limit and of a move's counts and factors.
+MAX_LIMIT = 10**12
+
 # Bounds of the times in a move's record, in seconds since the epoch, and of
 # its window.
 MAX_TIME_SECONDS = 1e11
 MAX_WINDOW_SECONDS = 1e8
 
+FAULT_FINDERS = {}
+
 
 @dataclass(frozen=True)
 class Configuration:
@@ -53,6 +67,11 @@
         default_factory=lambda: CallerLimits('callers')
     )
 
+    @cached_property
+    def router(self):
+        """Return the Router of the routes."""
+        return Router(self.routes)
+
     @property
     def revision(self):
         """Return the snapshot's revision in the platform's store."""
@@ -75,14 +94,14 @@
         by semicolons.
     """
     faults = _size_faults(snapshot)
-    decoded = {}
+    checked = []
     for path, entry in snapshot.entries.items():
         try:
-            decoded[path] = decode_resource(path, entry.value)
+            checked.append(_check_resource(path, entry.value))
         except PoplarrackError as error:
             faults.append(error.detail)
-    configuration = _build_configuration(snapshot, decoded, faults)
-    faults.extend(_reference_faults(configuration))
+    configuration = _build_configuration(snapshot, checked, faults)
+    faults.extend(_find_faults(checked, configuration.services))
     faults.extend(_cycle_faults(configuration.services))
     if faults:
         raise PoplarrackError(
@@ -91,6 +110,59 @@
     return configuration
 
 
+def finds_faults(kind):
+    """Register what yields the faults of a resource of a kind by itself."""
+
+    def register(find_faults):
+        FAULT_FINDERS[kind] = find_faults
+        return find_faults
+
+    return register
+
+
+@dataclass(frozen=True)
+class CheckedResource:
+    """A decoded setting, with what is found wrong with it by itself.
+
+    ``services`` are the names that must be among the configuration's.
+    """
+
+    path: str
+    team: str
+    kind: str
+    name: str
+    resource: object
+    faults: tuple[str, ...]
+    services: frozenset[str]
+
+
+@lru_cache(maxsize=MAX_CACHED_RESOURCES)
+def _check_resource(path, value):
+    """Return the CheckedResource of a setting.
+
+    Most settings of a new version are those of the one before.
+    """
+    resource = decode_resource(path, value)
+    team, kind, name = split_path(path)
+    return CheckedResource(
+        path,
+        team,
+        kind,
+        name,
+        resource,
+        tuple(FAULT_FINDERS[kind](resource)),
+        frozenset(resource.needed_services),
+    )
+
+
+def _find_faults(checked, services):
+    known = services.keys()
+    for item in checked:
+        yield from item.faults
+        for service in item.services - known:
+            yield f'{item.kind} {item.name}: no service {service!r}'
+
+
 def _size_faults(snapshot):
     faults = []
     total = sum(len(entry.value) for entry in snapshot.entries.values())
@@ -106,26 +178,26 @@
     return faults
 
 
-def _build_configuration(snapshot, decoded, faults):
-    """Return the Configuration of decoded settings.
+def _build_configuration(snapshot, checked, faults):
+    """Return the Configuration of CheckedResources.
 
     A name of a kind that a second team uses is appended to ``faults``.
     """
     services, moves, move_paths, routes = {}, {}, {}, []
     limits = CallerLimits('callers')
     owners = {}
-    for path, resource in sorted(decoded.items()):
-        team, kind, name = split_path(path)
-        owner = owners.setdefault((kind, name), team)
-        if owner != team:
+    for item in sorted(checked, key=attrgetter('path')):
+        kind, name, resource = item.kind, item.name, item.resource
+        owner = owners.setdefault((kind, name), item.team)
+        if owner != item.team:
             faults.append(
-                f'{path}: {kind}/{name} already belongs to team {owner!r}'
+                f'{item.path}: {kind}/{name} already belongs to team {owner!r}'
             )
         elif kind == 'services':
             services[name] = resource
         elif kind == 'moves':
             moves[name] = resource
-            move_paths[name] = path
+            move_paths[name] = item.path
         elif kind == 'limits':
             limits = resource
         else:
@@ -136,20 +208,9 @@
     )
 
 
-def _reference_faults(configuration):
-    services = configuration.services
-    for route in configuration.routes:
-        yield from _route_faults(route, services)
-    for service in services.values():
-        yield from _service_faults(service, services)
-    for move in configuration.moves.values():
-        yield from move_faults(move, services)
-
-
-def _route_faults(route, services):
-    for weighted in route.weighted_services:
-        if weighted.service not in services:
-            yield f'route {route.name}: no service {weighted.service!r}'
+@finds_faults('routes')
+def _route_faults(route):
+    for weighted in route.backends:
         if not 0 <= weighted.weight <= MAX_WEIGHT:
             yield (
                 f'route {route.name}: weight {weighted.weight} is not from 0 '
@@ -157,10 +218,15 @@
             )
     if not abs(route.queue_rank) <= MAX_WEIGHT:
         yield f'route {route.name}: rank {route.queue_rank} is out of range'
-    if route.max_attempts < 1:
+    if not 1 <= route.max_attempts <= MAX_ATTEMPTS:
         yield (
-            f'route {route.name}: max_attempts must be at least 1, got '
-            f'{route.max_attempts}'
+            f'route {route.name}: max_attempts must be at least 1 and at most '
+            f'{MAX_ATTEMPTS}, got {route.max_attempts}'
+        )
+    if not 0 <= route.target_latency_seconds <= MAX_TIMEOUT_SECONDS:
+        yield (
+            f'route {route.name}: target_latency_seconds must be from 0 to '
+            f'{MAX_TIMEOUT_SECONDS}, got {route.target_latency_seconds}'
         )
     if not route.prefix.startswith('/'):
         yield f'route {route.name}: prefix must begin with /'
@@ -171,7 +237,8 @@
         )
 
 
-def _service_faults(service, services):
+@finds_faults('services')
+def _service_faults(service):
     in_range = (
         1 <= service.slots <= MAX_SLOTS
         and 1 <= service.max_connections <= MAX_CONNECTIONS
@@ -182,18 +249,28 @@
             f'and max_connections from 1 to {MAX_CONNECTIONS}, got '
             f'{service.slots} and {service.max_connections}'
         )
-    for called in service.calls:
-        if called not in services:
-            yield f'service {service.name}: calls no service {called!r}'
+    if not 0 <= service.warm_up_seconds <= MAX_WARM_UP_SECONDS:
+        yield (
+            f'service {service.name}: warm_up_seconds must be from 0 to '
+            f'{MAX_WARM_UP_SECONDS}, got {service.warm_up_seconds}'
+        )
 
 
-def move_faults(move, services):
-    """Yield what is wrong with a move.
+@finds_faults('limits')
+def _limit_faults(limits):
+    numbers = (
+        limits.max_header_bytes,
+        limits.max_body_bytes,
+        limits.header_timeout_seconds,
+        limits.idle_timeout_seconds,
+    )
+    if not all(0 <= number <= MAX_LIMIT for number in numbers):
+        yield f'limits {limits.name}: must be from 0 to {MAX_LIMIT}'
 
-    :param services: a container of the names of the services.
-    """
-    if move.service not in services:
-        yield f'move {move.service}: no such service'
+
+@finds_faults('moves')
+def move_faults(move):
+    """Yield what is wrong with a move by itself."""
     if move.from_version == move.to_version:
         yield f'move {move.service}: both versions are {move.to_version!r}'
     if not 0 <= move.share <= 1:
@@ -202,6 +279,20 @@
         yield f'move {move.service}: unknown policy {move.policy!r}'
     if not _has_valid_times(move):
         yield f'move {move.service}: its times are out of range'
+    if not all(_has_valid_counts(item) for item in move.evidence):
+        yield f'move {move.service}: its evidence is out of range'
+
+
+def _has_valid_counts(evidence):
+    numbers = (
+        evidence.old_calls,
+        evidence.old_failures,
+        evidence.new_calls,
+        evidence.new_failures,
+        evidence.failure_factor,
+        evidence.latency_factor,
+    )
+    return all(0 <= number <= MAX_LIMIT for number in numbers)
 
 
 def _has_valid_times(move):
--- a/poplarrack/platform/configurations.py
+++ b/poplarrack/platform/configurations.py
@@ -156,7 +156,9 @@
         return KeyValue(key, value, 0, revision)
 
     def _check_move(self, move):
-        faults = list(move_faults(move, self.services))
+        faults = list(move_faults(move))
+        if move.service not in self.services:
+            faults.append(f'no service {move.service!r}')
         if faults:
             raise PoplarrackError(
                 ErrorKind.INVALID_CONFIGURATION, '; '.join(faults)
--- a/poplarrack/platform/heartbeats.py
+++ b/poplarrack/platform/heartbeats.py
@@ -23,7 +23,8 @@
 # Every node keeps these texts of every endpoint.
 MAX_NAME_CHARACTERS = 200
 _Name = Annotated[str, Meta(max_length=MAX_NAME_CHARACTERS)]
-_Count = Annotated[int, Meta(ge=0)]
+# Integers between nodes have 64 bits.
+_Count = Annotated[int, Meta(ge=0, le=2**63 - 1)]
 
 
 class _Info(Struct):
@@ -84,7 +85,7 @@
 
 
 class _Deregistration(Struct):
-    born: int | None = None
+    born: _Count | None = None
 
 
 def decode_born(body):
--- a/poplarrack/resources.py
+++ b/poplarrack/resources.py
@@ -61,6 +61,9 @@
     SHEDDABLE = 'sheddable'
 
 
+PRIORITY_RANKS = {priority: rank for rank, priority in enumerate(Priority)}
+
+
 @resource_kind('services')
 @dataclass(frozen=True)
 class Service:
@@ -80,6 +83,11 @@
     max_connections: int = 110
     warm_up_seconds: float = 5.0
 
+    @property
+    def needed_services(self):
+        """Return the names of the services that it calls."""
+        return self.calls
+
 
 @dataclass(frozen=True)
 class WeightedService:
@@ -123,12 +131,17 @@
             return self.backends
         return (WeightedService(self.service, 1.0),)
 
+    @property
+    def needed_services(self):
+        """Return the names of the services that it sends calls to."""
+        return [part.service for part in self.backends] or [self.service]
+
     @property
     def queue_rank(self):
         """Return the rank of queued calls; 0 is served first."""
         if self.rank is not None:
             return self.rank
-        return tuple(Priority).index(self.priority)
+        return PRIORITY_RANKS[self.priority]
 
 
 @resource_kind('limits')
@@ -142,6 +155,11 @@
     header_timeout_seconds: float = 10.0
     idle_timeout_seconds: float = 75.0
 
+    @property
+    def needed_services(self):
+        """Return no name: limits apply to all services."""
+        return ()
+
 
 @dataclass(frozen=True)
 class RouteEvidence:
@@ -186,6 +204,11 @@
     log: tuple[str, ...] = field(default=())
     ordered_seconds: float = 0.0
 
+    @property
+    def needed_services(self):
+        """Return the name of the service that is moved."""
+        return (self.service,)
+
     def is_old(self, version):
         """Return whether calls are moved away from a version."""
         if self.from_version:
--- a/poplarrack/routing_tables.py
+++ b/poplarrack/routing_tables.py
@@ -56,7 +56,7 @@
     }
     return RoutingTable(
         configuration.revision,
-        Router(configuration.routes),
+        configuration.router,
         _derive_destinations(locality, knowledge.members.members.values()),
         moves,
         configuration.caller_limits,
