Derive tables and topology from what has changed

Cause: while endpoints are released, a node hears of a change many times a second, and each time built every Destination and its whole topology again: 0.54 and 0.28 ms at 195 members, on each of 195 nodes, besides the table of states.

Change: members that have not changed keep their Destinations; the topology is derived again only if a digest of which nodes are present, where and suspected has changed.

--- a/poplarrack/members.py
+++ b/poplarrack/members.py
@@ -110,6 +110,13 @@
     return xxh64_intdigest(f'{key}\0{int(member.state)}'.encode())
 
 
+def _presence_digest(member):
+    if not member.present:
+        return 0
+    key = f'{member.node_id}\0{member.region}\0{member.zone}'
+    return xxh64_intdigest(f'{key}\0{int(member.state)}'.encode())
+
+
 def bucket_of(node_id):
     """Return the digest bucket of a node."""
     return xxh64_intdigest(node_id.encode()) % DIGEST_BUCKETS
@@ -117,13 +124,18 @@
 
 @dataclass(frozen=True)
 class MemberTable:
-    """All known members, with digests to compare two tables by."""
+    """All known members, with digests to compare two tables by.
+
+    ``presence`` is a digest of which nodes are present, where, and which of
+    them are suspects: of all that a topology is derived from.
+    """
 
     members: Mapping[str, Member] = field(
         default_factory=lambda: MappingProxyType({})
     )
     buckets: tuple[int, ...] = (0,) * DIGEST_BUCKETS
     suspects: frozenset[str] = frozenset()
+    presence: int = 0
 
     @cached_property
     def digest(self):
@@ -167,6 +179,7 @@
     members = dict(table.members)
     buckets = list(table.buckets)
     suspects = set(table.suspects)
+    presence = table.presence
     for member in changes:
         old = members.get(member.node_id)
         if old is not None and old.rank >= member.rank:
@@ -174,12 +187,17 @@
         bucket = bucket_of(member.node_id)
         buckets[bucket] ^= member_digest(old) if old else 0
         buckets[bucket] ^= member_digest(member)
+        presence ^= _presence_digest(old) if old else 0
+        presence ^= _presence_digest(member)
         members[member.node_id] = member
         suspects.discard(member.node_id)
         if member.state is MemberState.SUSPECT:
             suspects.add(member.node_id)
     merged = MemberTable(
-        MappingProxyType(members), tuple(buckets), frozenset(suspects)
+        MappingProxyType(members),
+        tuple(buckets),
+        frozenset(suspects),
+        presence,
     )
     return MemberMerge(merged, changes)
 
--- a/poplarrack/nodes.py
+++ b/poplarrack/nodes.py
@@ -393,15 +393,12 @@
         unreachable = find_unreachable_nodes(facts, self.clock())
         region = self._platform_region()
         inputs = (
-            facts.knowledge.members,
+            facts.knowledge.members.presence,
             facts.own.incarnation,
             unreachable,
             region,
         )
-        if (
-            inputs[0] is self.topology_inputs[0]
-            and inputs == self.topology_inputs
-        ):
+        if inputs == self.topology_inputs:
             return
         self.topology_inputs = inputs
         topology = derive_topology(
--- a/poplarrack/routing_tables.py
+++ b/poplarrack/routing_tables.py
@@ -28,7 +28,8 @@
     ``revision`` 0 means that no configuration is known yet. ``destinations``
     are lists by service. ``moves`` has the VersionSplit of each move by
     service, also of moves that ended. ``node_count`` is the number of nodes
-    that may be in the mesh.
+    that may be in the mesh. ``by_node`` has the member record and the
+    Destination of each node with an endpoint that serves.
     """
 
     revision: int = 0
@@ -39,28 +40,39 @@
         default_factory=lambda: CallerLimits('callers')
     )
     node_count: int = 1
+    by_node: dict = field(default_factory=dict)
 
 
-def derive_routing_table(locality, knowledge, now):
+def derive_routing_table(locality, knowledge, now, previous=RoutingTable()):
     """Return the routing table of a node.
 
     :param locality: the Locality of the node.
     :param knowledge: the node's Knowledge of configuration, members and
         verdicts.
     :param now: seconds since the epoch.
+    :param previous: the RoutingTable before, whose Destinations are used
+        again for members that have not changed.
     """
     configuration = knowledge.configuration
     moves = {
         service: derive_version_split(move, knowledge.verdicts, now)
         for service, move in configuration.moves.items()
     }
+    members = knowledge.members.members.values()
+    by_node = _derive_by_node(locality, members, previous.by_node)
+    destinations = {}
+    for _, destination in by_node.values():
+        destinations.setdefault(destination.endpoint.service, []).append(
+            destination
+        )
     return RoutingTable(
         configuration.revision,
         configuration.router,
-        _derive_destinations(locality, knowledge.members.members.values()),
+        destinations,
         moves,
         configuration.caller_limits,
-        _count_nodes(knowledge.members.members.values()),
+        _count_nodes(members),
+        by_node,
     )
 
 
@@ -74,20 +86,25 @@
     )
 
 
-def _derive_destinations(locality, members):
-    destinations = {}
+def _derive_by_node(locality, members, previous):
+    by_node = {}
     for member in members:
         endpoint = member.endpoint
-        usable = member.present and endpoint is not None
-        if usable and endpoint.state is EndpointState.SERVING:
+        if endpoint is None or not member.present:
+            continue
+        if endpoint.state is not EndpointState.SERVING:
+            continue
+        known = previous.get(member.node_id)
+        if known is None or known[0] is not member:
             destination = Destination(
                 member.node_id,
                 member.peer_address,
                 endpoint,
                 _tier_of(locality, member),
             )
-            destinations.setdefault(endpoint.service, []).append(destination)
-    return destinations
+            known = (member, destination)
+        by_node[member.node_id] = known
+    return by_node
 
 
 def _tier_of(locality, member):
--- a/poplarrack/senders.py
+++ b/poplarrack/senders.py
@@ -86,7 +86,9 @@
 
     def rebuild_table(self, locality, knowledge, now):
         """Derive the routing table from what the node knows and apply it."""
-        self.set_table(derive_routing_table(locality, knowledge, now))
+        self.set_table(
+            derive_routing_table(locality, knowledge, now, self.table)
+        )
 
     def set_table(self, table):
         """Apply a new table; endpoints that stay keep their state."""
