Compare placements on many nodes in a bench case

many-nodes runs the product's Senders and Receivers, uniform random placement and placement with the true load of every endpoint on one mesh. Its bounds: at most 1% of all requests are refused while endpoints have free slots, and at most 5 in 100 more of each kind are late than with full knowledge.

--- a/poplarrack/benches/cases.py
+++ b/poplarrack/benches/cases.py
@@ -24,6 +24,7 @@
     'poplarrack.benches.moves',
     'poplarrack.benches.cuts',
     'poplarrack.benches.capacities',
+    'poplarrack.benches.many_nodes',
 )
 EXIT_BOUND_MISSED = 3
 
--- a/poplarrack/benches/many_nodes.py
+++ b/poplarrack/benches/many_nodes.py
@@ -7,17 +7,18 @@
 """
 
 import asyncio
-from collections import Counter
 from dataclasses import dataclass
 from dataclasses import field
 from itertools import count
 from math import exp
-from math import log
 from random import Random
 from statistics import fmean
 
 from poplarrack.balancers import Locality
+from poplarrack.benches.cases import bench_case
+from poplarrack.benches.cases import Bound
 from poplarrack.benches.cases import percentile
+from poplarrack.benches.cases import Result
 from poplarrack.configurations import load_configuration
 from poplarrack.header_names import HeaderNames
 from poplarrack.http_messages import HttpAnswer
@@ -27,6 +28,7 @@
 from poplarrack.members import Member
 from poplarrack.members import MemberTable
 from poplarrack.members import merge_members
+from poplarrack.placements import Placement
 from poplarrack.receivers import Receiver
 from poplarrack.resources import encode_resource
 from poplarrack.resources import Route
@@ -49,6 +51,54 @@
 FAILURE_SECONDS = 0.005
 MAX_ANSWER_BYTES = 1_000_000
 HEADER_NAMES = HeaderNames()
+# Of all requests, while sound endpoints have free slots.
+MAX_REFUSED_SHARE = 0.01
+# How many more requests of a kind may be late than with full knowledge.
+MAX_MORE_LATE = 0.05
+
+# Classes of Senders by the name of how they place requests.
+PLACEMENTS = {}
+
+
+def placement(name):
+    """Register a class of Senders that the bench compares."""
+
+    def register(build_sender):
+        PLACEMENTS[name] = build_sender
+        return build_sender
+
+    return register
+
+
+placement('product')(Sender)
+
+
+@placement('uniform')
+class UniformSender(Sender):
+    """Places requests at random in the nearest tier, whatever the load."""
+
+    def _choose_placement(self, call, now):
+        if call.offers:
+            return None
+        members = next(filter(None, self._candidates(call).by_tiers), ())
+        if not members:
+            return None
+        return Placement(
+            self.random.choice(members), max(0.0, call.deadline - now)
+        )
+
+
+@placement('full_knowledge')
+class KnowingSender(Sender):
+    """Knows the true load of every endpoint at each choice."""
+
+    receivers = None
+
+    def _choose_placement(self, call, now):
+        for state in self.destinations.for_service(call.service):
+            receiver = self.receivers[state.destination.peer_address]
+            state.record_occupancy(receiver.occupancy(), now)
+        return super()._choose_placement(call, now)
 
 
 @dataclass(frozen=True)
@@ -182,8 +232,6 @@
     answered: list = field(default_factory=list)
     endpoints: dict = field(default_factory=dict)
     offers: int = 0
-    offers_by_tier: Counter = field(default_factory=Counter)
-    refused_beside_free_slots: int = 0
 
     def late_share(self, kind):
         """Return the fraction of a kind's requests that missed its target."""
@@ -286,6 +334,7 @@
                 Random(self.random.random()),
             )
             self.receivers[node_id].load_reports = sender.load_reports
+            sender.receivers = self.receivers
             sender.set_table(
                 derive_routing_table(
                     Locality(node_id, member.region, member.zone),
@@ -414,7 +463,6 @@
         PlatformSettings(('127.0.0.1:5',)),
         service=member.endpoint.service,
         retry_budget_ratio=0.2,
-        retry_budget_slack=2.0 * log(10 * len(member.node_id)),
     )
 
 
@@ -526,3 +574,29 @@
         load=load * nodes / 65,
         seconds=seconds,
     )
+
+
+@bench_case('many-nodes')
+def compare_placements(seed, nodes=195, load=1.0, seconds=6.0):
+    """Late and refused requests on a mesh of many nodes, by placement."""
+    shape = counter_mesh(nodes, load, seconds)
+    figures = {}
+    for name, build_sender in PLACEMENTS.items():
+        seen = run_mesh(shape, seed, build_sender)
+        for kind in shape.kinds:
+            if kind.per_second:
+                figures[f'{name}_{kind.name}_late'] = seen.late_share(kind)
+        figures[f'{name}_refused'] = seen.refused_share()
+        figures[f'{name}_offers'] = seen.offers / len(seen.answered)
+        for service, _ in shape.service_shares:
+            figures[f'{name}_{service}_busiest_to_mean'] = (
+                seen.busiest_to_mean(service)
+            )
+    bounds = {'product_refused': Bound(maximum=MAX_REFUSED_SHARE)}
+    for kind in shape.kinds:
+        if kind.per_second:
+            least = figures[f'full_knowledge_{kind.name}_late']
+            bounds[f'product_{kind.name}_late'] = Bound(
+                maximum=least + MAX_MORE_LATE
+            )
+    return Result(figures, bounds)
