Split the states of endpoints from the choice

placements.py held what a sender knows of each endpoint and how it chooses; many_nodes.py the simulated mesh and the shapes of meshes. Each is two modules now (destination_states, mesh_shapes). Nothing else has changed.

--- a/poplarrack/carried_calls.py
+++ b/poplarrack/carried_calls.py
@@ -4,9 +4,9 @@
 from dataclasses import field
 import logging
 
+from poplarrack.destination_states import DestinationState
 from poplarrack.exchanges import Delivery
 from poplarrack.http_messages import HttpRequest
-from poplarrack.placements import DestinationState
 from poplarrack.resources import Route
 
 logger = logging.getLogger(__name__)
--- a/poplarrack/destinations.py
+++ b/poplarrack/destinations.py
@@ -3,8 +3,8 @@
 from collections import Counter
 import logging
 
+from poplarrack.destination_states import DestinationState
 from poplarrack.placements import DestinationGroup
-from poplarrack.placements import DestinationState
 from poplarrack.placements import may_eject
 
 logger = logging.getLogger(__name__)
--- a/poplarrack/load_reports.py
+++ b/poplarrack/load_reports.py
@@ -8,8 +8,8 @@
 
 from collections import OrderedDict
 
+from poplarrack.destination_states import Tier
 from poplarrack.exchanges import EndpointLoad
-from poplarrack.placements import Tier
 
 # Loads of other endpoints that a message passes on.
 MAX_PASSED_ON = 6
--- a/poplarrack/routing_tables.py
+++ b/poplarrack/routing_tables.py
@@ -7,10 +7,10 @@
 from poplarrack.balancers import SAME_REGION
 from poplarrack.balancers import SAME_ZONE
 from poplarrack.call_tables import derive_version_split
+from poplarrack.destination_states import Destination
+from poplarrack.destination_states import Tier
 from poplarrack.members import EndpointState
 from poplarrack.members import MemberState
-from poplarrack.placements import Destination
-from poplarrack.placements import Tier
 from poplarrack.resources import CallerLimits
 from poplarrack.routers import Router
 
--- a/poplarrack/senders.py
+++ b/poplarrack/senders.py
@@ -14,6 +14,7 @@
 from poplarrack.carried_calls import log_internal_error
 from poplarrack.carried_calls import log_retried
 from poplarrack.carried_calls import log_retry_over_budget
+from poplarrack.destination_states import Tier
 from poplarrack.destinations import AVOIDANCE_SECONDS
 from poplarrack.destinations import DestinationTable
 from poplarrack.errors import ANSWERS
@@ -32,7 +33,6 @@
 from poplarrack.placements import choose_queue
 from poplarrack.placements import Placement
 from poplarrack.placements import RemainingTime
-from poplarrack.placements import Tier
 from poplarrack.retry_budgets import SharedRetryBudget
 from poplarrack.routing_tables import derive_routing_table
 from poplarrack.routing_tables import RoutingTable
--- a/tests/retry_meshes.py
+++ b/tests/retry_meshes.py
@@ -12,12 +12,12 @@
 from random import Random
 from types import SimpleNamespace
 
+from poplarrack.destination_states import Destination
+from poplarrack.destination_states import Tier
 from poplarrack.exchanges import Delivery
 from poplarrack.exchanges import Verdict
 from poplarrack.header_names import HeaderNames
 from poplarrack.http_messages import HttpRequest
-from poplarrack.placements import Destination
-from poplarrack.placements import Tier
 from poplarrack.receivers import RunningRepeats
 from poplarrack.resources import Route
 from poplarrack.routers import Router
--- a/tests/test_load_reports.py
+++ b/tests/test_load_reports.py
@@ -7,6 +7,7 @@
 from random import Random
 from types import SimpleNamespace
 
+from poplarrack.destination_states import Tier
 from poplarrack.destinations import DestinationTable
 from poplarrack.exchanges import ANSWER_CODEC
 from poplarrack.exchanges import Delivery
@@ -19,7 +20,6 @@
 from poplarrack.load_reports import MAX_PASSED_ON
 from poplarrack.placements import choose_destination
 from poplarrack.placements import RemainingTime
-from poplarrack.placements import Tier
 from tests.samples import endpoint
 from tests.support import build_load_tests
 from tests.test_receivers import request
--- a/tests/test_many_nodes.py
+++ b/tests/test_many_nodes.py
@@ -7,9 +7,9 @@
 
 from dataclasses import replace
 
-from poplarrack.benches.many_nodes import counter_mesh
-from poplarrack.benches.many_nodes import lookup_mesh
 from poplarrack.benches.many_nodes import run_mesh
+from poplarrack.benches.mesh_shapes import counter_mesh
+from poplarrack.benches.mesh_shapes import lookup_mesh
 from tests.support import build_load_tests
 
 load_tests = build_load_tests(__name__)
--- a/tests/test_placements.py
+++ b/tests/test_placements.py
@@ -2,14 +2,14 @@
 
 from random import Random
 
+from poplarrack.destination_states import DestinationState
+from poplarrack.destination_states import Tier
 from poplarrack.exchanges import Occupancy
 from poplarrack.placements import choose_destination
 from poplarrack.placements import choose_queue
 from poplarrack.placements import DestinationGroup
-from poplarrack.placements import DestinationState
 from poplarrack.placements import may_eject
 from poplarrack.placements import RemainingTime
-from poplarrack.placements import Tier
 from tests.support import build_load_tests
 from tests.test_senders import destination
 
--- a/tests/test_run_times.py
+++ b/tests/test_run_times.py
@@ -2,11 +2,11 @@
 
 from random import Random
 
+from poplarrack.destination_states import DestinationState
+from poplarrack.destination_states import Tier
 from poplarrack.placements import choose_destination
 from poplarrack.placements import DestinationGroup
-from poplarrack.placements import DestinationState
 from poplarrack.placements import RemainingTime
-from poplarrack.placements import Tier
 from poplarrack.run_times import MAX_FACTOR
 from poplarrack.run_times import MIN_FACTOR
 from poplarrack.run_times import RunTimes
--- a/tests/test_senders.py
+++ b/tests/test_senders.py
@@ -10,14 +10,14 @@
 from hypothesis import strategies
 
 from poplarrack.call_tables import VersionSplit
+from poplarrack.destination_states import Destination
+from poplarrack.destination_states import Tier
 from poplarrack.evidence import FULL_SHARE_STAGE
 from poplarrack.exchanges import Delivery
 from poplarrack.exchanges import Occupancy
 from poplarrack.exchanges import Verdict
 from poplarrack.header_names import HeaderNames
 from poplarrack.http_messages import HttpRequest
-from poplarrack.placements import Destination
-from poplarrack.placements import Tier
 from poplarrack.receivers import RunningRepeats
 from poplarrack.resources import Route
 from poplarrack.resources import WeightedService
