--- a/poplarrack/sidecar_servers.py
+++ b/poplarrack/sidecar_servers.py
@@ -147,7 +147,8 @@
         logger.info('node_started', extra={'node': self.settings.node_id})
         while not self.stopping.is_set():
             self._tick()
-            # Costs a third of a wait for the event with a timeout.
+            # Cheaper than a wait for the event with a timeout; a signal is
+            # noticed at the next tick.
             await asyncio.sleep(TICK_SECONDS)
         join_task.cancel()
         await self._drain()
