Soak second answers and changes under faults

Its endpoints never answered twice, versions of its configuration differed in nothing that callers see, and it injected one fault after the other.

Change: endpoints stutter (a second answer at once, cut, late, or late in part), break off, answer in chunks or without a length, with bodies of 0 to 60 KB that no other run has. The operator moves, adds and drops routes. Callers keep connections or open new ones. The record of all of them is checked against MIXED, TWICE, REFUSED, UNASKED, ROUTE, DENIED, DRAIN, LOST and CONFIG with the bounds of the settings; what the old soak checked is still checked. The number of nodes, the seconds of faults and a directory for logs are arguments.

--- a/tests/soak_endpoints.py
+++ b/tests/soak_endpoints.py
@@ -1,77 +1,150 @@
-"""Endpoints of the soak; they run in its process and outlive the nodes."""
+"""Endpoints of the soak; they run in its process and outlive the nodes.
+
+Some of them stutter: they answer a request twice, or not properly.
+"""
 
 import asyncio
 from json import dumps
-from time import monotonic
 
-from poplarrack.addresses import split_address
+from tests.soak_checks import check_run
+from tests.soak_http import build_chunks
+from tests.soak_http import build_head
+from tests.soak_http import build_request
+from tests.soak_http import exchange
+from tests.soak_http import NO_ANSWER
+from tests.soak_http import NotHttpError
+from tests.soak_http import read_message
+from tests.soak_http import STREAM_LIMIT_BYTES
+from tests.soak_records import build_body
+from tests.soak_records import Run
 from tests.test_platform_adapter import HEARTBEAT
 
-EXCHANGE_TIMEOUT_SECONDS = 3.0
-HEARTBEAT_SECONDS = 0.3
+# The largest dose of an installation: the part of the endpoints that
+# stutter, and the part of their answers that are followed by a second one.
+STUTTERING_FRACTION = 0.6
+STUTTER_FRACTION = 0.03
+# The part of all answers that an endpoint refuses or breaks off.
+REFUSED_FRACTION = 0.03
+BROKEN_FRACTION = 0.03
+STATUSES = (200,) * 22 + (404, 500, 500)
+CUT_SECONDS = 0.02
+STUTTERS = {}
+FORMS = {}
 
 
-async def exchange(address, raw):
-    """Send a request on a new connection.
+def stutter(send):
+    """Register a coroutine function of (endpoint, writer, first, second).
 
-    :param address: the ``host:port``.
-    :param raw: the bytes of the request.
-    :returns: the status, the head and the body; 0 without an answer.
-    :raises OSError: when the connection fails.
-    :raises TimeoutError: after EXCHANGE_TIMEOUT_SECONDS.
+    It writes two answers, and returns the bytes that it holds back until
+    the next request arrives on the connection.
     """
-    async with asyncio.timeout(EXCHANGE_TIMEOUT_SECONDS):
-        reader, writer = await asyncio.open_connection(*split_address(address))
-        try:
-            writer.write(raw)
-            answer = await reader.read()
-        finally:
-            writer.close()
-    head, _, body = answer.partition(b'\r\n\r\n')
-    return (int(head[9:12]) if head else 0), head, body
+    STUTTERS[send.__name__] = send
+    return send
 
 
-def build_request(method, path, body=b'', **headers):
-    """Return the bytes of a request.
+def form(build):
+    """Register a function of (random, fields, status, body) as a form.
 
-    :param headers: by name, with ``_`` in place of ``-``.
+    It returns the bytes of an answer.
     """
-    fields = {'host': 'shop.example', 'connection': 'close', **headers}
-    fields['content-length'] = len(body)
-    lines = ''.join(
-        f'{name.replace("_", "-")}: {value}\r\n'
-        for name, value in fields.items()
-    )
-    return f'{method} {path} HTTP/1.1\r\n{lines}\r\n'.encode() + body
+    FORMS[build.__name__] = build
+    return build
+
+
+@stutter
+async def at_once(endpoint, writer, first, second):
+    """Write both answers at once."""
+    writer.write(first + second)
+    return b''
+
+
+@stutter
+async def cut(endpoint, writer, first, second):
+    """Write the rest of the second answer a little later."""
+    middle = endpoint.random.randrange(1, len(second))
+    writer.write(first + second[:middle])
+    await asyncio.sleep(endpoint.random.random() * CUT_SECONDS)
+    writer.write(second[middle:])
+    return b''
+
+
+@stutter
+async def late(endpoint, writer, first, second):
+    """Write the second answer where the next one is expected."""
+    writer.write(first)
+    return second
+
+
+@stutter
+async def late_cut(endpoint, writer, first, second):
+    """Write the rest of the second answer where the next is expected."""
+    middle = endpoint.random.randrange(1, len(second))
+    writer.write(first + second[:middle])
+    return second[middle:]
+
+
+@form
+def with_length(random, fields, status, body):
+    """Build an answer with a length."""
+    fields = {**fields, 'content_length': len(body)}
+    return build_head(f'HTTP/1.1 {status} -', fields) + body
+
+
+@form
+def in_chunks(random, fields, status, body):
+    """Build an answer in chunks."""
+    fields = {**fields, 'transfer_encoding': 'chunked'}
+    sizes = iter(lambda: random.choice((1, 300, 9000, 20000)), None)
+    head = build_head(f'HTTP/1.1 {status} -', fields)
+    return head + build_chunks(body, sizes)
+
+
+def until_end(random, fields, status, body):
+    """Build an answer that ends with its connection."""
+    fields = {**fields, 'connection': 'close'}
+    return build_head(f'HTTP/1.1 {status} -', fields) + body
 
 
 class Endpoint:
-    """An endpoint that reports each request that it runs to the soak.
+    """An endpoint that records each request that it runs.
 
-    :param soak: the Soak.
+    :param record: the Record.
+    :param random: a random.Random.
+    :param host: the name of its host.
+    :param service: the name of its service.
     :param control_address: the ``host:port`` of the local node's control
         listener.
+    :param heartbeat_seconds: the time between heartbeats.
     """
 
-    def __init__(self, soak, control_address):
-        self.soak, self.control_address = soak, control_address
+    def __init__(
+        self, record, random, host, service, control_address, heartbeat_seconds
+    ):
+        self.record, self.random = record, random
+        self.host, self.service = host, service
+        self.control_address = control_address
+        self.heartbeat_seconds = heartbeat_seconds
         self.server = self.heartbeat_task = None
         self.instance, self.left_at, self.sequence = '', None, 0
         self.writers = set()
+        self.stutters = random.random() < STUTTERING_FRACTION
+        self.lock = asyncio.Lock()
 
     async def start(self):
         """Listen, and send heartbeats as a new instance."""
-        self.soak.instances += 1
-        self.instance = f'i-{self.soak.instances}'
+        instance = self.instance = f'i-{next(self.record.numbers)}'
         self.left_at = None
         self.server = await asyncio.start_server(
-            lambda *streams: self.serve(self.instance, *streams), '127.0.0.1'
+            lambda *streams: self.serve(instance, *streams),
+            '127.0.0.1',
+            limit=STREAM_LIMIT_BYTES,
         )
         port = self.server.sockets[0].getsockname()[1]
         self.heartbeat = {
             **HEARTBEAT,
+            'info': {**HEARTBEAT['info'], 'service': self.service},
             'address': f'127.0.0.1:{port}',
-            'born': port,
+            'born': next(self.record.numbers),
         }
         self.heartbeat_task = asyncio.ensure_future(self.send_heartbeats())
 
@@ -81,27 +154,25 @@
             self.sequence += 1
             status = {'state': 'ready', 'sequence': self.sequence}
             body = dumps({**self.heartbeat, 'status': status}).encode()
-            path = f'/-/instances/{self.instance}'
-            try:
-                await exchange(
-                    self.control_address, build_request('PUT', path, body)
-                )
-            except (OSError, TimeoutError):
-                self.soak.counts['reports without answer'] += 1
-            await asyncio.sleep(HEARTBEAT_SECONDS)
+            if await self.call_node('PUT', body) != 200:
+                self.record.counts['reports without answer'] += 1
+            await asyncio.sleep(self.heartbeat_seconds)
+
+    async def call_node(self, method, body=b''):
+        """Call the local node; return the status, 0 without an answer."""
+        path = f'/-/instances/{self.instance}'
+        raw = build_request(method, path, body, connection='close')
+        try:
+            answer = await exchange(self.control_address, raw)
+        except NO_ANSWER:
+            return 0
+        return answer.status
 
     async def leave(self):
         """Announce the leave, and record when the node acknowledged it."""
         await self.stop_heartbeats()
-        path = f'/-/instances/{self.instance}'
-        try:
-            status, _, _ = await exchange(
-                self.control_address, build_request('DELETE', path)
-            )
-        except (OSError, TimeoutError):
-            return
-        if status == 200:
-            self.left_at = monotonic()
+        if await self.call_node('DELETE') == 200:
+            self.left_at = self.record.clock()
 
     async def stop_heartbeats(self):
         """Stop sending heartbeats."""
@@ -116,38 +187,96 @@
             writer.transport.abort()
 
     async def serve(self, instance, reader, writer):
-        """Run the requests of a connection, and report each to the soak.
-
-        2 % get a status 500, and 2 % no answer: their connection is closed.
-        """
+        """Serve the requests of a connection one after another."""
         self.writers.add(writer)
-        random = self.soak.random
+        held = b''
         try:
-            while True:
-                head = await reader.readuntil(b'\r\n\r\n')
-                fields = _parse_headers(head)
-                await reader.readexactly(int(fields.get('content-length', 0)))
-                key = fields['request-id']
-                expected = fields.get('expect-instance', instance)
-                self.soak.on_run(self, key, instance == expected)
-                await asyncio.sleep(random.random() * 0.02)
-                chance = random.random()
-                if chance < 0.02:
-                    break
-                status = 500 if chance < 0.04 else 200
-                writer.write(
-                    f'HTTP/1.1 {status} -\r\nrequest-id: {key}\r\n'
-                    f'server-stamp: s\r\ncontent-length: {len(key)}\r\n'
-                    f'\r\n{key}'.encode()
-                )
-        except (asyncio.IncompleteReadError, ConnectionError):
+            while held is not None:
+                request = await read_message(reader)
+                if held:
+                    writer.write(held)
+                held = await self.answer(instance, request, writer)
+        except (asyncio.IncompleteReadError, OSError):
             pass
+        except NotHttpError as error:
+            self.record.violate('UNASKED', instance, f'received {error}')
         finally:
             self.writers.discard(writer)
             writer.close()
 
+    async def answer(self, instance, request, writer):
+        """Refuse or run a request and answer it.
+
+        :returns: the bytes that are held back until the next request, or
+            None to end the connection.
+        """
+        key = request.headers['request-id']
+        if self.random.random() < REFUSED_FRACTION:
+            fields = {'request_id': key, 'not_executed': '1'}
+            writer.write(with_length(None, fields, 503, b''))
+            return b''
+        run = await self.run(instance, key, request)
+        fields = {'request_id': key, 'server_stamp': run.stamp}
+        if self.random.random() < BROKEN_FRACTION:
+            self.write_broken(writer, run, fields)
+            return None
+        first = self.build_answer(fields, run.status, run.body)
+        if self.stutters and self.random.random() < STUTTER_FRACTION:
+            return await self.write_twice(writer, run, fields, first)
+        writer.write(first)
+        return b''
+
+    async def run(self, instance, key, request):
+        """Run a request; return the Run, whose answer is decided."""
+        run = Run(
+            key,
+            f's{next(self.record.numbers)}',
+            self.host,
+            instance,
+            self.service,
+            self.record.clock(),
+        )
+        self.record.add_run(run)
+        check_run(self.record, run, request, self)
+        run.status = self.random.choice(STATUSES)
+        run.size = self.draw_size()
+        seconds = self.random.random() * self.random.choice((0.02, 0.02, 0.1))
+        if self.random.random() < 0.01:
+            seconds += self.random.random()
+        deadline_ms = request.headers.get('deadline-ms', 1000)
+        await asyncio.sleep(min(seconds, int(deadline_ms) / 1000))
+        return run
+
+    def draw_size(self):
+        """Draw the size of a body in bytes."""
+        largest = self.random.choice((0, 100, 3000, 20000, 60000))
+        return self.random.randint(largest // 2, largest)
+
+    def build_answer(self, fields, status, body):
+        """Return the bytes of an answer in some form."""
+        build = self.random.choice((with_length, with_length, in_chunks))
+        return build(self.random, fields, status, body)
 
-def _parse_headers(head):
-    lines = head.decode().split('\r\n')[1:]
-    pairs = (line.split(': ', 1) for line in lines if line)
-    return {name.lower(): value for name, value in pairs}
+    async def write_twice(self, writer, run, fields, first):
+        """Write the answer and a second one, which may be another one."""
+        run.second, second = run.status, first
+        if self.random.random() < 0.5:
+            run.second = self.random.choice(STATUSES)
+            body = build_body(f'second {run.stamp} {run.key}', run.size)
+            second = self.build_answer(fields, run.second, body)
+        kind = self.random.choice(sorted(STUTTERS))
+        self.record.counts[f'answers twice {kind}'] += 1
+        return await STUTTERS[kind](self, writer, first, second)
+
+    def write_broken(self, writer, run, fields):
+        """Write an answer without a length, or not the whole answer."""
+        raw = until_end(self.random, fields, run.status, run.body)
+        if self.random.random() < 0.5:
+            writer.write(raw)
+            return
+        run.sound = False
+        if self.random.random() < 0.2:
+            writer.write(b'no answer\r\n\r\n')
+            return
+        raw = self.build_answer(fields, run.status, run.body)
+        writer.write(raw[: self.random.randrange(len(raw))])
--- /dev/null
+++ b/tests/soak_faults.py
@@ -0,0 +1,126 @@
+"""Faults of the soak; several of them overlap."""
+
+import asyncio
+from contextlib import contextmanager
+import signal
+
+from tests.soak_records import STORE
+
+FAULT_KINDS = {}
+MAX_DOWN_SECONDS = 1.0
+MAX_FREEZE_SECONDS = 3.0
+MAX_STORE_FAILURE_SECONDS = 3.0
+MAX_GAP_SECONDS = 0.7
+# Between the endpoint's leave and its end.
+LEAVE_SECONDS = 1.5
+
+
+def fault(inject):
+    """Register a coroutine function of (soak, host) as a kind of fault.
+
+    Its name is a key of the counts that a run prints.
+    """
+    FAULT_KINDS[inject.__name__] = inject
+    return inject
+
+
+@contextmanager
+def disturbed(soak, name):
+    """Record an impairment of a host or the store while it lasts."""
+    disturbance = soak.record.disturb(name)
+    try:
+        yield
+    finally:
+        disturbance.ended_at = soak.clock()
+
+
+async def pause(soak, longest_seconds):
+    """Wait for a random time."""
+    await asyncio.sleep(soak.random.random() * longest_seconds)
+
+
+@fault
+async def kill_node(soak, host):
+    """Kill a node's process and start it again.
+
+    A process that is stopped or suspended is started again by the fault
+    that holds the host's lock.
+    """
+    if host.lock.locked():
+        host.kill()
+        return
+    async with host.lock:
+        with disturbed(soak, host.name):
+            host.kill()
+            await pause(soak, MAX_DOWN_SECONDS)
+            host.start()
+
+
+@fault
+async def restart_node(soak, host):
+    """Stop a node gracefully and start it again."""
+    async with host.lock:
+        with disturbed(soak, host.name):
+            await host.stop()
+            await pause(soak, MAX_DOWN_SECONDS)
+            host.start()
+
+
+@fault
+async def restart_in_turn(soak, host):
+    """Restart the nodes of a host's zone but one, one after the other."""
+    zone = [other for other in soak.hosts if other.zone == host.zone]
+    for other in zone:
+        if other is not host:
+            await restart_node(soak, other)
+            await pause(soak, MAX_GAP_SECONDS)
+
+
+@fault
+async def freeze_node(soak, host):
+    """Suspend a node's process for a while; its connections stay open."""
+    async with host.lock:
+        with disturbed(soak, host.name):
+            host.signal(signal.SIGSTOP)
+            await pause(soak, MAX_FREEZE_SECONDS)
+            host.signal(signal.SIGCONT)
+            if host.killed:
+                host.start()
+
+
+@fault
+async def reload_node(soak, host):
+    """Send SIGHUP, several times in quick succession."""
+    for _ in range(soak.random.randint(1, 3)):
+        if host.process.poll() is None and host.has_started():
+            host.signal(signal.SIGHUP)
+        await pause(soak, MAX_GAP_SECONDS)
+
+
+@fault
+async def fail_store(soak, host):
+    """Make the store answer every call with a failure for a while."""
+    async with soak.store_lock:
+        with disturbed(soak, STORE):
+            soak.store.failure_status = soak.random.choice([429, 500, 503])
+            await pause(soak, MAX_STORE_FAILURE_SECONDS)
+            soak.store.failure_status = 0
+
+
+@fault
+async def replace_endpoint(soak, host):
+    """Replace an endpoint that leaves gracefully by a new instance."""
+    async with host.endpoint.lock:
+        await host.endpoint.leave()
+        await asyncio.sleep(LEAVE_SECONDS)
+        await host.endpoint.close()
+        await host.endpoint.start()
+
+
+@fault
+async def crash_endpoint(soak, host):
+    """Replace an endpoint that stops without a leave by a new instance."""
+    async with host.endpoint.lock:
+        await host.endpoint.close()
+        await pause(soak, MAX_DOWN_SECONDS)
+        await host.endpoint.start()
--- /dev/null
+++ b/tests/soak_operators.py
@@ -0,0 +1,144 @@
+"""The operator of a soak: changes routes, and records the confirmations."""
+
+import asyncio
+from dataclasses import dataclass
+
+from tests.soak_records import Change
+from tests.test_platform_adapter import CONFIG
+from tests.test_platform_adapter import ROUTE
+
+SERVICES = ('front', 'back')
+# Routes that all versions have, and whether they are safe.
+STABLE_PREFIXES = {'/a/': True, '/b/': False}
+MOVED_PREFIXES = {'/c/': True, '/d/': False, '/e/': True}
+IDLE_ROUTES = 200
+# Dropped routes that are still called.
+REMEMBERED_ROUTES = 4
+# Pauses between series of changes; a node that stays wrong until the next
+# change is seen after the longest ones.
+PAUSES_SECONDS = (0.0, 0.3, 1.0, 4.0, 5.0)
+MAX_SERIES = 3
+CHANGE_KINDS = {}
+
+
+def change(edit):
+    """Register a function of (operator) that edits its routes."""
+    CHANGE_KINDS[edit.__name__] = edit
+    return edit
+
+
+@dataclass(frozen=True)
+class RouteState:
+    """A route: whether it is safe, and its service."""
+
+    safe: bool
+    service: str
+
+
+class Operator:
+    """Writes versions of the configuration.
+
+    :param record: the Record.
+    :param random: a random.Random.
+    :param write: a coroutine function of the number of a version and its
+        RouteStates by prefix, which returns when the store confirmed it.
+    """
+
+    def __init__(self, record, random, write):
+        self.record, self.random, self.write = record, random, write
+        self.number = 0
+        prefixes = {**STABLE_PREFIXES, **MOVED_PREFIXES}
+        self.routes = {
+            prefix: RouteState(safe, SERVICES[0])
+            for prefix, safe in prefixes.items()
+        }
+        # Routes that were added or dropped, the latest last.
+        self.changed = ['/none/']
+
+    async def configure(self):
+        """Write the routes as a new version."""
+        self.number += 1
+        services = {
+            prefix: route.service for prefix, route in self.routes.items()
+        }
+        sent_at = self.record.clock()
+        # Entered before it is sent, since nodes may follow it at once.
+        self.record.changes.append(
+            Change(self.number, sent_at, float('inf'), services)
+        )
+        await self.write(self.number, dict(self.routes))
+        self.record.changes[self.number - 1] = Change(
+            self.number, sent_at, self.record.clock(), services
+        )
+
+    async def run(self):
+        """Make series of changes until the task is cancelled."""
+        while True:
+            for _ in range(self.random.randint(1, MAX_SERIES)):
+                kind = self.random.choice(sorted(CHANGE_KINDS))
+                CHANGE_KINDS[kind](self)
+                self.record.counts[kind] += 1
+                await self.configure()
+            await asyncio.sleep(self.random.choice(PAUSES_SECONDS))
+
+    def draw_prefix(self, random):
+        """Return the prefix of a caller's next request, and if it is safe."""
+        chance = random.random()
+        if chance < 0.5:
+            prefix = random.choice(sorted(STABLE_PREFIXES))
+        elif chance < 0.8:
+            prefix = random.choice(sorted(MOVED_PREFIXES))
+        else:
+            prefix = random.choice(self.changed[-REMEMBERED_ROUTES:])
+        route = self.routes.get(prefix)
+        return prefix, route is None or route.safe
+
+
+@change
+def move_route(operator):
+    """Move a route to the other service."""
+    prefix = operator.random.choice(sorted(MOVED_PREFIXES))
+    route = operator.routes[prefix]
+    other = SERVICES[route.service == SERVICES[0]]
+    operator.routes[prefix] = RouteState(route.safe, other)
+
+
+@change
+def add_route(operator):
+    """Add a route that no version had before."""
+    prefix = f'/n{operator.number}/'
+    service = operator.random.choice(SERVICES)
+    operator.routes[prefix] = RouteState(True, service)
+    operator.changed.append(prefix)
+
+
+@change
+def drop_route(operator):
+    """Drop a route that was added."""
+    added = [item for item in operator.changed if item in operator.routes]
+    if added:
+        prefix = operator.random.choice(added)
+        del operator.routes[prefix]
+        operator.changed.remove(prefix)
+        operator.changed.append(prefix)
+
+
+def build_configuration(number, routes):
+    """Return the value of ``op/config`` for a version."""
+    idle = {
+        f'/idle{n}/': RouteState(True, SERVICES[0]) for n in range(IDLE_ROUTES)
+    }
+    return {
+        **CONFIG,
+        'version': f'r{number}',
+        'routes': {
+            f'r-{prefix.strip("/")}': {
+                **ROUTE,
+                'prefix': prefix,
+                'route_type': 'safe' if route.safe else 'unsafe',
+                'backends': None,
+                'service': route.service,
+            }
+            for prefix, route in {**routes, **idle}.items()
+        },
+    }
