Soak the product's own mesh too

Change: the soak runs either mesh (--mesh). In the product's own one, nodes reach every endpoint directly; endpoints announce themselves and mark refusals with the id of the call. Answers bear no id there, so that a whole second answer that comes late is a marked refusal. Callers call a node once it said that it is ready. Refusals are answered twice as well, more answers are followed by a second one, and zones restart in one or two rounds.

--- a/tests/soak_callers.py
+++ b/tests/soak_callers.py
@@ -38,7 +38,8 @@
     async def run(self):
         """Send requests until the run stops."""
         while not self.soak.stopped:
-            await self.call()
+            if self.host.called:
+                await self.call()
             await self.pause(self.random.random() * self.soak.pause_seconds)
         self.connection.close()
 
@@ -67,6 +68,7 @@
         request.ended_at = self.record.clock()
         if answer is not None:
             request.status, request.stamp = answer.status, answer.stamp
+            request.denies_run = self.soak.mesh.denies_run(answer)
             check_answer(self.record, request, answer)
         self.record.counts[f'status {request.status}'] += 1
         if request.status == 200:
@@ -105,7 +107,8 @@
 
     def build_raw(self, request):
         """Return the bytes of a request, with a length or in chunks."""
-        fields = {'request_id': request.key, 'deadline_ms': DEADLINE_MS}
+        deadline_header = self.soak.mesh.deadline_header
+        fields = {'request_id': request.key, deadline_header: DEADLINE_MS}
         if not self.keeps:
             fields['connection'] = 'close'
         if request.safe:
--- a/tests/soak_checks.py
+++ b/tests/soak_checks.py
@@ -100,7 +100,7 @@
         runs = len(record.runs[request.key])
         if not request.safe and runs > 1:
             yield 'TWICE', request.key, f'is not safe and ran {runs} times'
-        if request.status in NOT_RUN_STATUSES and runs:
+        if request.denies_run and runs:
             yield 'REFUSED', request.key, f'got {request.status} and ran'
 
 
@@ -239,7 +239,7 @@
     left_at = endpoint.left_at
     if (
         left_at is not None
-        and run.began_at - left_at > LEAVE_TOLERANCE_SECONDS
+        and run.began_at - left_at > endpoint.mesh.leave_tolerance
         and record.is_undisturbed(run.host, left_at, run.began_at)
     ):
         record.violate('DRAIN', run.key, 'ran after the acknowledged leave')
--- a/tests/soak_endpoints.py
+++ b/tests/soak_endpoints.py
@@ -4,7 +4,6 @@
 """
 
 import asyncio
-from json import dumps
 
 from tests.soak_checks import check_run
 from tests.soak_http import build_chunks
@@ -17,14 +16,13 @@
 from tests.soak_http import STREAM_LIMIT_BYTES
 from tests.soak_records import build_body
 from tests.soak_records import Run
-from tests.test_platform_adapter import HEARTBEAT
 
-# The largest dose of an installation: the part of the endpoints that
-# stutter, and the part of their answers that are followed by a second one.
+# The part of the endpoints that stutter, and the part of their answers that
+# are followed by a second one.
 STUTTERING_FRACTION = 0.6
-STUTTER_FRACTION = 0.03
+STUTTER_FRACTION = 0.1
 # The part of all answers that an endpoint refuses or breaks off.
-REFUSED_FRACTION = 0.03
+REFUSED_FRACTION = 0.05
 BROKEN_FRACTION = 0.03
 STATUSES = (200,) * 22 + (404, 500, 500)
 CUT_SECONDS = 0.02
@@ -108,7 +106,7 @@
 class Endpoint:
     """An endpoint that records each request that it runs.
 
-    :param record: the Record.
+    :param soak: the Soak.
     :param random: a random.Random.
     :param host: the name of its host.
     :param service: the name of its service.
@@ -118,14 +116,15 @@
     """
 
     def __init__(
-        self, record, random, host, service, control_address, heartbeat_seconds
+        self, soak, random, host, service, control_address, heartbeat_seconds
     ):
-        self.record, self.random = record, random
+        self.record, self.mesh, self.random = soak.record, soak.mesh, random
         self.host, self.service = host, service
         self.control_address = control_address
         self.heartbeat_seconds = heartbeat_seconds
         self.server = self.heartbeat_task = None
-        self.instance, self.left_at, self.sequence = '', None, 0
+        self.instance, self.address = '', ''
+        self.left_at, self.sequence, self.born = None, 0, 0
         self.writers = set()
         self.stutters = random.random() < STUTTERING_FRACTION
         self.lock = asyncio.Lock()
@@ -140,27 +139,21 @@
             limit=STREAM_LIMIT_BYTES,
         )
         port = self.server.sockets[0].getsockname()[1]
-        self.heartbeat = {
-            **HEARTBEAT,
-            'info': {**HEARTBEAT['info'], 'service': self.service},
-            'address': f'127.0.0.1:{port}',
-            'born': next(self.record.numbers),
-        }
+        self.address = f'127.0.0.1:{port}'
+        self.born = next(self.record.numbers)
         self.heartbeat_task = asyncio.ensure_future(self.send_heartbeats())
 
     async def send_heartbeats(self):
         """Send heartbeats until the task is cancelled."""
         while True:
             self.sequence += 1
-            status = {'state': 'ready', 'sequence': self.sequence}
-            body = dumps({**self.heartbeat, 'status': status}).encode()
-            if await self.call_node('PUT', body) != 200:
+            report = self.mesh.build_report(self)
+            if await self.call_node(*report) != 200:
                 self.record.counts['reports without answer'] += 1
             await asyncio.sleep(self.heartbeat_seconds)
 
-    async def call_node(self, method, body=b''):
+    async def call_node(self, method, path, body):
         """Call the local node; return the status, 0 without an answer."""
-        path = f'/-/instances/{self.instance}'
         raw = build_request(method, path, body, connection='close')
         try:
             answer = await exchange(self.control_address, raw)
@@ -171,7 +164,7 @@
     async def leave(self):
         """Announce the leave, and record when the node acknowledged it."""
         await self.stop_heartbeats()
-        if await self.call_node('DELETE') == 200:
+        if await self.call_node(*self.mesh.build_leave(self)) == 200:
             self.left_at = self.record.clock()
 
     async def stop_heartbeats(self):
@@ -212,19 +205,19 @@
         """
         key = request.headers['request-id']
         if self.random.random() < REFUSED_FRACTION:
-            fields = {'request_id': key, 'not_executed': '1'}
-            writer.write(with_length(None, fields, 503, b''))
-            return b''
+            raw = self.build_refusal(request)
+            return await self.write(writer, raw, lambda kind: raw)
         run = await self.run(instance, key, request)
         fields = {'request_id': key, 'server_stamp': run.stamp}
         if self.random.random() < BROKEN_FRACTION:
             self.write_broken(writer, run, fields)
             return None
         first = self.build_answer(fields, run.status, run.body)
-        if self.stutters and self.random.random() < STUTTER_FRACTION:
-            return await self.write_twice(writer, run, fields, first)
-        writer.write(first)
-        return b''
+
+        def build_second(kind):
+            return self.build_second(kind, run, request, first)
+
+        return await self.write(writer, first, build_second)
 
     async def run(self, instance, key, request):
         """Run a request; return the Run, whose answer is decided."""
@@ -243,7 +236,7 @@
         seconds = self.random.random() * self.random.choice((0.02, 0.02, 0.1))
         if self.random.random() < 0.01:
             seconds += self.random.random()
-        deadline_ms = request.headers.get('deadline-ms', 1000)
+        deadline_ms = request.headers.get(self.mesh.deadline_header, 1000)
         await asyncio.sleep(min(seconds, int(deadline_ms) / 1000))
         return run
 
@@ -252,22 +245,48 @@
         largest = self.random.choice((0, 100, 3000, 20000, 60000))
         return self.random.randint(largest // 2, largest)
 
+    def build_refusal(self, request):
+        """Return the bytes that say that a request did not run."""
+        fields = self.mesh.refusal_fields(request)
+        fields['request_id'] = request.headers['request-id']
+        return with_length(self.random, fields, 503, b'')
+
     def build_answer(self, fields, status, body):
         """Return the bytes of an answer in some form."""
         build = self.random.choice((with_length, with_length, in_chunks))
         return build(self.random, fields, status, body)
 
-    async def write_twice(self, writer, run, fields, first):
-        """Write the answer and a second one, which may be another one."""
-        run.second, second = run.status, first
-        if self.random.random() < 0.5:
-            run.second = self.random.choice(STATUSES)
-            body = build_body(f'second {run.stamp} {run.key}', run.size)
-            second = self.build_answer(fields, run.second, body)
+    async def write(self, writer, first, build_second):
+        """Write an answer, and maybe a second one.
+
+        :param build_second: returns the second answer for a kind of stutter.
+        :returns: the bytes that are held back until the next request.
+        """
+        if not (self.stutters and self.random.random() < STUTTER_FRACTION):
+            writer.write(first)
+            return b''
         kind = self.random.choice(sorted(STUTTERS))
         self.record.counts[f'answers twice {kind}'] += 1
+        second = build_second(kind)
         return await STUTTERS[kind](self, writer, first, second)
 
+    def build_second(self, kind, run, request, first):
+        """Return a second answer, which may be another one.
+
+        A whole answer that comes late can only be told apart by the id that
+        it bears. Where answers bear none, refusals do.
+        """
+        status, second = run.status, first
+        if kind == late.__name__ and not self.mesh.echoes:
+            status, second = 503, self.build_refusal(request)
+        elif self.random.random() < 0.5:
+            status = self.random.choice(STATUSES)
+            body = build_body(f'second {run.stamp} {run.key}', run.size)
+            fields = {'request_id': run.key, 'server_stamp': run.stamp}
+            second = self.build_answer(fields, status, body)
+        run.second = f'{kind} {status}'
+        return second
+
     def write_broken(self, writer, run, fields):
         """Write an answer without a length, or not the whole answer."""
         raw = until_end(self.random, fields, run.status, run.body)
--- a/tests/soak_faults.py
+++ b/tests/soak_faults.py
@@ -13,8 +13,10 @@
 MAX_FREEZE_SECONDS = 3.0
 MAX_STORE_FAILURE_SECONDS = 3.0
 MAX_GAP_SECONDS = 0.7
-# Between the endpoint's leave and its end.
-LEAVE_SECONDS = 1.5
+# How often a zone's nodes are restarted in turn.
+MAX_ROUNDS = 2
+# From the time at which an endpoint that leaves gets nothing more to its end.
+LEAVE_SECONDS = 1.0
 
 
 def fault(weight):
@@ -86,15 +88,16 @@
 
 @fault(4)
 async def restart_in_turn(soak, host):
-    """Restart the nodes of a host's zone but one, one after the other."""
+    """Restart the other nodes of a host's zone one after the other."""
     lock = soak.zone_locks[host.zone]
     if lock.locked():
         return
     async with lock:
-        for other in soak.hosts:
-            if other.zone == host.zone and other is not host:
-                await restart_node(soak, other)
-                await pause(soak, MAX_GAP_SECONDS)
+        zone = [other for other in soak.hosts if other.zone == host.zone]
+        zone.remove(host)
+        for other in zone * soak.random.randint(1, MAX_ROUNDS):
+            await restart_node(soak, other)
+            await pause(soak, MAX_GAP_SECONDS)
 
 
 @fault(4)
@@ -124,9 +127,9 @@
     """Make the store answer every call with a failure for a while."""
     async with soak.store_lock:
         with disturbed(soak, STORE):
-            soak.store.failure_status = soak.random.choice([429, 500, 503])
+            soak.mesh.fail_store(soak.random)
             await pause(soak, MAX_STORE_FAILURE_SECONDS)
-            soak.store.failure_status = 0
+            soak.mesh.restore_store()
 
 
 @fault(4)
@@ -134,7 +137,7 @@
     """Replace an endpoint that leaves gracefully by a new instance."""
     async with host.endpoint.lock:
         await host.endpoint.leave()
-        await asyncio.sleep(LEAVE_SECONDS)
+        await asyncio.sleep(soak.mesh.leave_tolerance + LEAVE_SECONDS)
         await host.endpoint.close()
         await host.endpoint.start()
 
--- a/tests/soak_hosts.py
+++ b/tests/soak_hosts.py
@@ -4,18 +4,19 @@
 from dataclasses import dataclass
 from dataclasses import field
 from json import loads
-import os
 from pathlib import Path
 import signal
 import subprocess
-import sys
 
 from tests.soak_endpoints import Endpoint
 from tests.soak_http import build_request
 from tests.soak_http import exchange
 from tests.soak_http import NO_ANSWER
+from tests.soak_meshes import CALL_PORT
+from tests.soak_meshes import CONTROL_PORT
+from tests.soak_meshes import OPERATOR_PORT
+from tests.soak_meshes import PEER_PORT
 from tests.soak_operators import SERVICES
-from tests.test_platform_adapter import SETTINGS
 
 ZONES = (('a', 'south'), ('b', 'south'), ('c', 'north'), ('d', 'north'))
 NODES_PER_ZONE = 3
@@ -34,23 +35,50 @@
     ``lock`` is held while the process is stopped, started or suspended.
     ``revision`` is the latest revision that the process reported,
     ``log_offset`` the size of the log in bytes when the process started.
-    ``killed`` says whether the process was sent SIGKILL.
+    ``killed`` says whether the process was sent SIGKILL, ``called`` whether
+    callers may call it.
     """
 
     name: str
     zone: str
-    call_address: str
-    operator_address: str
+    region: str
+    ip: str
     settings: Path
     endpoint: Endpoint
-    record: object
+    soak: object
     process: subprocess.Popen | None = None
     revision: int = 0
     log_offset: int = 0
     killed: bool = False
     stopping: bool = False
+    called: bool = True
     lock: asyncio.Lock = field(default_factory=asyncio.Lock)
 
+    @property
+    def record(self):
+        """Return the Record."""
+        return self.soak.record
+
+    @property
+    def peer_address(self):
+        """Return the ``host:port`` for other nodes."""
+        return f'{self.ip}:{PEER_PORT}'
+
+    @property
+    def call_address(self):
+        """Return the ``host:port`` for callers."""
+        return f'{self.ip}:{CALL_PORT}'
+
+    @property
+    def control_address(self):
+        """Return the ``host:port`` for the local endpoint."""
+        return f'{self.ip}:{CONTROL_PORT}'
+
+    @property
+    def operator_address(self):
+        """Return the ``host:port`` of the state dump."""
+        return f'{self.ip}:{OPERATOR_PORT}'
+
     @property
     def log(self):
         """Return the path of the log of the node's processes."""
@@ -64,13 +92,12 @@
         """Start a process, which appends to the host's log."""
         with self.log.open('ab') as log:
             self.log_offset = log.tell()
+            command, environment = self.soak.mesh.build_command(self.settings)
             self.process = subprocess.Popen(
-                [sys.executable, '-m', 'poplarrack.platform'],
-                stdout=log,
-                stderr=log,
-                env={**os.environ, 'POPLARRACK_NODE_FILE': self.settings},
+                command, stdout=log, stderr=log, env=environment
             )
         self.revision, self.killed, self.stopping = 0, False, False
+        self.called = not self.soak.mesh.callers_ask_readiness
         self.record.boots[self.name].append(self.record.clock())
 
     def kill(self):
@@ -111,6 +138,22 @@
             self.record.violate('EXIT', self.name, f'ended by itself: {code}')
             self.start()
 
+    async def watch(self):
+        """Check the process once, and whether callers may call it."""
+        self.check_runs()
+        if not self.called:
+            self.called = await self.is_ready()
+        await self.check_revision()
+
+    async def is_ready(self):
+        """Return whether the process says that it is ready."""
+        raw = build_request('GET', '/ready', connection='close')
+        try:
+            answer = await exchange(self.operator_address, raw)
+        except NO_ANSWER:
+            return False
+        return answer.status == 200
+
     async def check_revision(self):
         """Check that the process did not return to an older revision."""
         process = self.process
@@ -139,41 +182,25 @@
 
     Each zone has endpoints of both services.
     """
-    net = f'127.{soak.seed % 200 + 20}.{soak.random.randrange(1, 250)}'
     zones = ZONES[: max(2, min(len(ZONES), nodes // NODES_PER_ZONE))]
-    return [
-        _build_host(soak, number, net, zones, nodes) for number in range(nodes)
+    hosts = [
+        _build_host(soak, number, zones, nodes) for number in range(nodes)
     ]
+    for host in hosts:
+        host.settings.write_text(soak.mesh.build_settings(host, hosts))
+    return hosts
 
 
-def _build_host(soak, number, net, zones, nodes):
+def _build_host(soak, number, zones, nodes):
     zone, region = zones[number % len(zones)]
-    service = SERVICES[number // len(zones) % len(SERVICES)]
-    name, ip = f'sidecar-{zone}-{number}', f'{net}.{number + 1}'
-    heartbeat_seconds = (
-        HEARTBEAT_SECONDS if nodes <= FEW_HOSTS else SLOW_HEARTBEAT_SECONDS
-    )
-    text = SETTINGS.replace('10.1.0.35', ip)
-    for old, new in (
-        ('sidecar-a-1', name),
-        ('region = "south"', f'region = "{region}"'),
-        ('zone = "a"', f'zone = "{zone}"'),
-        ('service = "front"', f'service = "{service}"'),
-        ('10.200.1.7:8142', soak.store_address),
-        ('"1500ms"', f'"{heartbeat_seconds * 1000:.0f}ms"'),
-    ):
-        assert old in text, old
-        text = text.replace(old, new)
-    path = soak.directory / f'{name}.toml'
-    path.write_text(text)
+    name, ip = f'sidecar-{zone}-{number}', f'{soak.net}.{number + 1}'
     endpoint = Endpoint(
-        soak.record,
+        soak,
         soak.build_random(f'endpoint {number}'),
         name,
-        service,
-        f'{ip}:8146',
-        heartbeat_seconds,
-    )
-    return Host(
-        name, zone, f'{ip}:8141', f'{ip}:9464', path, endpoint, soak.record
+        SERVICES[number // len(zones) % len(SERVICES)],
+        f'{ip}:{CONTROL_PORT}',
+        HEARTBEAT_SECONDS if nodes <= FEW_HOSTS else SLOW_HEARTBEAT_SECONDS,
     )
+    path = soak.directory / f'{name}.settings'
+    return Host(name, zone, region, ip, path, endpoint, soak)
--- a/tests/soak_operators.py
+++ b/tests/soak_operators.py
@@ -17,7 +17,7 @@
 REMEMBERED_ROUTES = 4
 # Pauses between series of changes; a node that stays wrong until the next
 # change is seen after the longest ones.
-PAUSES_SECONDS = (0.0, 0.3, 1.0, 4.0, 5.0)
+PAUSES_SECONDS = (0.3, 1.0, 4.0, 5.0)
 MAX_SERIES = 3
 CHANGE_KINDS = {}
 
@@ -124,11 +124,14 @@
         operator.changed.append(prefix)
 
 
+def add_idle_routes(routes):
+    """Return the routes and those that nobody calls."""
+    idle = RouteState(True, SERVICES[0])
+    return {**routes, **{f'/idle{n}/': idle for n in range(IDLE_ROUTES)}}
+
+
 def build_configuration(number, routes):
-    """Return the value of ``op/config`` for a version."""
-    idle = {
-        f'/idle{n}/': RouteState(True, SERVICES[0]) for n in range(IDLE_ROUTES)
-    }
+    """Return the value of ``op/config`` for a version on the platform."""
     return {
         **CONFIG,
         'version': f'r{number}',
@@ -140,6 +143,23 @@
                 'backends': None,
                 'service': route.service,
             }
-            for prefix, route in {**routes, **idle}.items()
+            for prefix, route in add_idle_routes(routes).items()
         },
     }
+
+
+def build_resources(routes):
+    """Return the settings of a version in the product's own mesh by path."""
+    resources = {
+        f'soak/services/{name}': {'name': name, 'version': 'v1'}
+        for name in SERVICES
+    }
+    for prefix, route in add_idle_routes(routes).items():
+        name = f'r-{prefix.strip("/")}'
+        resources[f'soak/routes/{name}'] = {
+            'name': name,
+            'prefix': prefix,
+            'service': route.service,
+            'repeatable': route.safe,
+        }
+    return resources
--- a/tests/soak_records.py
+++ b/tests/soak_records.py
@@ -17,7 +17,8 @@
 class Request:
     """A request of a caller; status 0 means that no whole answer came.
 
-    ``kept`` says whether its connection had carried a request before.
+    ``kept`` says whether its connection had carried a request before,
+    ``denies_run`` whether the answer promises that it did not run.
     """
 
     key: str
@@ -30,6 +31,7 @@
     ended_at: float = inf
     status: int = 0
     stamp: str = ''
+    denies_run: bool = False
     abandoned: bool = False
 
 
@@ -38,7 +40,7 @@
     """A request that an endpoint began to run, and the answer it wrote.
 
     ``sound`` says whether the first answer was written whole; ``second`` is
-    the status of a second answer, or None.
+    how a second answer was sent and its status.
     """
 
     key: str
@@ -50,7 +52,7 @@
     status: int = 0
     size: int = 0
     sound: bool = True
-    second: int | None = None
+    second: str = ''
 
     @property
     def body(self):
--- a/tests/soaks.py
+++ b/tests/soaks.py
@@ -25,19 +25,19 @@
 from tests.soak_faults import FAULT_KINDS
 from tests.soak_faults import PLANNED_KINDS
 from tests.soak_hosts import build_hosts
-from tests.soak_operators import build_configuration
+from tests.soak_meshes import MESHES
+from tests.soak_meshes import PlatformMesh
 from tests.soak_operators import Operator
 from tests.soak_records import Record
-from tests.store_stand_in import running_store
 
 NODES = 6
 RUN_SECONDS = 20.0
 # In each spell, faults hit a part of the hosts only; the others are in touch
 # long enough for the bounds on configuration to hold.
-SPELL_SECONDS = 8.0
+SPELL_SECONDS = 10.0
 DISTURBED_FRACTION = 0.5
 # The part of the spells that have planned work only.
-PLANNED_FRACTION = 0.4
+PLANNED_FRACTION = 0.5
 MAX_FAULT_GAP_SECONDS = 1.0
 # Calls succeed again within RECOVERY_SECONDS after the last fault, as
 # installations require.
@@ -57,17 +57,14 @@
         one seed at the same time disturb each other.
     :param nodes: the number of nodes.
     :param directory: the path for settings and logs.
-    :param store: the StoreStandIn.
-    :param store_address: its ``host:port``.
+    :param mesh: the mesh, an entry of MESHES.
     :param clock: a function that returns monotonic seconds.
     """
 
-    def __init__(
-        self, seed, nodes, directory, store, store_address, clock=monotonic
-    ):
+    def __init__(self, seed, nodes, directory, mesh, clock=monotonic):
         self.seed, self.random, self.clock = seed, Random(seed), clock
-        self.directory = directory
-        self.store, self.store_address = store, store_address
+        self.directory, self.mesh = directory, mesh
+        self.net = choose_net(seed)
         self.store_lock = asyncio.Lock()
         self.zone_locks = defaultdict(asyncio.Lock)
         self.record = Record(clock)
@@ -87,8 +84,7 @@
 
     async def write(self, number, routes):
         """Write a version of the configuration to the store."""
-        value = build_configuration(number, routes)
-        await asyncio.to_thread(self.store.put, 'op/config', value)
+        await asyncio.to_thread(self.mesh.write, number, routes)
 
     async def run(self, seconds):
         """Run the nodes, the callers and the faults; check the record.
@@ -135,9 +131,7 @@
             lag_ms = round((self.clock() - due) * 1000)
             counts = self.record.counts
             counts['harness lag ms'] = max(counts['harness lag ms'], lag_ms)
-            for host in self.hosts:
-                host.check_runs()
-            await asyncio.gather(*(h.check_revision() for h in self.hosts))
+            await asyncio.gather(*(host.watch() for host in self.hosts))
 
     async def disturb(self, end):
         """Inject overlapping faults and changes until a time.
@@ -151,7 +145,8 @@
             hosts = self.random.sample(self.hosts, number)
             spell_end = min(end, self.clock() + SPELL_SECONDS)
             is_planned = self.random.random() < PLANNED_FRACTION
-            names = PLANNED_KINDS if is_planned else sorted(FAULT_KINDS)
+            names = PLANNED_KINDS if is_planned else FAULT_KINDS
+            names = sorted(set(names) - set(self.mesh.unknown_faults))
             while self.clock() < spell_end:
                 name, inject = draw_fault(self.random, names)
                 self.record.counts[name] += 1
@@ -178,23 +173,38 @@
             await asyncio.sleep(0.01)
 
 
-def run_soak(seed, nodes=NODES, seconds=RUN_SECONDS, keep=None):
+def choose_net(seed):
+    """Return the first three octets of the addresses of a seed."""
+    return f'127.{seed % 200 + 20}.{Random(seed).randrange(1, 250)}'
+
+
+def run_soak(
+    seed,
+    nodes=NODES,
+    seconds=RUN_SECONDS,
+    keep=None,
+    mesh=PlatformMesh.name,
+):
     """Run one seed; print the logs of the nodes when an invariant failed.
 
     :param seconds: how long faults are injected.
     :param keep: the path under which the logs are kept, or None.
+    :param mesh: the name of a mesh.
     :returns: the violations, and the counts of statuses and faults.
     """
     with (
         TemporaryDirectory(prefix='poplarrack-soak-') as directory,
-        running_store() as (store, address),
+        MESHES[mesh].running(choose_net(seed)) as running,
     ):
         path = Path(directory)
-        soak = Soak(seed, nodes, path, store, address)
+        soak = Soak(seed, nodes, path, running)
         asyncio.run(soak.run(seconds))
         violations = soak.record.violations
         if violations:
-            print(f'seed {seed}, {nodes} nodes, {seconds} s', file=sys.stderr)
+            print(
+                f'seed {seed}, {mesh}, {nodes} nodes, {seconds} s',
+                file=sys.stderr,
+            )
             print_logs(path, select_shown(violations))
         if keep is not None:
             write_events(soak.record, path / 'events.txt')
@@ -242,11 +252,18 @@
             print(request, record.runs[request.key], file=events)
 
 
-def main(first=1, seeds=50, nodes=NODES, seconds=RUN_SECONDS, keep=None):
+def main(
+    first=1,
+    seeds=50,
+    nodes=NODES,
+    seconds=RUN_SECONDS,
+    keep=None,
+    mesh=PlatformMesh.name,
+):
     """Run seeds one after another; exit with 1 when an invariant failed."""
     failed = []
     for seed in range(first, first + seeds):
-        violations, counts = run_soak(seed, nodes, seconds, keep)
+        violations, counts = run_soak(seed, nodes, seconds, keep, mesh)
         shown = select_shown(violations)
         print(
             dumps({'seed': seed, 'broken': shown, 'counts': counts}),
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -90,7 +90,7 @@
     twice = add_request(record, 1.0, safe=False)
     add_run(record, twice)
     add_run(record, twice)
-    add_run(record, add_request(record, 1.0, status=503))
+    add_run(record, add_request(record, 1.0, denies_run=True))
     assert rules_broken(record) == ['TWICE', 'REFUSED']
 
 
