Let endpoints of the soak make calls

Change: some runs call a safe route through their own node and fail with it; some endpoints give such a call the same id when the request runs again. An answer of a run that began before its request was sent is MIXED: a late second answer to an earlier call with the same id would be one.

--- a/tests/soak_callers.py
+++ b/tests/soak_callers.py
@@ -11,6 +11,7 @@
 from tests.soak_http import EXCHANGE_TIMEOUT_SECONDS
 from tests.soak_http import NO_ANSWER
 from tests.soak_http import NotHttpError
+from tests.soak_operators import SAFE_PREFIX
 from tests.soak_records import Request
 
 DEADLINE_MS = 1500
@@ -54,9 +55,14 @@
                 'MIXED', self.host.name, f'sent {unasked!r} without a request'
             )
 
-    async def call(self):
-        """Send one request and record its answer."""
-        request = self.build_request()
+    async def call(self, key=None):
+        """Send one request and record its answer.
+
+        :param key: the id of a call that an endpoint makes, to a safe route;
+            None for a request of its own.
+        :returns: the Request.
+        """
+        request = self.build_request(key)
         self.record.requests[request.key] = request
         answer = None
         try:
@@ -73,6 +79,7 @@
         self.record.counts[f'status {request.status}'] += 1
         if request.status == 200:
             self.soak.serving_hosts.add(self.host.name)
+        return request
 
     async def exchange(self, request):
         """Return the answer to a request, None if the caller leaves."""
@@ -92,10 +99,13 @@
             if not self.keeps:
                 self.connection.close()
 
-    def build_request(self):
+    def build_request(self, key):
         """Return the next Request."""
-        key = f'c{next(self.record.numbers)}'
-        prefix, safe = self.soak.operator.draw_prefix(self.random)
+        if key is None:
+            key = f'c{next(self.record.numbers)}'
+            prefix, safe = self.soak.operator.draw_prefix(self.random)
+        else:
+            prefix, safe = SAFE_PREFIX, True
         body = b''
         if not safe:
             size = self.random.randrange(MAX_REQUEST_BODY_BYTES)
--- a/tests/soak_checks.py
+++ b/tests/soak_checks.py
@@ -62,6 +62,9 @@
     if run is None or run.key != request.key:
         yield 'MIXED', request.key, f'got the answer of {run}'
         return
+    if run.began_at < request.sent_at:
+        # The id of a call is used again when its request runs again.
+        yield 'MIXED', request.key, f'got the earlier answer of {run}'
     if answer.status != run.status:
         yield 'MIXED', request.key, f'got status {answer.status} of {run}'
     if answer.body != run.body:
@@ -97,7 +100,7 @@
 def check_runs(record):
     """Check how often each request ran against its kind and status."""
     for request in record.requests.values():
-        runs = len(record.runs[request.key])
+        runs = len(record.runs_of(request))
         if not request.safe and runs > 1:
             yield 'TWICE', request.key, f'is not safe and ran {runs} times'
         if request.denies_run and runs:
--- a/tests/soak_endpoints.py
+++ b/tests/soak_endpoints.py
@@ -24,6 +24,10 @@
 # The part of all answers that an endpoint refuses or breaks off.
 REFUSED_FRACTION = 0.05
 BROKEN_FRACTION = 0.03
+# The part of the runs that make a call of their own. Some endpoints give it
+# the same id when a request runs again.
+CALLING_FRACTION = 0.05
+CALL_MARK = '-call'
 STATUSES = (200,) * 22 + (404, 500, 500)
 CUT_SECONDS = 0.02
 STUTTERS = {}
@@ -127,6 +131,9 @@
         self.left_at, self.sequence, self.born = None, 0, 0
         self.writers = set()
         self.stutters = random.random() < STUTTERING_FRACTION
+        self.repeats_ids = random.random() < 0.5
+        # Builds the Caller of a call that a run makes.
+        self.build_caller = None
         self.lock = asyncio.Lock()
 
     async def start(self):
@@ -238,8 +245,19 @@
             seconds += self.random.random()
         deadline_ms = request.headers.get(self.mesh.deadline_header, 1000)
         await asyncio.sleep(min(seconds, int(deadline_ms) / 1000))
+        if CALL_MARK not in key and self.random.random() < CALLING_FRACTION:
+            await self.call_from(run)
         return run
 
+    async def call_from(self, run):
+        """Make a call of a run, which fails if the call does."""
+        key = f'{run.key}{CALL_MARK}'
+        if not self.repeats_ids:
+            key = f'{key}{next(self.record.numbers)}'
+        request = await self.build_caller().call(key)
+        if request.status != 200:
+            run.status = 500
+
     def draw_size(self):
         """Draw the size of a body in bytes."""
         largest = self.random.choice((0, 100, 3000, 20000, 60000))
--- a/tests/soak_operators.py
+++ b/tests/soak_operators.py
@@ -9,7 +9,8 @@
 
 SERVICES = ('front', 'back')
 # Routes that all versions have, and whether they are safe.
-STABLE_PREFIXES = {'/a/': True, '/b/': False}
+SAFE_PREFIX = '/a/'
+STABLE_PREFIXES = {SAFE_PREFIX: True, '/b/': False}
 MOVED_PREFIXES = {'/c/': True, '/d/': False, '/e/': True}
 # As many as installations have.
 IDLE_ROUTES = 300
--- a/tests/soak_records.py
+++ b/tests/soak_records.py
@@ -131,6 +131,17 @@
         self.runs[run.key].append(run)
         self.runs_by_stamp[run.stamp] = run
 
+    def runs_of(self, request):
+        """Return the runs of a request.
+
+        Earlier ones are those of an earlier call with the same id.
+        """
+        return [
+            run
+            for run in self.runs[request.key]
+            if run.began_at >= request.sent_at
+        ]
+
     def violate(self, rule, key, detail):
         """Record that a rule was broken.
 
@@ -174,7 +185,7 @@
         """
         found = []
         for request in self.requests.values():
-            for run in self.runs[request.key]:
+            for run in self.runs_of(request):
                 found.append(
                     self._build_handling(request, run.began_at, run.service)
                 )
--- a/tests/soaks.py
+++ b/tests/soaks.py
@@ -9,6 +9,7 @@
 
 import asyncio
 from collections import defaultdict
+from functools import partial
 from json import dumps
 from pathlib import Path
 from random import Random
@@ -74,6 +75,10 @@
         # Callers wait for half of it on average.
         self.pause_seconds = 2 * callers / MAX_REQUESTS_PER_SECOND
         self.hosts = build_hosts(self, nodes)
+        for host in self.hosts:
+            host.endpoint.build_caller = partial(
+                Caller, self, host, host.endpoint.random, keeps=False
+            )
         self.operator = Operator(
             self.record, self.build_random('operator'), self.write
         )
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -84,6 +84,18 @@
         assert answer('own', **changes), changes
 
 
+def test_the_answer_of_an_earlier_call_with_the_same_id_is_found():
+    # A late second answer to the first of two calls would pass.
+    record = build_record()
+    request = add_request(record, 1.0)
+    run = add_run(record, request, at=0.9)
+    message = HttpMessage(
+        'HTTP/1.1 200 -', {'server-stamp': run.stamp}, run.body
+    )
+    check_answer(record, request, message)
+    assert len(record.violations) == 1, record.violations
+
+
 def test_repeated_runs_and_untrue_refusals_are_found():
     # A run that a status denies, or a second one, would pass.
     record = build_record()
