Don't hide failures of the soak's own tasks

Cause: an error in the task of the operator or of heartbeats ended the changes or reports of a run in silence; an ill-formed length ended a caller. A request without an id ended the endpoint's connection.

Change: tasks that are cancelled are awaited, so that their errors fail the run; ill-formed bodies count as no message (MIXED), and requests without an id as UNASKED. Faults come more often with many hosts.

--- a/tests/soak_endpoints.py
+++ b/tests/soak_endpoints.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+from contextlib import suppress
 
 from tests.soak_checks import check_run
 from tests.soak_http import build_chunks
@@ -177,7 +178,8 @@
     async def stop_heartbeats(self):
         """Stop sending heartbeats."""
         self.heartbeat_task.cancel()
-        await asyncio.gather(self.heartbeat_task, return_exceptions=True)
+        with suppress(asyncio.CancelledError):
+            await self.heartbeat_task
 
     async def close(self):
         """Stop listening and abort all connections."""
@@ -210,7 +212,7 @@
         :returns: the bytes that are held back until the next request, or
             None to end the connection.
         """
-        key = request.headers['request-id']
+        key = request.headers.get('request-id', '')
         if self.random.random() < REFUSED_FRACTION:
             raw = self.build_refusal(request)
             return await self.write(writer, raw, lambda kind: raw)
@@ -266,7 +268,7 @@
     def build_refusal(self, request):
         """Return the bytes that say that a request did not run."""
         fields = self.mesh.refusal_fields(request)
-        fields['request_id'] = request.headers['request-id']
+        fields['request_id'] = request.headers.get('request-id', '')
         return with_length(self.random, fields, 503, b'')
 
     def build_answer(self, fields, status, body):
--- a/tests/soak_http.py
+++ b/tests/soak_http.py
@@ -59,17 +59,20 @@
             raise NotHttpError(first_line[:80])
         pairs = (line.split(':', 1) for line in lines)
         headers = {name.lower(): value.strip() for name, value in pairs}
+        body = await _read_body(reader, headers, until_end)
     except (ValueError, asyncio.LimitOverrunError) as error:
         raise NotHttpError(repr(error)[:200]) from error
-    if headers.get('transfer-encoding') == 'chunked':
-        body = await _read_chunks(reader)
-    elif 'content-length' in headers or not until_end:
-        body = await reader.readexactly(int(headers.get('content-length', 0)))
-    else:
-        body = await reader.read()
     return HttpMessage(first_line, headers, body)
 
 
+async def _read_body(reader, headers, until_end):
+    if headers.get('transfer-encoding') == 'chunked':
+        return await _read_chunks(reader)
+    if 'content-length' in headers or not until_end:
+        return await reader.readexactly(int(headers.get('content-length', 0)))
+    return await reader.read()
+
+
 async def _read_chunks(reader):
     chunks = []
     while True:
--- a/tests/soaks.py
+++ b/tests/soaks.py
@@ -9,6 +9,7 @@
 
 import asyncio
 from collections import defaultdict
+from contextlib import suppress
 from functools import partial
 from json import dumps
 from pathlib import Path
@@ -39,7 +40,9 @@
 DISTURBED_FRACTION = 0.5
 # The part of the spells that have planned work only.
 PLANNED_FRACTION = 0.5
+# With more hosts, faults come at shorter intervals.
 MAX_FAULT_GAP_SECONDS = 1.0
+HOSTS_PER_FAULT_GAP = 12
 # Calls succeed again within RECOVERY_SECONDS after the last fault, as
 # installations require.
 RECOVERY_SECONDS = 15.0
@@ -145,6 +148,8 @@
         """
         operator = asyncio.ensure_future(self.operator.run())
         faults = []
+        gaps = max(1.0, len(self.hosts) / HOSTS_PER_FAULT_GAP)
+        longest_gap = MAX_FAULT_GAP_SECONDS / gaps
         while self.clock() < end:
             number = max(1, round(len(self.hosts) * DISTURBED_FRACTION))
             hosts = self.random.sample(self.hosts, number)
@@ -157,11 +162,11 @@
                 self.record.counts[name] += 1
                 host = self.random.choice(hosts)
                 faults.append(asyncio.ensure_future(inject(self, host)))
-                gap_seconds = self.random.random() * MAX_FAULT_GAP_SECONDS
-                await asyncio.sleep(gap_seconds)
+                await asyncio.sleep(self.random.random() * longest_gap)
         await asyncio.gather(*faults)
         operator.cancel()
-        await asyncio.gather(operator, return_exceptions=True)
+        with suppress(asyncio.CancelledError):
+            await operator
 
     async def wait_for_recovery(self):
         """Wait until calls through every node succeed again."""
