Reuse a connection only between two answers

Callers saw: 200 with the stamp and the id of their own request, and a body that begins with a part of another caller's answer.

Cause: an endpoint sent an answer twice. If the read that ended the first one held a part of the second, the connection went back to the pool with the parser inside the copy: only a copy that ended in that read cleared `reusable`. The rest of the copy's body became chunks of the next exchange, and as its status wasn't kept it was taken for an interim answer, which left the chunks in place.

Change: the state of an answer (status, headers, chunks, size) is reset as a whole when an answer begins, so that nothing of a skipped, interim or earlier one is left. A first byte behind the complete answer takes the connection out of use, and each exchange has a parser of its own. Trailers are left out of the headers, answers to HEAD need the request's id and a final status, an answer with two ids has none, and an upgrade that nobody asked for ends the exchange. The event `answer_out_of_step` says which answers were skipped and where bytes followed one.

--- a/poplarrack/upstreams.py
+++ b/poplarrack/upstreams.py
@@ -1,23 +1,27 @@
 """Send requests to backend servers over pooled keep-alive connections.
 
 A connection carries one exchange at a time. It is closed after an exchange
-that did not end with exactly one complete answer, so that a late answer
-can't reach another caller. Where servers echo a request's id, an answer
-with another id is skipped.
+that did not end with exactly one complete answer and no byte behind it, so
+that a late answer can't reach another caller. Where servers echo a request's
+id, an answer with another id is skipped.
 """
 
 from asyncio import get_running_loop
 from asyncio import timeout
 from dataclasses import dataclass
 from enum import Enum
+import logging
 
 from httptools import HttpParserError
+from httptools import HttpParserUpgrade
 from httptools import HttpResponseParser
 
 from poplarrack.addresses import split_destination
 from poplarrack.buffers import SharedBufferProtocol
 from poplarrack.http_messages import HttpAnswer
 
+logger = logging.getLogger(__name__)
+
 MAX_IDLE_SECONDS = 15.0
 # Subtracted from the keep-alive timeout that a server announces, so that no
 # request is sent while the server closes the connection.
@@ -87,13 +91,17 @@
         self.transport = None
         self.exchange = None
         self.parser = None
+        # State of the answer that is being read, reset when one begins.
         self.answer = None
+        self.has_head = False
         self.chunks = []
         self.size = 0
         # Bytes of the exchange that are not part of a body or its framing.
         self.overhead_bytes = 0
         self.buffered_bytes = 0
         self.complete = False
+        # Whether bytes came after the complete answer.
+        self.followed = False
         self.reusable = False
         self.idle_since = 0.0
         self.idle_seconds = MAX_IDLE_SECONDS
@@ -109,25 +117,31 @@
         self.exchange = exchange
         self.pool.sending.add(self)
         exchange.connection = self
-        self.answer = HttpAnswer(0)
-        self.chunks = []
-        self.size = 0
+        self.parser = HttpResponseParser(self)
+        self._reset_answer()
         self.overhead_bytes = 0
         self.complete = False
+        self.followed = False
         self.mismatched_answers = 0
-        if self.parser is None:
-            self.parser = HttpResponseParser(self)
         self.transport.write(exchange.request)
 
+    def _reset_answer(self):
+        self._drop_body()
+        self.answer = HttpAnswer(0)
+        self.has_head = False
+        self.size = 0
+        self.reusable = False
+
     def data_received(self, data):
         """Feed the parser; close on bytes that no exchange asked for."""
         if self.exchange is None:
+            self._log_out_of_step('bytes without a request')
             self.close()
             return
         self.overhead_bytes += len(data)
         try:
             self.parser.feed_data(data)
-        except HttpParserError:
+        except (HttpParserError, HttpParserUpgrade):
             self._fail(Outcome.LOST)
             return
         if self.complete and self.exchange is not None:
@@ -136,21 +150,43 @@
             # The parser keeps an unfinished header, whatever its size.
             self._fail(Outcome.LOST)
 
+    def on_message_begin(self):
+        """Start an answer, or note that one follows the complete answer."""
+        if not self.complete:
+            self._reset_answer()
+        elif not self.followed:
+            self.followed = True
+            self._log_out_of_step('bytes after the answer')
+
     def on_header(self, name, value):
-        """Add a header to the answer."""
-        if self.complete:
+        """Add a header to the answer; trailers are left out."""
+        if self.complete or self.has_head:
             return
         self.size += len(name) + len(value)
         self.answer.headers.append((name.lower(), value))
 
     def on_headers_complete(self):
         """Store the status; an answer to HEAD is complete here."""
-        if self.complete:
+        if self.complete or self.exchange is None:
             return
+        self.has_head = True
         self.answer.status = self.parser.get_status_code()
         if self.size > MAX_HEADER_BYTES:
             self._fail(Outcome.TOO_LARGE)
-        elif self.exchange and self.exchange.bodiless:
+        elif self.answer.status < 100:
+            self._fail(Outcome.LOST)
+        elif self.exchange.bodiless and not self._is_interim():
+            self._complete_head()
+
+    def _is_interim(self):
+        return 100 <= self.answer.status < 200
+
+    def _complete_head(self):
+        if self._is_mismatched():
+            # It is not known whether a body follows.
+            self._log_out_of_step('answer to another request')
+            self._fail(Outcome.LOST)
+        else:
             self.complete = True
 
     def on_chunk_header(self):
@@ -177,12 +213,7 @@
 
     def on_message_complete(self):
         """Complete the answer, unless it is interim or mismatched."""
-        if self.answer.status < 200:
-            self.answer = HttpAnswer(0)
-            return
-        if self.complete:
-            # A second answer to one request: the connection is out of step.
-            self.reusable = False
+        if self.complete or self.exchange is None or self._is_interim():
             return
         if self._is_mismatched():
             self._skip_mismatched()
@@ -193,14 +224,18 @@
 
     def _is_mismatched(self):
         """Return whether the answer belongs to another request."""
-        echo = self.exchange.echo if self.exchange else None
-        return echo is not None and self.answer.header(echo[0]) != echo[1]
+        echo = self.exchange.echo
+        if echo is None:
+            return False
+        name, own = echo
+        return {
+            value for key, value in self.answer.headers if key == name
+        } != {own}
 
     def _skip_mismatched(self):
+        self._log_out_of_step('answer to another request')
         self.mismatched_answers += 1
-        self.answer = HttpAnswer(0)
         self._drop_body()
-        self.size = 0
         if self.mismatched_answers > MAX_MISMATCHED_ANSWERS or (
             not self.parser.should_keep_alive()
         ):
@@ -212,7 +247,8 @@
         ends_with_connection = (
             self.exchange is not None
             and not self.complete
-            and answer.status >= 200
+            and self.has_head
+            and not self._is_interim()
             and answer.header(b'content-length') is None
             and answer.header(b'transfer-encoding') is None
             and not self._is_mismatched()
@@ -233,6 +269,22 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def _log_out_of_step(self, outcome):
+        """Log why the connection's bytes are not one answer to its request."""
+        echo = self.exchange and self.exchange.echo
+        name, own = echo or (b'', b'')
+        other = self.answer.header(name) if echo else None
+        logger.info(
+            'answer_out_of_step',
+            extra={
+                'request': own.decode('latin-1'),
+                'outcome': outcome,
+                'endpoint': self.pool.address,
+                'status': self.answer.status if self.answer else 0,
+                'other': (other or b'').decode('latin-1'),
+            },
+        )
+
     def _fail(self, outcome):
         exchange = self.detach()
         if exchange is None:
@@ -266,6 +318,7 @@
         self.idle_seconds = idle_timeout_seconds(answer)
         can_reuse = (
             self.reusable
+            and not self.followed
             and not exchange.bodiless
             and not exchange.is_out_of_step(answer)
             and self.transport.get_write_buffer_size() == 0
@@ -304,6 +357,7 @@
     """
 
     def __init__(self, address, max_answer_bytes, connect_timeout_seconds):
+        self.address = address
         self.host, self.port = split_destination(address)
         self.max_answer_bytes = max_answer_bytes
         self.connect_timeout_seconds = connect_timeout_seconds
