Reject a head that goes on with another answer's

Callers saw, in a test: a success with the stamp and the body of their own answer, which was a 500.

Cause: an answer that is cut off inside its head, such as a late second one, is followed by the next answer on the connection. The parser takes the next status line for the rest of a reason phrase or of a header's value. The status is then that of the answer that was cut off, and the id, the stamp and the body are the next one's, so that the id is right.

Change: a status line inside the reason phrase or a header's value ends the exchange as lost.

Measured: test_the_rest_of_a_head_that_was_cut_off_is_no_answer failed before (200 in place of 500 from the cut "HTTP/1.1 200 " on).

--- a/poplarrack/upstreams.py
+++ b/poplarrack/upstreams.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass
 from enum import Enum
 import logging
+import re
 
 from httptools import HttpParserError
 from httptools import HttpParserUpgrade
@@ -34,6 +35,8 @@
 MAX_CHUNK_FRAMING_BYTES = 20
 # Answers of the greatest size that a pool buffers at a time.
 MAX_BUFFERED_ANSWERS = 2
+# Inside a head, where an answer was cut off and another one follows.
+STATUS_LINE = re.compile(rb'HTTP/\d\.\d \d\d\d')
 
 
 class Outcome(Enum):
@@ -93,6 +96,7 @@
         self.parser = None
         # State of the answer that is being read, reset when one begins.
         self.answer = None
+        self.reason = b''
         self.has_head = False
         self.chunks = []
         self.size = 0
@@ -128,6 +132,7 @@
     def _reset_answer(self):
         self._drop_body()
         self.answer = HttpAnswer(0)
+        self.reason = b''
         self.has_head = False
         self.size = 0
         self.reusable = False
@@ -158,6 +163,11 @@
             self.followed = True
             self._log_out_of_step('bytes after the answer')
 
+    def on_status(self, part):
+        """Add a part of the reason phrase."""
+        if not self.complete:
+            self.reason += part
+
     def on_header(self, name, value):
         """Add a header to the answer; trailers are left out."""
         if self.complete or self.has_head:
@@ -173,7 +183,8 @@
         self.answer.status = self.parser.get_status_code()
         if self.size > MAX_HEADER_BYTES:
             self._fail(Outcome.TOO_LARGE)
-        elif self.answer.status < 100:
+        elif self._is_spoiled_head():
+            self._log_out_of_step('spoiled head')
             self._fail(Outcome.LOST)
         elif self.exchange.bodiless and not self._is_interim():
             self._complete_head()
@@ -181,6 +192,19 @@
     def _is_interim(self):
         return 100 <= self.answer.status < 200
 
+    def _is_spoiled_head(self):
+        """Return whether the head is that of no one answer.
+
+        The head of an answer that was cut off goes on with the next answer's.
+        """
+        return (
+            self.answer.status < 100
+            or STATUS_LINE.search(self.reason) is not None
+            or any(
+                STATUS_LINE.search(value) for _, value in self.answer.headers
+            )
+        )
+
     def _complete_head(self):
         if self._is_mismatched():
             # It is not known whether a body follows.
--- a/tests/test_upstream_answers.py
+++ b/tests/test_upstream_answers.py
@@ -127,6 +127,19 @@
         asyncio.run(run(size))
 
 
+# MIXED: the status came from an earlier answer that was cut off, and the
+# stamp and the body from the own one.
+def test_the_rest_of_a_head_that_was_cut_off_is_no_answer():
+    own = answer(b'r1', b'ok', 500)
+    stray = answer(b'r0', b'x')
+    for cut in range(1, len(stray) - 1):
+        outcome, body, kept = exchange(stray[:cut] + own)
+        assert outcome in (Outcome.LOST, None), (stray[:cut], body)
+        outcome, body, kept = exchange(stray[:cut], own[:13], own[13:])
+        assert outcome in (Outcome.LOST, None), (stray[:cut], body)
+    assert exchange(stray + own) == (Outcome.ANSWERED, b'ok', True)
+
+
 # MIXED: an answer that is cut off looks complete when the next one fills it.
 def test_an_answer_filled_by_the_next_one_is_lost():
     own = answer(body=b'b' * 60)
