Deliver an answer whatever comes behind it

Callers saw: a 502 for a request that its endpoint had answered. An unsafe request can't be repeated then.

Cause: the parser raises an error if bytes come behind an answer with `Connection: close`, or bytes that start no answer behind any other. If they came in the read that ended the answer, it was given up.

Change: the answer is delivered, and its connection closed, unless its body holds what may be the start of another answer. Then it may have been cut off, with the next one in place of its rest, and it is lost as before.

--- a/poplarrack/upstreams.py
+++ b/poplarrack/upstreams.py
@@ -37,6 +37,8 @@
 MAX_BUFFERED_ANSWERS = 2
 # Inside a head, where an answer was cut off and another one follows.
 STATUS_LINE = re.compile(rb'HTTP/\d\.\d \d\d\d')
+# In a body, where it may have been cut off and another answer follows.
+ANSWER_START = re.compile(rb'HTTP/|H(T(TP?)?)?\Z')
 
 
 class Outcome(Enum):
@@ -147,8 +149,10 @@
         try:
             self.parser.feed_data(data)
         except (HttpParserError, HttpParserUpgrade):
-            self._fail(Outcome.LOST)
-            return
+            self._note_bytes_after()
+            if not self.complete or self._may_go_on():
+                self._fail(Outcome.LOST)
+                return
         if self.complete and self.exchange is not None:
             self._succeed()
         elif self.overhead_bytes > MAX_HEADER_BYTES:
@@ -159,10 +163,22 @@
         """Start an answer, or note that one follows the complete answer."""
         if not self.complete:
             self._reset_answer()
-        elif not self.followed:
+        else:
+            self._note_bytes_after()
+
+    def _note_bytes_after(self):
+        if self.complete and not self.followed:
             self.followed = True
             self._log_out_of_step('bytes after the answer')
 
+    def _may_go_on(self):
+        """Return whether the bytes after the answer may be a part of it.
+
+        An answer that is cut off looks complete if the start of another one
+        fills its body.
+        """
+        return ANSWER_START.search(b''.join(self.chunks)) is not None
+
     def on_status(self, part):
         """Add a part of the reason phrase."""
         if not self.complete:
--- a/tests/test_upstream_answers.py
+++ b/tests/test_upstream_answers.py
@@ -1,6 +1,8 @@
 """Test that an exchange ends with its own answer, whatever else is sent."""
 
 import asyncio
+from dataclasses import dataclass
+from random import Random
 
 from poplarrack.upstreams import Exchange
 from poplarrack.upstreams import Outcome
@@ -11,6 +13,10 @@
 load_tests = build_load_tests(__name__)
 
 ECHO = b'x-id'
+SEQUENCES = 6_000
+EXCHANGES = 4
+STATUSES = (200, 200, 404, 500, 503)
+FRAMINGS = ('length', 'length', 'chunked', 'trailers', 'end')
 
 
 class FakeTransport:
@@ -140,6 +146,16 @@
     assert exchange(stray + own) == (Outcome.ANSWERED, b'ok', True)
 
 
+# LOST: a complete answer was given up for the bytes behind it.
+def test_an_answer_is_delivered_whatever_comes_behind_it():
+    own = answer()
+    for extra in (own, own[:9], b'\0garbage', b'HTTP/1.1 200 \0'):
+        assert exchange(own + extra) == (Outcome.ANSWERED, b'ok', False)
+    last = answer(b'r1', b'ok', 200, b'connection: close')
+    for extra in (b'', own, last, b'garbage'):
+        assert exchange(last + extra) == (Outcome.ANSWERED, b'ok', False)
+
+
 # MIXED: an answer that is cut off looks complete when the next one fills it.
 def test_an_answer_filled_by_the_next_one_is_lost():
     own = answer(body=b'b' * 60)
@@ -175,3 +191,144 @@
 def test_two_different_ids_are_no_id():
     two = answer(b'r1', b'ok', 200, b'x-id: r0')
     assert exchange(two, end=True)[0] is Outcome.LOST
+
+
+@dataclass
+class SentAnswer:
+    """An answer as the server meant it."""
+
+    call_id: bytes
+    status: int
+    body: bytes
+    framing: str
+    raw: bytes
+
+
+def draw_answer(random, call_id):
+    status = random.choice(STATUSES)
+    size = random.choice((0, 1, 9, 60, 300))
+    body = bytes(random.choices(b'ab 1\r\n', k=size))
+    framing = random.choice(FRAMINGS)
+    lines = []
+    raw_body = body
+    if framing == 'length':
+        lines.append(b'content-length: %d' % len(body))
+    elif framing != 'end':
+        lines.append(b'transfer-encoding: chunked')
+        cut = random.randint(0, len(body))
+        parts = [part for part in (body[:cut], body[cut:]) if part]
+        raw_body = b''.join(b'%x\r\n%b\r\n' % (len(p), p) for p in parts)
+        trailer = b'x-sum: 1\r\n' if framing == 'trailers' else b''
+        raw_body += b'0\r\n' + trailer + b'\r\n'
+    if random.random() < 0.1:
+        lines.append(b'connection: close')
+    raw = head(status, call_id, *lines) + raw_body
+    return SentAnswer(call_id, status, body, framing, raw)
+
+
+class RandomServer:
+    """Draws what a faulty server sends on one connection.
+
+    Before an answer it sends copies of the one before, and after an answer
+    copies of that; each may be cut off. An answer that is cut off itself is
+    the last on its connection.
+    """
+
+    def __init__(self, random):
+        self.random = random
+        self.last = None
+        # What the caller has not read yet.
+        self.unread = b''
+        self.sends_whole = True
+        self.sends_only_whole = True
+
+    def draw(self, call_id):
+        """Add what is sent for a request to ``unread``.
+
+        :returns: the SentAnswer.
+        """
+        random = self.random
+        own = draw_answer(random, call_id)
+        self.sends_only_whole = not self.unread
+        before = self._draw_copy(self.last)
+        if random.random() < 0.1:
+            before += b'HTTP/1.1 100 Continue\r\nx-id: r0\r\n\r\n'
+        raw = own.raw
+        self.sends_whole = random.random() < 0.85
+        if not self.sends_whole:
+            raw = raw[: random.randrange(len(raw))]
+        self.unread += before + raw
+        only_whole = self.sends_only_whole
+        if self.sends_whole and own.framing != 'end':
+            self.unread += self._draw_copy(own)
+        self.sends_only_whole = only_whole
+        self.last = own
+        return own
+
+    def _draw_copy(self, item):
+        choice = self.random.random()
+        if item is None or item.framing == 'end' or choice < 0.4:
+            return b''
+        if choice < 0.7 and b'connection: close' not in item.raw:
+            return item.raw
+        self.sends_only_whole = False
+        return item.raw[: self.random.randrange(len(item.raw))]
+
+
+def play(random, server, caller, done):
+    """Deliver a server's answer in random segments.
+
+    :returns: the SentAnswer, and whether it must arrive.
+    """
+    own = server.draw(caller.own_id)
+    must_arrive = server.sends_whole and server.sends_only_whole
+    while server.unread and not caller.closed:
+        if done and random.random() < 0.5:
+            # The rest comes after the next request.
+            break
+        size = random.choice((1, 5, 40, 200, 1000))
+        caller.receive(server.unread[:size])
+        server.unread = server.unread[size:]
+    if not done:
+        # Without a length, an answer that was cut off is told by the reset.
+        is_cut = not server.sends_whole and own.framing == 'end'
+        is_reset = is_cut or random.random() < 0.3
+        caller.end(ConnectionResetError() if is_reset else None)
+        must_arrive = must_arrive and not is_reset
+    return own, must_arrive
+
+
+async def play_sequence(random):
+    """Play some exchanges; return their outcomes."""
+    server, caller, connection, outcomes = None, Caller(), None, []
+    for _ in range(EXCHANGES):
+        done = caller.send()
+        if caller.connection is not connection:
+            server, connection = RandomServer(random), caller.connection
+        own, must_arrive = play(random, server, caller, done)
+        [(outcome, found)] = done
+        outcomes.append(outcome)
+        assert outcome is Outcome.ANSWERED or not must_arrive, own
+        if outcome is Outcome.ANSWERED:
+            assert server.sends_whole, own
+            assert found.status == own.status, (own, found)
+            assert found.header(b'x-stamp') == b's-' + own.call_id
+            assert found.body == own.body, (own, found)
+    assert caller.pool.buffered_bytes == 0
+    return outcomes
+
+
+# MIXED: a success whose status, stamp or body was another answer's.
+def test_each_exchange_ends_with_its_own_answer():
+    async def run():
+        outcomes = []
+        for seed in range(SEQUENCES):
+            try:
+                outcomes += await play_sequence(Random(seed))
+            except AssertionError as error:
+                raise AssertionError(f'seed {seed}: {error}') from error
+        return outcomes
+
+    outcomes = asyncio.run(run())
+    assert outcomes.count(Outcome.ANSWERED) > SEQUENCES
+    assert outcomes.count(Outcome.LOST) > SEQUENCES / 4
