Translate the configuration into a value

Two threads of a node shared a Translator: one whose fetcher had been stopped, and one of the fetcher started after it. It set its revision before it had replaced its resources, so that the second thread got the old content under the new revision.

A translation is now a frozen value that is computed completely from the items and the translation before it. The states that a watch continues from belong to its thread. The counters of a client are changed under its lock.

--- a/poplarrack/platform/configurations.py
+++ b/poplarrack/platform/configurations.py
@@ -5,6 +5,9 @@
 record of its progress are translated into one move.
 """
 
+from collections.abc import Mapping
+from dataclasses import dataclass
+from dataclasses import field
 import logging
 
 from msgspec.json import encode
@@ -57,68 +60,98 @@
 }
 
 
-class Translator:
-    """Translates the store's items into poplarrack's resources.
+@dataclass(frozen=True)
+class Translation:
+    """The store's items and what they mean in poplarrack's resources.
 
-    The configuration is kept with its revision and translated again only
-    after a change. An item that can't be used is left out, so that the others
-    stay in force: an order names no move then, a record none that has begun,
-    and for a configuration the last one that could be used is kept.
+    ``translated`` has poplarrack's KeyValues by key. ``rejected`` has the
+    revision and the fault of each item that was left out, by key.
+    ``configuration`` is the store's item that ``resources`` and ``services``
+    were last derived from, whether or not it could be used.
+    """
+
+    configuration: KeyValue | None = None
+    resources: Mapping[str, KeyValue] = field(default_factory=dict)
+    services: frozenset[str] = frozenset()
+    translated: Mapping[str, KeyValue] = field(default_factory=dict)
+    rejected: Mapping[str, tuple[int, str]] = field(default_factory=dict)
+
+
+def translate(items, previous):
+    """Return the Translation of the store's items.
+
+    The configuration is translated again only after a change. An item that
+    can't be used is left out, so that the others stay in force: an order
+    names no move then, a record none that has begun, and for a configuration
+    the last one that could be used is kept.
 
-    ``rejected`` has the revision and the fault of each such item by key.
+    :param items: the store's KeyValues under the watched prefix, by key.
+    :param previous: the Translation of the items before them; it is not
+        changed, so that threads may share it.
     """
+    return _Pass(items, previous).run()
 
-    def __init__(self):
-        self.revision = 0
-        self.resources = {}
-        self.services = frozenset()
-        self.rejected = {}
 
-    def translate(self, items):
-        """Return poplarrack's KeyValues by key.
+class _Pass:
+    """One translation of the store's items, while it is under way."""
 
-        :param items: the store's KeyValues under the watched prefix, by key.
-        """
-        present = {
+    def __init__(self, items, previous):
+        self.items = items
+        self.previous = previous
+        self.present = {
             key: item for key, item in items.items() if item.value is not None
         }
-        translated = dict(self._configuration(present.get(CONFIGURATION_KEY)))
-        for key, item in present.items():
+        self.rejected = {}
+        self.resources = {}
+        self.services = frozenset()
+
+    def run(self):
+        """Return the Translation."""
+        configuration = self.present.get(CONFIGURATION_KEY)
+        if configuration is not None:
+            self._read_configuration(configuration)
+        translated = dict(self.resources)
+        for key, item in self.present.items():
             if key.startswith(ORDER_PREFIX):
                 service = key.removeprefix(ORDER_PREFIX)
-                record = present.get(RECORD_PREFIX + service)
+                record = self.present.get(RECORD_PREFIX + service)
                 move = self._translate_move(service, item, record)
                 if move is not None:
                     translated[move.key] = move
-        for key in set(self.rejected) - set(present):
-            del self.rejected[key]
-        head = max((item.mod_revision for item in items.values()), default=0)
         if translated:
+            head = max(item.mod_revision for item in self.items.values())
             translated[HEAD_KEY] = KeyValue(HEAD_KEY, b'', head, head)
-        return translated
+        return Translation(
+            configuration,
+            self.resources,
+            self.services,
+            translated,
+            self.rejected,
+        )
 
-    def _configuration(self, item):
-        if item is None:
-            return {}
-        if item.mod_revision != self.revision:
-            self.revision = item.mod_revision
-            try:
-                resources = _translate_configuration(item)
-                snapshot = snapshot_from_items(resources.values())
-                configuration = load_configuration(snapshot)
-            except PoplarrackError as error:
-                self._reject(item, error.detail)
-            else:
-                self.rejected.pop(item.key, None)
-                self.resources = resources
-                self.services = frozenset(configuration.services)
-        return self.resources
+    def _read_configuration(self, item):
+        previous = self.previous
+        self.resources = previous.resources
+        self.services = previous.services
+        if item == previous.configuration:
+            if item.key in previous.rejected:
+                self.rejected[item.key] = previous.rejected[item.key]
+            return
+        try:
+            resources = _translate_configuration(item)
+            snapshot = snapshot_from_items(resources.values())
+            configuration = load_configuration(snapshot)
+        except PoplarrackError as error:
+            self._reject(item, error.detail)
+        else:
+            self.resources = resources
+            self.services = frozenset(configuration.services)
 
     def _reject(self, item, detail):
         """Record an item that can't be used; log it once."""
         fault = (item.mod_revision, detail[:MAX_DETAIL_CHARACTERS])
-        if self.rejected.get(item.key) != fault:
-            self.rejected[item.key] = fault
+        self.rejected[item.key] = fault
+        if self.previous.rejected.get(item.key) != fault:
             logger.error(
                 'entry_rejected',
                 extra={
@@ -141,7 +174,6 @@
                 recorded = decode_resource(path, record.value)
                 if recorded.move_id == move_id:
                     self._check_move(recorded)
-                    self.rejected.pop(record.key, None)
                     return KeyValue(key, record.value, 0, record.mod_revision)
             except PoplarrackError as error:
                 self._reject(record, error.detail)
@@ -151,7 +183,6 @@
         except PoplarrackError as error:
             self._reject(order, error.detail)
             return None
-        self.rejected.pop(order.key, None)
         revision = record.mod_revision if record is not None else 0
         return KeyValue(key, value, 0, revision)
 
--- a/poplarrack/platform/store_client.py
+++ b/poplarrack/platform/store_client.py
@@ -1,7 +1,12 @@
 """Access the platform's store through the interface of PlatformClient."""
 
 from collections import OrderedDict
+from collections.abc import Mapping
+from dataclasses import dataclass
+from dataclasses import field
+from dataclasses import replace
 from json import loads
+from threading import local
 import time
 from urllib.parse import urlencode
 
@@ -12,7 +17,8 @@
 from poplarrack.platform.configurations import build_status
 from poplarrack.platform.configurations import record_key_of
 from poplarrack.platform.configurations import TEAM
-from poplarrack.platform.configurations import Translator
+from poplarrack.platform.configurations import translate
+from poplarrack.platform.configurations import Translation
 from poplarrack.platform.configurations import WATCHED_PREFIX
 from poplarrack.platform.settings import parse_duration
 from poplarrack.platforms import build_timeout
@@ -36,16 +42,46 @@
 MAX_KEPT_REVISIONS = 8
 
 
+@dataclass(frozen=True)
+class StoreState:
+    """The store's items at a revision, by key, and their Translation."""
+
+    revision: int = 0
+    items: Mapping[str, KeyValue] = field(default_factory=dict)
+    translation: Translation = field(default_factory=Translation)
+
+
+class ThreadStates(local):
+    """The states at the revisions that a thread's watch may continue from."""
+
+    def __init__(self):
+        self.states = OrderedDict()
+
+    def keep(self, state):
+        """Add a state and evict the oldest ones over the maximum."""
+        self.states[state.revision] = state
+        self.states.move_to_end(state.revision)
+        while len(self.states) > MAX_KEPT_REVISIONS:
+            self.states.popitem(last=False)
+
+
 class PlatformStoreClient(StoreClient):
-    """A blocking client with the methods of PlatformClient."""
+    """A blocking client with the methods of PlatformClient.
+
+    A thread's watch continues from a state that the same thread has read, of
+    which its caller has every event.
+    """
 
     def __init__(self, addresses, sleep=time.sleep):
         super().__init__(addresses)
         self.sleep = sleep
-        self.translator = Translator()
-        self.rejected_entries = self.translator.rejected
-        # The store's items at the revisions that a watch may continue from.
-        self.items_by_revision = OrderedDict()
+        self.threads = ThreadStates()
+        self.newest = StoreState()
+
+    @property
+    def rejected_entries(self):
+        """Return the revision and the fault of left out entries by key."""
+        return self.newest.translation.rejected
 
     def read_prefix(self, prefix, revision=0):
         """Read all keys under a prefix.
@@ -58,10 +94,9 @@
             return RangeResponse(revision, tuple(items))
         items, revision = self._read_range(WATCHED_PREFIX)
         items_by_key = {item.key: item for item in items}
-        self._keep(revision, items_by_key)
-        return RangeResponse(
-            revision, tuple(self.translator.translate(items_by_key).values())
-        )
+        translation = translate(items_by_key, self.newest.translation)
+        self._keep(StoreState(revision, items_by_key, translation))
+        return RangeResponse(revision, tuple(translation.translated.values()))
 
     def write(self, compares, operations, lease_id=0):
         """Write a move's record and status if the record is unchanged.
@@ -111,25 +146,21 @@
         :raises PoplarrackError: COMPACTED if the state at the revision is no
             longer kept, by this client or by the store.
         """
-        items_by_key = self.items_by_revision.get(revision)
-        if items_by_key is None:
+        state = self.threads.states.get(revision)
+        if state is None:
             raise PoplarrackError(
                 ErrorKind.COMPACTED, f'revision {revision} is no longer kept'
             )
-        translated = self.translator.translate(items_by_key)
         while True:
-            answer = self._wait_for_events(revision)
+            answer = self._wait_for_events(state.revision)
             events = [_unpack_event(item) for item in answer['events']]
-            revision = max(revision, answer['store_revision'])
-            items_by_key = _apply(items_by_key, events)
-            changed = (
-                self.translator.translate(items_by_key)
-                if events
-                else translated
+            after = _advance(state, answer['store_revision'], events)
+            self._keep(after)
+            yield WatchBatch(
+                after.revision,
+                _difference(state.translation, after.translation),
             )
-            self._keep(revision, items_by_key)
-            yield WatchBatch(revision, _difference(translated, changed))
-            translated = changed
+            state = after
             if events:
                 self.sleep(WATCH_PAUSE_SECONDS)
 
@@ -148,11 +179,11 @@
             timeout=build_timeout(max_silence_seconds),
         )
 
-    def _keep(self, revision, items_by_key):
-        self.items_by_revision[revision] = items_by_key
-        self.items_by_revision.move_to_end(revision)
-        while len(self.items_by_revision) > MAX_KEPT_REVISIONS:
-            self.items_by_revision.popitem(last=False)
+    def _keep(self, state):
+        self.threads.keep(state)
+        with self.lock:
+            if state.revision >= self.newest.revision:
+                self.newest = state
 
     def _read_range(self, prefix):
         """Return the items under a prefix and the revision to watch from.
@@ -178,7 +209,7 @@
 
     def _call(self, method, path, body=None, **options):
         response = self.request(method, path, body, **options)
-        self.bytes += len(response.data) + ESTIMATED_HEADER_BYTES
+        self.count_bytes(len(response.data) + ESTIMATED_HEADER_BYTES)
         try:
             return loads(response.data)
         except (ValueError, RecursionError) as error:
@@ -212,17 +243,24 @@
     return _unpack_item(event)
 
 
-def _apply(items_by_key, events):
-    """Return the items after events; a deleted key stays without a value.
+def _advance(state, revision, events):
+    """Return the StoreState after events; a deleted key stays without a value.
 
     The revision of the deletion is needed, so that the version without the
     key counts as newer.
     """
-    return {**items_by_key, **{event.key: event for event in events}}
+    revision = max(revision, state.revision)
+    if not events:
+        return replace(state, revision=revision)
+    items = {**state.items, **{event.key: event for event in events}}
+    return StoreState(revision, items, translate(items, state.translation))
 
 
 def _difference(before, after):
-    """Return the events that turn one set of items into another."""
+    """Return the events that turn one Translation into another."""
+    if before is after:
+        return ()
+    before, after = before.translated, after.translated
     changed = [item for key, item in after.items() if before.get(key) != item]
     newest = max((item.mod_revision for item in after.values()), default=0)
     removed = [
--- a/poplarrack/platforms.py
+++ b/poplarrack/platforms.py
@@ -92,8 +92,6 @@
         self.circuit = CircuitBreaker()
         self.calls = 0
         self.bytes = 0
-        # The revision and the fault of entries that were left out, by key.
-        self.rejected_entries = {}
         # The shortest call so far bounds the network's round trip from above.
         self.min_round_trip_seconds = 0.0
         self.lock = Lock()
@@ -103,6 +101,11 @@
             timeout=build_timeout(CALL_TIMEOUT_SECONDS),
         )
 
+    @property
+    def rejected_entries(self):
+        """Return the revision and the fault of left out entries by key."""
+        return {}
+
     def request(self, method, path, body=None, **options):
         """Make one call, unless the circuit is open.
 
@@ -127,13 +130,19 @@
             raise
         self._record(True)
         duration = self.clock() - now
-        if (
-            not self.min_round_trip_seconds
-            or duration < self.min_round_trip_seconds
-        ):
-            self.min_round_trip_seconds = duration
+        with self.lock:
+            if (
+                not self.min_round_trip_seconds
+                or duration < self.min_round_trip_seconds
+            ):
+                self.min_round_trip_seconds = duration
         return response
 
+    def count_bytes(self, count):
+        """Add to the bytes exchanged with the store."""
+        with self.lock:
+            self.bytes += count
+
     def _record(self, succeeded):
         with self.lock:
             self.circuit = self.circuit.record(succeeded, self.clock())
@@ -271,7 +280,7 @@
         )
         try:
             for line in _read_lines(response):
-                self.bytes += len(line) + LINE_OVERHEAD_BYTES
+                self.count_bytes(len(line) + LINE_OVERHEAD_BYTES)
                 yield _decode_batch(loads(line)['result'])
         except HTTPError as error:
             raise PoplarrackError(
@@ -309,7 +318,7 @@
 
     def _call(self, path, body):
         response = self.request('POST', path, body)
-        self.bytes += (
+        self.count_bytes(
             len(dumps(body)) + len(response.data) + CALL_OVERHEAD_BYTES
         )
         return loads(response.data)
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -25,7 +25,8 @@
 from poplarrack.messages import CODECS
 from poplarrack.messages import DEFLATED
 from poplarrack.messages import PLAIN
-from poplarrack.platform.configurations import Translator
+from poplarrack.platform.configurations import translate
+from poplarrack.platform.configurations import Translation
 from poplarrack.platform.heartbeats import decode_born
 from poplarrack.platform.heartbeats import decode_heartbeat
 from poplarrack.platform.pages import serve_control
@@ -152,7 +153,7 @@
 
 
 def translated_paths(items):
-    translated = Translator().translate(items)
+    translated = translate(items, Translation()).translated
     return sorted(key.partition('mesh/')[2] for key in translated)
 
 
@@ -181,24 +182,23 @@
     huge = move(from_version='', move_id='front-4', complete_by=1e300)
     for value in (*ODD_VALUES, encode_resource(own), encode_resource(huge)):
         items = items_of(own__moves__front=value)
-        translator = Translator()
-        found = translator.translate(items)
+        translation = translate(items, Translation())
+        found = translation.translated
         key = next(key for key in found if key.endswith('moves/front'))
         assert b'"ordered_seconds":12.0' in found[key].value, value[:80]
-        assert 'own/moves/front' in translator.rejected
+        assert 'own/moves/front' in translation.rejected
 
 
 # A configuration that can't be read ended the thread; the last one that can
 # stays in force, and orders are still followed.
 def test_an_odd_configuration_leaves_the_last_one_in_force():
-    translator = Translator()
-    before = translator.translate(items_of())
+    before = after = translate(items_of(), Translation())
     for number, value in enumerate(ODD_VALUES):
         items = items_of()
         items['op/config'] = item('op/config', value, 9 + number)
-        after = translator.translate(items)
-        assert set(after) == set(before), value[:80]
-        assert translator.rejected['op/config'][0] == 9 + number
+        after = translate(items, after)
+        assert set(after.translated) == set(before.translated), value[:80]
+        assert after.rejected['op/config'][0] == 9 + number
 
 
 # The thread ended on any error but those that it expects.
@@ -387,11 +387,10 @@
         own__moves__back=record,
         own__moves__front=record,
     )
-    translator = Translator()
-    translator.translate(items_of())
+    before = translate(items_of(), Translation())
     items['op/config'] = item('op/config', config, 30)
-    translated = translator.translate(items)
-    snapshot, _ = read_configuration(ItemsClient(translated))
+    after = translate(items, before)
+    snapshot, _ = read_configuration(ItemsClient(after.translated))
     load_configuration(snapshot)
 
 
