Drop what a stopped fetcher still finds

A fetcher is stopped on the event loop, and what it reports is handed over there: it is now dropped there once the fetcher is stopped. A stopped fetcher begins no watch after a read.

--- a/poplarrack/fetchers.py
+++ b/poplarrack/fetchers.py
@@ -3,6 +3,7 @@
 Only the few nodes of a zone that are its fetchers do this.
 """
 
+from functools import partial
 import logging
 from random import Random
 from threading import Event
@@ -105,7 +106,10 @@
         self.thread.start()
 
     def stop(self):
-        """Let the thread end at the next event or progress notification."""
+        """Let the thread end at the next event or progress notification.
+
+        It may still be in a watch by then, and reports nothing more.
+        """
         self.stopped.set()
 
     def run(self):
@@ -139,6 +143,8 @@
         """Read the configuration unless a watch can be resumed; watch it."""
         if not self.resume_at:
             self.snapshot, self.resume_at = read_configuration(self.client)
+            if self.stopped.is_set():
+                return
             self.on_snapshot(self.snapshot)
         self.on_platform_result(True, '')
         watch = self.client.watch(CONFIGURATION_PREFIX, self.resume_at)
@@ -155,12 +161,21 @@
 
 
 def build_fetcher(client, node, loop):
-    """Return a Fetcher that calls a node on the node's event loop."""
+    """Return a Fetcher that calls a node on the node's event loop.
 
-    def on_snapshot(snapshot):
-        loop.call_soon_threadsafe(node.on_snapshot, snapshot)
+    What it sent before it was stopped there is dropped.
+    """
+
+    def report(method, *arguments):
+        loop.call_soon_threadsafe(report_unless_stopped, method, *arguments)
 
-    def on_platform_result(succeeded, detail):
-        loop.call_soon_threadsafe(node.record_platform_call, succeeded, detail)
+    def report_unless_stopped(method, *arguments):
+        if not fetcher.stopped.is_set():
+            method(*arguments)
 
-    return Fetcher(client, on_snapshot, on_platform_result)
+    fetcher = Fetcher(
+        client,
+        partial(report, node.on_snapshot),
+        partial(report, node.record_platform_call),
+    )
+    return fetcher
--- a/tests/test_store_client.py
+++ b/tests/test_store_client.py
@@ -5,15 +5,18 @@
 """
 
 from concurrent.futures import ThreadPoolExecutor
+from functools import partial
 from threading import Event
 from unittest.mock import patch
 
 from poplarrack.configurations import load_configuration
 from poplarrack.fetchers import apply_events
+from poplarrack.fetchers import build_fetcher
 from poplarrack.fetchers import read_configuration
 from poplarrack.platform import configurations
 from poplarrack.platform.store_client import PlatformStoreClient
 from poplarrack.platforms import CONFIGURATION_PREFIX
+from poplarrack.snapshots import Snapshot
 from tests.store_stand_in import running_store
 from tests.support import build_load_tests
 from tests.support import fixture
@@ -107,3 +110,93 @@
     )
     assert one == other
     assert other.revision > before.revision
+
+
+class RecordingNode:
+    """Records what a fetcher reports."""
+
+    def __init__(self):
+        self.snapshots = []
+        self.results = []
+
+    def on_snapshot(self, snapshot):
+        """Record a snapshot."""
+        self.snapshots.append(snapshot)
+
+    def record_platform_call(self, succeeded, detail):
+        """Record the result of a call."""
+        self.results.append((succeeded, detail))
+
+
+class RecordingLoop:
+    """Keeps calls until they are run, as an event loop does."""
+
+    def __init__(self):
+        self.calls = []
+
+    def call_soon_threadsafe(self, function, *arguments):
+        """Keep a call."""
+        self.calls.append(partial(function, *arguments))
+
+    def run(self):
+        """Run the calls that were kept."""
+        calls, self.calls = self.calls, []
+        for call in calls:
+            call()
+
+
+def stop_after(fetcher, path):
+    """Stop a fetcher as soon as a call of its client is answered."""
+    request = fetcher.client.request
+
+    def request_and_stop(method, target, *arguments, **options):
+        response = request(method, target, *arguments, **options)
+        if path in target:
+            fetcher.stop()
+        return response
+
+    fetcher.client.request = request_and_stop
+
+
+def fetch_until_stopped(store, path):
+    """Run a fetcher that is stopped at a call; the store then changes.
+
+    :returns: the snapshots that it brought.
+    """
+    stand_in, address = store
+    node, loop = RecordingNode(), RecordingLoop()
+    fetcher = build_fetcher(client_of(address), node, loop)
+    stop_after(fetcher, path)
+    bring = fetcher.on_snapshot
+
+    def bring_and_change(*arguments):
+        bring(*arguments)
+        loop.run()
+        stand_in.put('op/rollout/front', ORDER)
+
+    fetcher.on_snapshot = bring_and_change
+    fetcher.run()
+    loop.run()
+    return node.snapshots
+
+
+# A fetcher that was stopped in a watch of up to 4 s still brought what it
+# found then, beside the fetcher that was started after it.
+def test_a_stopped_fetcher_brings_nothing_more(store):
+    stand_in, _ = store
+    stand_in.put('op/config', CONFIG)
+    assert len(fetch_until_stopped(store, 'kv-range')) == 0
+    assert len(fetch_until_stopped(store, 'kv-watch')) == 1
+
+
+# It was stopped while what it had found was on its way to the event loop.
+def test_what_a_stopped_fetcher_found_before_is_dropped():
+    node, loop = RecordingNode(), RecordingLoop()
+    fetcher = build_fetcher(None, node, loop)
+    fetcher.on_platform_result(True, '')
+    loop.run()
+    fetcher.on_snapshot(Snapshot())
+    fetcher.on_platform_result(False, 'away')
+    fetcher.stop()
+    loop.run()
+    assert node.snapshots == [] and node.results == [(True, '')]
