Read several pages of the store as one state

A configuration of over a megabyte, or of more than 500 items, that changed between two pages was read with an old value under a newer revision. The watch then brought the new value under the same revision, which the node ignored, so that the old one stayed in force until the next change. A key that was deleted between the pages left the read with an older revision than other nodes had.

Where the store's revision differs between the first and the last page, the events after the first are now asked for and applied, which brings all items to one revision. This costs one call, and none for a single page.

Both tests failed before: the content differed from that of another read at the same revision.

--- a/poplarrack/platform/store_client.py
+++ b/poplarrack/platform/store_client.py
@@ -34,6 +34,8 @@
 WATCH_WAIT_SECONDS = 4.0
 # How much longer than its wait the answer to a watch may take to arrive.
 WATCH_MARGIN_SECONDS = 1.0
+# The least wait of a watch that is only asked for what has happened.
+CATCH_UP_WAIT_SECONDS = 0.001
 # Pause between watches, so that changes in quick succession are batched.
 WATCH_PAUSE_SECONDS = 0.5
 # Counted for the headers of each response in addition to its body.
@@ -90,10 +92,17 @@
         :returns: a RangeResponse.
         """
         if prefix != CONFIGURATION_PREFIX:
-            items, revision = self._read_range(prefix)
+            items, revision, _ = self._read_range(prefix)
             return RangeResponse(revision, tuple(items))
-        items, revision = self._read_range(WATCHED_PREFIX)
+        items, revision, end = self._read_range(WATCHED_PREFIX)
         items_by_key = {item.key: item for item in items}
+        if end != revision:
+            # Pages are no snapshot: what came between them brings all items
+            # to one revision.
+            revision, events = self._wait_for_events(
+                revision, CATCH_UP_WAIT_SECONDS
+            )
+            items_by_key = _apply(items_by_key, events)
         translation = translate(items_by_key, self.newest.translation)
         self._keep(StoreState(revision, items_by_key, translation))
         return RangeResponse(revision, tuple(translation.translated.values()))
@@ -152,9 +161,8 @@
                 ErrorKind.COMPACTED, f'revision {revision} is no longer kept'
             )
         while True:
-            answer = self._wait_for_events(state.revision)
-            events = [_unpack_event(item) for item in answer['events']]
-            after = _advance(state, answer['store_revision'], events)
+            revision, events = self._wait_for_events(state.revision)
+            after = _advance(state, revision, events)
             self._keep(after)
             yield WatchBatch(
                 after.revision,
@@ -164,20 +172,22 @@
             if events:
                 self.sleep(WATCH_PAUSE_SECONDS)
 
-    def _wait_for_events(self, revision):
+    def _wait_for_events(self, revision, wait_seconds=WATCH_WAIT_SECONDS):
+        """Return the revision that a watch goes on from, and its events."""
         query = urlencode(
             {
                 'prefix': WATCHED_PREFIX,
                 'after': revision,
-                'wait_ms': int(WATCH_WAIT_SECONDS * 1000),
+                'wait_ms': int(wait_seconds * 1000),
             }
         )
-        max_silence_seconds = WATCH_WAIT_SECONDS + WATCH_MARGIN_SECONDS
-        return self._call(
+        answer = self._call(
             'GET',
             f'/-/kv-watch?{query}',
-            timeout=build_timeout(max_silence_seconds),
+            timeout=build_timeout(wait_seconds + WATCH_MARGIN_SECONDS),
         )
+        events = [_unpack_event(item) for item in answer['events']]
+        return max(revision, answer['store_revision']), events
 
     def _keep(self, state):
         self.threads.keep(state)
@@ -186,21 +196,22 @@
                 self.newest = state
 
     def _read_range(self, prefix):
-        """Return the items under a prefix and the revision to watch from.
+        """Return the items under a prefix, read page by page.
 
-        The pages are not one snapshot, so that a watch has to continue from
-        the revision of the first page.
+        :returns: the items, and the store's revisions at the first and at
+            the last page. The pages are not one snapshot, so that a watch
+            has to continue from the first.
         """
-        items, after, revision = [], '', 0
+        items, after, first = [], '', 0
         while True:
             query = {'prefix': prefix}
             if after:
                 query['after'] = after
             page = self._call('GET', f'/-/kv-range?{urlencode(query)}')
             items += [_unpack_item(item) for item in page['items']]
-            revision = revision or page['store_revision']
+            first = first or page['store_revision']
             if not page['has_more']:
-                return items, revision
+                return items, first, page['store_revision']
             after = items[-1].key
 
     def _transact(self, expected, puts):
@@ -243,16 +254,20 @@
     return _unpack_item(event)
 
 
-def _advance(state, revision, events):
-    """Return the StoreState after events; a deleted key stays without a value.
+def _apply(items, events):
+    """Return the items after events; a deleted key stays without a value.
 
     The revision of the deletion is needed, so that the version without the
     key counts as newer.
     """
-    revision = max(revision, state.revision)
+    return {**items, **{event.key: event for event in events}}
+
+
+def _advance(state, revision, events):
+    """Return the StoreState at a later revision, after some events."""
     if not events:
         return replace(state, revision=revision)
-    items = {**state.items, **{event.key: event for event in events}}
+    items = _apply(state.items, events)
     return StoreState(revision, items, translate(items, state.translation))
 
 
--- a/tests/store_stand_in.py
+++ b/tests/store_stand_in.py
@@ -41,6 +41,12 @@
             self.store.transact((), [operation])
             self.changed.notify_all()
 
+    def delete(self, key):
+        """Delete a key, as an operator does."""
+        with self.changed:
+            self.store.transact((), [Operation(key, None)])
+            self.changed.notify_all()
+
     def answer(self, method, path, query, body):
         """Return the status and the body of the answer to a call."""
         self.calls.append(f'{method} {path}')
--- a/tests/test_store_client.py
+++ b/tests/test_store_client.py
@@ -112,6 +112,62 @@
     assert other.revision > before.revision
 
 
+def change_after_first_page(client, change):
+    """Call a function once, after the client's first read of a page."""
+    request = client.request
+
+    def request_and_change(method, target, *arguments, **options):
+        response = request(method, target, *arguments, **options)
+        if 'kv-range' in target:
+            client.request = request
+            change()
+        return response
+
+    client.request = request_and_change
+
+
+# An item of the first page changed, and then one of the second page was read
+# with a newer revision: the old value was read under the newer revision, and
+# the watch then brought the new value under the same one.
+def test_pages_that_change_while_they_are_read_are_one_state(store):
+    stand_in, address = store
+    stand_in.page_size = 1
+    stand_in.put('op/config', CONFIG)
+    stand_in.put('op/rollout/front', ORDER)
+    client = client_of(address)
+
+    def change():
+        stand_in.put('op/config', config(timeout='7s'))
+        stand_in.put('op/rollout/front', {**ORDER, 'target_version': 'v3'})
+
+    change_after_first_page(client, change)
+    snapshot, revision = read_configuration(client)
+    again, _ = read_configuration(client_of(address))
+    assert snapshot == again
+    stand_in.put('op/rollout/back', {**ORDER, 'service': 'back'})
+    batch = next(client.watch(CONFIGURATION_PREFIX, revision))
+    after = apply_events(snapshot, batch.events)
+    assert after.revision > snapshot.revision
+    assert after == read_configuration(client_of(address))[0]
+
+
+# A read whose pages lack what was deleted meanwhile had an older revision
+# than the watch of another node.
+def test_a_deletion_between_pages_counts(store):
+    stand_in, address = store
+    stand_in.page_size = 1
+    stand_in.put('op/config', CONFIG)
+    stand_in.put('op/rollout/front', ORDER)
+    client, other = client_of(address), client_of(address)
+    before, revision = read_configuration(other)
+    change_after_first_page(
+        client, lambda: stand_in.delete('op/rollout/front')
+    )
+    snapshot, _ = read_configuration(client)
+    batch = next(other.watch(CONFIGURATION_PREFIX, revision))
+    assert snapshot == apply_events(before, batch.events)
+
+
 class RecordingNode:
     """Records what a fetcher reports."""
 
