Let the store decide where contents differ

A node that held wrong content under a revision kept it until the next change. A read after a deletion has an older revision than the nodes that watched it, and was ignored, too.

Whatever a node reads from the store as a whole now replaces other content held under the same or a newer revision, unless the read is older than that. It gets the store's revision, so that it spreads where that is newer. Two nodes that compare and have other content of one revision log `configuration_mismatch` and read the store once each, after a random delay of up to 1 s, in which the read of another one may repair them; neither takes the other's content. A node does so at most every 5 s, and once for a content.

A read no longer puts an earlier configuration in place of one that can't be used: it isn't what the store has.

--- a/poplarrack/decisions.py
+++ b/poplarrack/decisions.py
@@ -28,6 +28,17 @@
     ask_platform: bool
 
 
+@dataclass(frozen=True)
+class CheckContent:
+    """Compare the configuration held with the platform's.
+
+    ``revision`` and ``digest`` are those of the configuration.
+    """
+
+    revision: int
+    digest: int
+
+
 @dataclass(frozen=True)
 class ProbeThrough:
     """Ask helpers whether an unresponsive node answers them."""
--- a/poplarrack/executors.py
+++ b/poplarrack/executors.py
@@ -5,6 +5,7 @@
 from dataclasses import replace
 import logging
 
+from poplarrack.decisions import CheckContent
 from poplarrack.decisions import Compare
 from poplarrack.decisions import ForgetEndpoint
 from poplarrack.decisions import HaltMove
@@ -17,6 +18,7 @@
 from poplarrack.decisions import WriteSummary
 from poplarrack.errors import PoplarrackError
 from poplarrack.fetchers import HEAD_KEY
+from poplarrack.fetchers import read_configuration
 from poplarrack.joiners import find_seeds
 from poplarrack.joiners import MAX_JOIN_DELAY_SECONDS
 from poplarrack.joiners import sync
@@ -35,6 +37,9 @@
 logger = logging.getLogger(__name__)
 
 EXECUTORS = {}
+# Upper bound of the random delay before a node reads the store to check the
+# content that it holds.
+MAX_CHECK_DELAY_SECONDS = 1.0
 
 
 @dataclass(frozen=True)
@@ -65,6 +70,7 @@
     node.write_sent(compared_at=node.clock(), compare_turn=turn)
     own = node.digests()
     answer = await node.call(decision.node_id, 'Compare', own)
+    node.check_content(answer.digests)
     if _differs(own, answer.digests):
         await sync(node, node.address_of(decision.node_id), answer)
 
@@ -234,6 +240,26 @@
     return SummaryLease(lease_id, now + ttl_seconds / 3)
 
 
+@executes(CheckContent)
+async def check_content(node, decision):
+    """Read the configuration again, unless it has been replaced meanwhile.
+
+    Many nodes may find the same difference at once; the read of one of them
+    may repair all.
+    """
+    await asyncio.sleep(node.random.random() * MAX_CHECK_DELAY_SECONDS)
+    held = node.knowledge.configuration.snapshot
+    if (held.revision, held.digest) != (decision.revision, decision.digest):
+        return
+    snapshot, read_at = await node.dependencies.run_blocking(
+        read_configuration, node.dependencies.platform
+    )
+    node.on_snapshot(snapshot, read_at)
+    if read_at >= decision.revision:
+        held = node.knowledge.configuration.snapshot
+        node.checked_content = (held.revision, held.digest)
+
+
 @executes(Watch)
 async def watch(node, decision):
     """Start or stop the fetcher."""
--- a/poplarrack/fetchers.py
+++ b/poplarrack/fetchers.py
@@ -76,7 +76,8 @@
     It is read again when the watch can't be resumed, because the store has
     compacted its revision.
 
-    :param on_snapshot: called on the fetcher's thread with each Snapshot.
+    :param on_snapshot: called on the fetcher's thread with each Snapshot and
+        the revision of the store at which it was read as a whole, or 0.
     :param on_platform_result: called on the fetcher's thread after each
         call to the platform, with whether it succeeded and a detail.
     """
@@ -145,7 +146,7 @@
             self.snapshot, self.resume_at = read_configuration(self.client)
             if self.stopped.is_set():
                 return
-            self.on_snapshot(self.snapshot)
+            self.on_snapshot(self.snapshot, self.resume_at)
         self.on_platform_result(True, '')
         watch = self.client.watch(CONFIGURATION_PREFIX, self.resume_at)
         for batch in watch:
@@ -156,7 +157,7 @@
             self.on_platform_result(True, '')
             if batch.events:
                 self.snapshot = apply_events(self.snapshot, batch.events)
-                self.on_snapshot(self.snapshot)
+                self.on_snapshot(self.snapshot, 0)
             self.resume_at = max(self.resume_at, batch.revision)
 
 
--- a/poplarrack/knowledge.py
+++ b/poplarrack/knowledge.py
@@ -64,14 +64,23 @@
     return xxh64_intdigest('\0'.join(sorted(verdicts)).encode())
 
 
-def apply_snapshot(knowledge, snapshot):
+def apply_snapshot(knowledge, snapshot, read_at=0):
     """Apply a newer snapshot if it is valid, else record its rejection.
 
+    What was read from the store also replaces other content that is held
+    under the same or a newer revision, unless the read is older than that.
+
+    :param read_at: the store's revision at which the whole snapshot was read
+        from it; 0 for one from elsewhere.
     :returns: the Knowledge, unchanged for a snapshot that is not newer than
         the configuration or than the last rejection.
     """
-    if snapshot.revision <= knowledge.configuration.revision:
-        return knowledge
+    held = knowledge.configuration.snapshot
+    if snapshot.revision <= held.revision:
+        same = snapshot.digest == held.digest
+        if same or not snapshot.revision or read_at < held.revision:
+            return knowledge
+        snapshot = replace(snapshot, revision=read_at)
     rejected = knowledge.rejection
     if rejected is not None and snapshot.revision <= rejected.revision:
         return knowledge
--- a/poplarrack/nodes.py
+++ b/poplarrack/nodes.py
@@ -17,6 +17,7 @@
 from poplarrack.blackboards import Facts
 from poplarrack.blackboards import Lifecycle
 from poplarrack.controllers import CONTROLLERS
+from poplarrack.decisions import CheckContent
 from poplarrack.detectors import find_unreachable_nodes
 from poplarrack.detectors import record_failure
 from poplarrack.dispatchers import Dispatcher
@@ -47,6 +48,8 @@
 CALLS_REFRESH_INTERVAL_SECONDS = 0.5
 TOPOLOGY_REFRESH_INTERVAL_SECONDS = 1.0
 REBUILD_DELAY_SECONDS = 0.05
+# How often at most a node reads the store again where contents differ.
+CHECK_INTERVAL_SECONDS = 5.0
 # A platform with a shorter round trip is in this region. Round trips take
 # tens of milliseconds between regions and one millisecond between
 # availability zones.
@@ -98,6 +101,10 @@
         self.history = SnapshotHistory()
         self.fetcher = None
         self.summary_lease = SummaryLease()
+        # The revision and the digest of the content that was last compared
+        # with the store's because another node had other content.
+        self.checked_content = (0, 0)
+        self.check_at = 0.0
         build = dependencies.build_dispatcher or self._build_dispatcher
         self.dispatcher = build()
         self.spreader = Spreader(self)
@@ -252,10 +259,13 @@
 
     # Platform.
 
-    def on_snapshot(self, snapshot):
-        """Apply a snapshot read from the platform and spread the delta."""
+    def on_snapshot(self, snapshot, read_at=0):
+        """Apply a snapshot read from the platform and spread the delta.
+
+        :param read_at: the store's revision if it was read as a whole.
+        """
         before = self.knowledge
-        knowledge = apply_snapshot(before, snapshot)
+        knowledge = apply_snapshot(before, snapshot, read_at)
         if knowledge.rejection and knowledge.rejection != before.rejection:
             self._log_rejection(knowledge.rejection)
         if knowledge.configuration is before.configuration:
@@ -336,6 +346,37 @@
 
     # Merging and dissemination.
 
+    def check_content(self, other):
+        """Read the store again if a node has other content of this revision.
+
+        Neither node can tell whose content is right. Each reads once.
+
+        :param other: the other node's Digests.
+        """
+        own, now = self.digests(), self.clock()
+        differs = (
+            other.revision == own.revision
+            and other.configuration != own.configuration
+        )
+        content = (own.revision, own.configuration)
+        if (
+            not differs
+            or content == self.checked_content
+            or now < self.check_at
+        ):
+            return
+        self.check_at = now + CHECK_INTERVAL_SECONDS
+        logger.error(
+            'configuration_mismatch',
+            extra={
+                'revision': own.revision,
+                'digest': f'{own.configuration:016x}',
+                'peer': other.node_id,
+                'peer_digest': f'{other.configuration:016x}',
+            },
+        )
+        self.execute(CheckContent(*content))
+
     def merge_updates(self, updates, sender=''):
         """Merge updates and spread what they changed.
 
@@ -385,8 +426,8 @@
             self._schedule_rebuild()
         else:
             self._rebuild()
-        revision = knowledge.configuration.revision
-        if revision != before.configuration.revision:
+        if knowledge.configuration is not before.configuration:
+            revision = knowledge.configuration.revision
             logger.info('version_applied', extra={'revision': revision})
 
     def _schedule_rebuild(self):
--- a/poplarrack/platform/store_client.py
+++ b/poplarrack/platform/store_client.py
@@ -15,6 +15,7 @@
 from poplarrack.etcd_json import decode_base64
 from poplarrack.etcd_json import encode_base64
 from poplarrack.platform.configurations import build_status
+from poplarrack.platform.configurations import CONFIGURATION_KEY
 from poplarrack.platform.configurations import record_key_of
 from poplarrack.platform.configurations import TEAM
 from poplarrack.platform.configurations import translate
@@ -104,6 +105,9 @@
             )
             items_by_key = _apply(items_by_key, events)
         translation = translate(items_by_key, self.newest.translation)
+        if CONFIGURATION_KEY in translation.rejected:
+            # An earlier configuration is not what the store has.
+            translation = Translation(rejected=translation.rejected)
         self._keep(StoreState(revision, items_by_key, translation))
         return RangeResponse(revision, tuple(translation.translated.values()))
 
--- a/poplarrack/stand_ins/fakes.py
+++ b/poplarrack/stand_ins/fakes.py
@@ -131,7 +131,7 @@
         self.client = client
         self.mesh = mesh
         self.stopped = False
-        self.first_snapshot = None
+        self.first_read = None
 
     def start(self):
         """Start the polling task."""
@@ -159,8 +159,8 @@
         store = self.client.platform.store
         if snapshot is None:
             snapshot, revision = read_configuration(self.client)
-            self.first_snapshot = self.first_snapshot or snapshot
-            self.node.on_snapshot(snapshot)
+            self.first_read = self.first_read or (snapshot, revision)
+            self.node.on_snapshot(snapshot, revision)
         try:
             events = store.events_after(revision, CONFIGURATION_PREFIX)
         except PoplarrackError:
@@ -170,7 +170,7 @@
             self.node.on_snapshot(snapshot)
         rate = self.mesh.injected_faults.stale_read_rate
         if rate and self.mesh.random.random() < rate:
-            self.node.on_snapshot(self.first_snapshot)
+            self.node.on_snapshot(*self.first_read)
         self.node.record_platform_call(True, '')
         return snapshot, store.revision
 
--- a/tests/test_knowledge.py
+++ b/tests/test_knowledge.py
@@ -132,3 +132,30 @@
     once = merge_updates(Knowledge(), Updates('x', verdicts=(verdict,)))
     again = merge_updates(once.knowledge, Updates('y', verdicts=(verdict,)))
     assert once.changes.verdicts and again.changes.empty
+
+
+def digest_after(held, read, read_at):
+    knowledge = apply_snapshot(Knowledge(), held)
+    return apply_snapshot(knowledge, read, read_at).configuration
+
+
+# Other content under the revision that was held, or under an older one as
+# after a deletion, was ignored even if the store had it.
+def test_the_store_decides_on_the_content_of_a_revision():
+    for read_at, number, revision in ((4, 4, 4), (6, 4, 6), (6, 2, 6)):
+        read = replace(version(2), revision=number)
+        after = digest_after(VERSIONS[4], read, read_at)
+        assert after.snapshot.digest == read.digest
+        assert after.revision == revision
+
+
+def test_a_read_replaces_nothing_newer_and_nothing_by_nothing():
+    other = replace(version(2), revision=4)
+    for read, read_at in (
+        (other, 0),
+        (other, 3),
+        (replace(VERSIONS[4], revision=2), 9),
+        (Snapshot(), 9),
+    ):
+        after = digest_after(VERSIONS[4], read, read_at)
+        assert after.snapshot is VERSIONS[4]
--- a/tests/test_nodes.py
+++ b/tests/test_nodes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from dataclasses import replace
+from unittest import TestCase
 
 from poplarrack.blackboards import Blackboard
 from poplarrack.blackboards import ChildReport
@@ -9,6 +10,7 @@
 from poplarrack.blackboards import Facts
 from poplarrack.blackboards import Lifecycle
 from poplarrack.blackboards import Sent
+from poplarrack.configurations import load_configuration
 from poplarrack.controllers import decide_watch
 from poplarrack.decisions import ProbeThrough
 from poplarrack.decisions import Publish
@@ -28,6 +30,7 @@
 from poplarrack.members import refute
 from poplarrack.messages import Report
 from poplarrack.messages import Updates
+from poplarrack.nodes import CHECK_INTERVAL_SECONDS
 from poplarrack.reporters import build_report
 from poplarrack.reporters import send_report
 from poplarrack.reporters import summarize_zone
@@ -44,11 +47,15 @@
 from tests.samples import member
 from tests.samples import member_table
 from tests.samples import route_json
+from tests.samples import service_json
+from tests.samples import snapshot
 from tests.support import assert_raises
 from tests.support import build_load_tests
 
 load_tests = build_load_tests(__name__)
 
+assert_logs = TestCase().assertLogs
+
 ZONES = (('south', 'a'), ('south', 'b'), ('north', 'd'), ('north', 'e'))
 
 
@@ -553,3 +560,90 @@
     back = mesh.add_node(name, settings.region, settings.zone)
     mesh.platform_clients[name].disconnected = True
     await mesh.wait_until(lambda: back.ready, 20)
+
+
+def falsify(node, timeout_seconds):
+    """Give a node other content of the revision that it has."""
+    held = node.knowledge.configuration.snapshot
+    route = route_json(timeout_seconds=timeout_seconds)
+    other = snapshot(held.revision, {**CHANGES, 't/routes/front': route})
+    node.apply_knowledge(
+        replace(node.knowledge, configuration=load_configuration(other))
+    )
+
+
+def digests_of(mesh):
+    return {
+        node.knowledge.configuration.snapshot.digest
+        for node in mesh.nodes.values()
+    }
+
+
+# A node that held other content of a revision kept it until the next change:
+# comparisons, deltas and snapshots looked at the revision only.
+@on_fakes
+async def test_other_content_of_a_revision_is_replaced_from_the_store(mesh):
+    expected = digests_of(mesh)
+    names = list(mesh.nodes)
+    for falsified in (names[:1], names[-1:], names[::2], names):
+        for name in falsified:
+            falsify(mesh.nodes[name], 2)
+        falsify(mesh.nodes[falsified[0]], 3)
+        with assert_logs('poplarrack.nodes', 'ERROR') as logs:
+            await mesh.wait_until(
+                lambda: digests_of(mesh) == expected, RECOVER_SECONDS
+            )
+        text = '\n'.join(logs.output)
+        assert 'configuration_mismatch' in text
+        await asyncio.sleep(CHECK_INTERVAL_SECONDS)
+        assert digests_of(mesh) == expected
+
+
+# A node whose store can't be read tries again, but not at each comparison.
+@on_fakes
+async def test_a_difference_is_checked_a_bounded_number_of_times(mesh):
+    for client in mesh.platform_clients.values():
+        client.disconnected = True
+    await asyncio.sleep(1)
+    falsify(next(iter(mesh.nodes.values())), 2)
+    with assert_logs('poplarrack.nodes', 'ERROR') as logs:
+        await asyncio.sleep(4 * CHECK_INTERVAL_SECONDS)
+    by_revision = [item for item in logs.output if 'mismatch' in item]
+    assert 2 <= len(by_revision) <= 5 * len(mesh.nodes), len(by_revision)
+    for client in mesh.platform_clients.values():
+        client.disconnected = False
+    await mesh.wait_until(
+        lambda: len(digests_of(mesh)) == 1, 2 * CHECK_INTERVAL_SECONDS
+    )
+
+
+# A false alarm would read the store without need.
+@on_fakes
+async def test_the_same_revision_has_the_same_digest_everywhere(mesh):
+    mesh.injected_faults.loss_rate = 0.2
+    mesh.injected_faults.duplicate_rate = 0.2
+    mesh.injected_faults.max_extra_delay_seconds = 0.3
+    mesh.injected_faults.stale_read_rate = 0.1
+    seen = {}
+
+    def observe(node):
+        held = node.knowledge.configuration.snapshot
+        digest = seen.setdefault(held.revision, held.digest)
+        assert digest == held.digest, held.revision
+
+    mesh.observers.append(observe)
+    for number in range(2, 8):
+        write_change(mesh, number)
+        mesh.write_settings(
+            {f't/services/s{number}': service_json(f's{number}')}
+        )
+        await asyncio.sleep(0.7)
+        mesh.write_settings({f't/services/s{number}': None})
+        name = list(mesh.nodes)[0]
+        settings = mesh.nodes[name].settings
+        mesh.kill_node(name)
+        await asyncio.sleep(0.2)
+        seeds = list(mesh.nodes)[:2]
+        mesh.add_node(name, settings.region, settings.zone, seeds)
+    await mesh.wait_for_revision(write_change(mesh, 9), 10)
+    assert len(seen) > 6
--- a/tests/test_platforms.py
+++ b/tests/test_platforms.py
@@ -175,7 +175,10 @@
     client = platform.client()
     snapshots = []
     fetcher = Fetcher(
-        client, snapshots.append, lambda *result: None, Random(1)
+        client,
+        lambda snapshot, read_at: snapshots.append(snapshot),
+        lambda *result: None,
+        Random(1),
     )
     revision = put(client)
     fetcher.resume_at = 1
--- a/tests/test_store_client.py
+++ b/tests/test_store_client.py
@@ -168,6 +168,25 @@
     assert snapshot == apply_events(before, batch.events)
 
 
+# An earlier configuration that the client had kept would be put in force as
+# what the store has, in place of a newer one that the node got from others.
+def test_a_read_puts_no_earlier_configuration_in_place_of_an_odd_one(store):
+    stand_in, address = store
+    stand_in.put('op/config', CONFIG)
+    stand_in.put('op/rollout/front', ORDER)
+    client = client_of(address)
+    read_configuration(client)
+    stand_in.put('op/config', 7)
+    snapshot, revision = read_configuration(client)
+    assert snapshot == Snapshot()
+    assert set(client.rejected_entries) >= {'op/config'}
+    watch = client.watch(CONFIGURATION_PREFIX, revision)
+    stand_in.put('op/config', config(timeout='7s'))
+    snapshot = apply_events(snapshot, next(watch).events)
+    assert snapshot == read_configuration(client_of(address))[0]
+    assert not client.rejected_entries
+
+
 class RecordingNode:
     """Records what a fetcher reports."""
 
@@ -175,7 +194,7 @@
         self.snapshots = []
         self.results = []
 
-    def on_snapshot(self, snapshot):
+    def on_snapshot(self, snapshot, read_at):
         """Record a snapshot."""
         self.snapshots.append(snapshot)
 
@@ -251,7 +270,7 @@
     fetcher = build_fetcher(None, node, loop)
     fetcher.on_platform_result(True, '')
     loop.run()
-    fetcher.on_snapshot(Snapshot())
+    fetcher.on_snapshot(Snapshot(), 0)
     fetcher.on_platform_result(False, 'away')
     fetcher.stop()
     loop.run()
