Continue a watch from the last event that it got

In the product's own mesh, a fetcher whose watch broke off while it lagged behind could skip changes until the next change of the same settings. The store's header names its present revision also in a response that brings older events only, as etcd's documentation says of watchers that aren't in step, and the watch was resumed after it.

A batch with events now counts up to the last of them. Progress notifications count as before.

The new test failed before: 9 instead of 7. The stand-in of the store sends all events at once and doesn't show the fault, nor has it been seen with etcd itself: no etcd was run.

--- a/poplarrack/platforms.py
+++ b/poplarrack/platforms.py
@@ -345,4 +345,9 @@
             'the watch was cancelled: its start revision is compacted',
         )
     events = tuple(decode_event(item) for item in result.get('events', ()))
-    return WatchBatch(int(result['header']['revision']), events)
+    revision = int(result['header']['revision'])
+    if events:
+        # To a watch that lags behind, the header names a revision of which
+        # later responses have yet to bring the events.
+        revision = max(event.mod_revision for event in events)
+    return WatchBatch(revision, events)
--- a/tests/test_platforms.py
+++ b/tests/test_platforms.py
@@ -2,11 +2,13 @@
 
 from contextlib import contextmanager
 from dataclasses import replace
+from json import dumps
 from random import Random
 from threading import Thread
 
 from poplarrack.errors import ErrorKind
 from poplarrack.errors import PoplarrackError
+from poplarrack.etcd_json import encode_key_value
 from poplarrack.fetchers import apply_events
 from poplarrack.fetchers import Fetcher
 from poplarrack.fetchers import HEAD_KEY
@@ -17,6 +19,7 @@
 from poplarrack.stand_ins.platforms import build_server
 from poplarrack.stand_ins.platforms import PlatformStandIn
 from poplarrack.stores import Compare
+from poplarrack.stores import KeyValue
 from poplarrack.stores import Operation
 from poplarrack.stores import Store
 from tests.support import assert_raises
@@ -170,6 +173,32 @@
     assert after == read_configuration(client)[0]
 
 
+class WatchResponse:
+    """A response to a watch that brings messages."""
+
+    def __init__(self, *messages):
+        self.messages = messages
+        self.close = bool
+
+    def stream(self, amt):
+        """Yield each message as a line."""
+        for message in self.messages:
+            yield dumps({'result': message}).encode() + b'\n'
+
+
+# A watch that lags behind gets the store's revision with older events: it
+# went on after that revision once its connection broke, past other events.
+def test_a_watch_continues_from_the_events_that_it_got():
+    client = PlatformClient(['stand-in:0'], Random(1))
+    event = {'kv': encode_key_value(KeyValue(KEY, b'1', 7, 7))}
+    client.request = lambda *arguments, **options: WatchResponse(
+        {'header': {'revision': '9'}, 'events': [event]},
+        {'header': {'revision': '9'}},
+    )
+    watch = client.watch(CONFIGURATION_PREFIX, 5)
+    assert [next(watch).revision, next(watch).revision] == [7, 9]
+
+
 def test_a_fetcher_resumes_and_reads_again_after_compaction(platform):
     platform.stand_in.store.kept_revisions = 3
     client = platform.client()
