Tell a request that no connection took from a lost one

Callers saw: a 502 for a request that can't be repeated, although the endpoint had reset the connection before the request was sent on it, such as one beyond its limit.

Cause: the transport drops what is written once it is closing, without an error, and the exchange then ended as lost with the connection.

Change: if the transport is closing right after the write, it took no byte. The exchange goes on to the next connection, or ends as never sent if this one was new. A closing connection isn't pooled.

--- a/poplarrack/upstreams.py
+++ b/poplarrack/upstreams.py
@@ -118,8 +118,11 @@
         """Store the transport."""
         self.transport = transport
 
-    def send(self, exchange):
-        """Send the exchange's request; the answer ends the exchange."""
+    def try_send(self, exchange):
+        """Send the exchange's request; the answer ends the exchange.
+
+        :returns: False if the connection was lost before it took a byte.
+        """
         self.exchange = exchange
         self.pool.sending.add(self)
         exchange.connection = self
@@ -130,6 +133,12 @@
         self.followed = False
         self.mismatched_answers = 0
         self.transport.write(exchange.request)
+        if self.transport.is_closing():
+            exchange.connection = None
+            self.detach()
+            self.close()
+            return False
+        return True
 
     def _reset_answer(self):
         self._drop_body()
@@ -435,14 +444,18 @@
             timeout_seconds, self._expire, exchange
         )
         self.close_idle(loop.time())
-        if self.idle:
-            self.idle.pop().send(exchange)
-        else:
+        if not self._try_send_on_idle(exchange):
             task = loop.create_task(self._connect(loop, exchange))
             self.connect_tasks.add(task)
             task.add_done_callback(self.connect_tasks.discard)
         return exchange
 
+    def _try_send_on_idle(self, exchange):
+        while self.idle:
+            if self.idle.pop().try_send(exchange):
+                return True
+        return False
+
     async def _connect(self, loop, exchange):
         self.open += 1
         connection = UpstreamConnection(self)
@@ -459,12 +472,13 @@
             return
         if exchange.ended:
             self.release(connection)
-            return
-        connection.send(exchange)
+        elif not connection.try_send(exchange):
+            # Such as one beyond the server's limit, which it resets.
+            exchange.finish(Outcome.NEVER_SENT)
 
     def release(self, connection):
         """Return a connection to the pool for the next exchange."""
-        if self.closed:
+        if self.closed or connection.transport.is_closing():
             connection.close()
             return
         connection.idle_since = get_running_loop().time()
--- a/tests/test_upstream_answers.py
+++ b/tests/test_upstream_answers.py
@@ -58,7 +58,7 @@
             self.connection.connection_made(FakeTransport())
         self.sent += 1
         done = []
-        self.connection.send(
+        assert self.connection.try_send(
             Exchange(
                 self.pool,
                 b'',
@@ -193,6 +193,37 @@
     assert exchange(two, end=True)[0] is Outcome.LOST
 
 
+# A request was called lost, so that it was not offered to another endpoint,
+# though its connection had been reset before it took a byte.
+def test_a_request_that_no_connection_took_was_never_sent():
+    async def run(is_idle):
+        pool = UpstreamPool('127.0.0.1:1', 1_000, 1.0)
+        loop = asyncio.get_running_loop()
+
+        async def connect(build, host, port):
+            connection = build()
+            connection.connection_made(FakeTransport())
+            connection.transport.abort()
+            connection.connection_lost(ConnectionResetError())
+
+        loop.create_connection = connect
+        if is_idle:
+            kept = UpstreamConnection(pool)
+            kept.connection_made(FakeTransport())
+            pool.open += 1
+            pool.release(kept)
+            kept.transport.abort()
+        done = []
+        pool.start(b'', False, 5.0, lambda *item: done.append(item))
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        assert done == [(Outcome.NEVER_SENT, None)]
+        assert (pool.open, pool.idle, pool.sending) == (0, [], set())
+
+    asyncio.run(run(False))
+    asyncio.run(run(True))
+
+
 @dataclass
 class SentAnswer:
     """An answer as the server meant it."""
