Skip an answer that bears an earlier call's mark

Callers saw, in a test: a 503 that a server had given to the call before on the same connection, in place of their own answer.

Cause: in the product's own mesh a server doesn't echo ids. A refusal that bears another mark lost its promise and its connection, but was passed on, since a server may forward the mark of a call that it made itself.

Change: a mark of this node's own numbering with another number belongs to another call of the node, and nothing else. Such an answer is skipped like one with another id. Other marks are treated as before.

Measured: test_a_refusal_of_an_earlier_call_is_no_answer failed before (503 in place of 200).

--- a/poplarrack/dispatchers.py
+++ b/poplarrack/dispatchers.py
@@ -35,6 +35,7 @@
 from poplarrack.retries import Failure
 from poplarrack.retries import may_retry
 from poplarrack.retries import RetryBudget
+from poplarrack.upstreams import Mark
 from poplarrack.upstreams import Outcome
 from poplarrack.upstreams import UpstreamPool
 
@@ -110,7 +111,7 @@
         max_answer_bytes=8_000_000,
         balancer='least_loaded',
     ):
-        self.node_id = node_id
+        self.call_id_prefix = b'%s-' % node_id.encode()
         self.clock = clock
         self.random = random or Random()
         self.max_answer_bytes = max_answer_bytes
@@ -309,7 +310,7 @@
         call.sent_at = now
         call.stage = self._stage_of(endpoint.service)
         self.last_call += 1
-        call.call_id = b'%s-%d' % (self.node_id.encode(), self.last_call)
+        call.call_id = b'%s%d' % (self.call_id_prefix, self.last_call)
         load.in_flight += 1
         seconds_left = call.deadline - now
         hop_headers = b'%s: %s\r\n%s: %d\r\n%s: %d\r\n' % (
@@ -339,7 +340,7 @@
             bodiless,
             seconds_left,
             on_done,
-            mark=(NOT_RUN_HEADER, call.call_id),
+            mark=Mark(NOT_RUN_HEADER, call.call_id, self.call_id_prefix),
         )
 
     def _on_outcome(self, call, load, outcome, answer):
--- a/poplarrack/upstreams.py
+++ b/poplarrack/upstreams.py
@@ -52,14 +52,41 @@
     CANCELLED = 'cancelled'
 
 
+@dataclass(frozen=True, slots=True)
+class Mark:
+    """A header by which a server may name the exchange that it answers.
+
+    ``value`` is the exchange's own: ``prefix``, which all exchanges of this
+    node share, and a number. A server may forward the mark of a call that it
+    made itself, which is of another form.
+    """
+
+    name: bytes
+    value: bytes
+    prefix: bytes
+
+    def is_other(self, answer):
+        """Return whether an answer bears another mark."""
+        return answer.header(self.name) not in (None, self.value)
+
+    def is_of_other_exchange(self, answer):
+        """Return whether an answer is that to another exchange of the node."""
+        value = answer.header(self.name)
+        return (
+            self.is_other(answer)
+            and value.startswith(self.prefix)
+            and value.removeprefix(self.prefix).isdigit()
+        )
+
+
 @dataclass(slots=True)
 class Exchange:
     """A request in flight to a backend server.
 
     ``on_done`` is called once, with an Outcome and an HttpAnswer or None.
     ``echo`` is the name and value of a header that the answer must have, or
-    None. ``mark`` is a header that the answer may have with this value only;
-    after an answer with another one, the connection is out of step.
+    None. ``mark`` is the Mark that the answer may bear; after an answer with
+    another one, the connection is out of step.
     """
 
     pool: object
@@ -67,7 +94,7 @@
     bodiless: bool
     on_done: object
     echo: tuple[bytes, bytes] | None = None
-    mark: tuple[bytes, bytes] | None = None
+    mark: Mark | None = None
     timer: object = None
     connection: object = None
     ended: bool = False
@@ -82,10 +109,18 @@
         self.on_done(outcome, answer)
 
     def is_out_of_step(self, answer):
-        """Return whether an answer bears the mark of another exchange."""
-        if self.mark is None:
+        """Return whether an answer bears another mark."""
+        return self.mark is not None and self.mark.is_other(answer)
+
+    def is_mismatched(self, answer):
+        """Return whether an answer belongs to another exchange."""
+        if self.mark is not None and self.mark.is_of_other_exchange(answer):
+            return True
+        if self.echo is None:
             return False
-        return answer.header(self.mark[0]) not in (None, self.mark[1])
+        name, own = self.echo
+        ids = {value for key, value in answer.headers if key == name}
+        return ids != {own}
 
 
 class UpstreamConnection(SharedBufferProtocol):
@@ -272,14 +307,7 @@
         self.reusable = self.parser.should_keep_alive()
 
     def _is_mismatched(self):
-        """Return whether the answer belongs to another request."""
-        echo = self.exchange.echo
-        if echo is None:
-            return False
-        name, own = echo
-        return {
-            value for key, value in self.answer.headers if key == name
-        } != {own}
+        return self.exchange.is_mismatched(self.answer)
 
     def _skip_mismatched(self):
         self._log_out_of_step('answer to another request')
@@ -435,7 +463,7 @@
         :param timeout_seconds: time until the exchange ends as TIMED_OUT.
         :param on_done: called once, with an Outcome and an HttpAnswer or None.
         :param echo: name and value of a header that the answer must have.
-        :param mark: name of a header, and the only value that it may have.
+        :param mark: the Mark that the answer may bear.
         :returns: the Exchange, to be passed to ``cancel``.
         """
         loop = get_running_loop()
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -241,6 +241,28 @@
         assert sum(len(s.requests) for s in path.servers) == 1
 
 
+# MIXED: a server wrote an earlier refusal once more in front of its answer to
+# the next call, which got the refusal.
+@run
+async def test_a_refusal_of_an_earlier_call_is_no_answer():
+    async def call_after(repeated):
+        def script(head, number):
+            if number == 1:
+                refusals.append(refuse_as_not_run(head, number))
+                return OK
+            return refusals[0] * repeated + OK
+
+        refusals = []
+        async with call_path_to(script) as path:
+            assert (await path.call('/pay'))[0] == 200
+            status, headers, _ = await path.call('/pay')
+            assert 'poplarrack-not-run' not in headers
+            return status
+
+    assert await call_after(1) == 200
+    assert await call_after(3) == 502
+
+
 # MIXED: a server wrote an earlier refusal once more, and the answer that came
 # after it on the kept connection reached the next call.
 @run
