--- a/tests/test_upstream_answers.py
+++ b/tests/test_upstream_answers.py
@@ -3,6 +3,7 @@
 import asyncio
 from dataclasses import dataclass
 from random import Random
+from unittest import TestCase
 
 from poplarrack.upstreams import Exchange
 from poplarrack.upstreams import Outcome
@@ -193,6 +194,41 @@
     assert exchange(two, end=True)[0] is Outcome.LOST
 
 
+# Logs didn't tell which answers were skipped, or what came behind one.
+def test_what_is_out_of_step_is_logged():
+    logger = 'poplarrack.upstreams'
+    with TestCase().assertLogs(logger, 'INFO') as logs:
+        exchange(answer(b'r0') + answer() + answer(), b'x')
+    skipped, behind = logs.records
+    assert skipped.msg == behind.msg == 'answer_out_of_step'
+    assert skipped.outcome == 'answer to another request'
+    assert (skipped.request, skipped.other) == ('r1', 'r0')
+    assert (behind.outcome, behind.request) == ('bytes after the answer', 'r1')
+
+
+# A trailer, which a cut answer's chunks may take from the next head, could
+# name the id of the request.
+def test_a_trailer_is_no_header():
+    raw = head(200, b'r0', b'transfer-encoding: chunked') + b'0\r\n'
+    raw = raw.replace(b'x-id: r0\r\n', b'') + b'x-id: r1\r\n\r\n'
+    assert exchange(raw, end=True)[0] is Outcome.LOST
+
+
+# Nothing but a blank line may stay unseen after an answer.
+def test_a_blank_line_after_an_answer_does_no_harm():
+    async def run(line):
+        caller = Caller()
+        caller.send()
+        caller.receive(answer() + line)
+        assert caller.pool.idle == [caller.connection]
+        done = caller.send()
+        caller.receive(answer(b'r2'))
+        assert done[0][0] is Outcome.ANSWERED
+
+    for line in (b'\r\n', b'\r', b'\n\r\n'):
+        asyncio.run(run(line))
+
+
 # A request was called lost, so that it was not offered to another endpoint,
 # though its connection had been reset before it took a byte.
 def test_a_request_that_no_connection_took_was_never_sent():
@@ -224,6 +260,18 @@
     asyncio.run(run(True))
 
 
+def test_a_closing_connection_is_not_pooled():
+    async def run():
+        caller = Caller()
+        caller.send()
+        caller.connection.detach()
+        caller.connection.transport.abort()
+        caller.pool.release(caller.connection)
+        assert caller.pool.idle == []
+
+    asyncio.run(run())
+
+
 @dataclass
 class SentAnswer:
     """An answer as the server meant it."""
