--- a/poplarrack/upstreams.py
+++ b/poplarrack/upstreams.py
@@ -119,8 +119,8 @@
         if self.echo is None:
             return False
         name, own = self.echo
-        ids = {value for key, value in answer.headers if key == name}
-        return ids != {own}
+        ids = [value for key, value in answer.headers if key == name]
+        return not ids or any(value != own for value in ids)
 
 
 class UpstreamConnection(SharedBufferProtocol):
@@ -162,7 +162,8 @@
         self.pool.sending.add(self)
         exchange.connection = self
         self.parser = HttpResponseParser(self)
-        self._reset_answer()
+        self.answer = None
+        self.has_head = False
         self.overhead_bytes = 0
         self.complete = False
         self.followed = False
@@ -257,12 +258,11 @@
 
         The head of an answer that was cut off goes on with the next answer's.
         """
+        texts = [value for _, value in self.answer.headers]
+        texts.append(self.reason)
         return (
             self.answer.status < 100
-            or STATUS_LINE.search(self.reason) is not None
-            or any(
-                STATUS_LINE.search(value) for _, value in self.answer.headers
-            )
+            or STATUS_LINE.search(b'\n'.join(texts)) is not None
         )
 
     def _complete_head(self):
@@ -350,7 +350,7 @@
         """Log why the connection's bytes are not one answer to its request."""
         echo = self.exchange and self.exchange.echo
         name, own = echo or (b'', b'')
-        other = self.answer.header(name) if echo else None
+        other = self.answer.header(name) if echo and self.answer else None
         logger.info(
             'answer_out_of_step',
             extra={
