--- a/tests/test_upstream_answers.py
+++ b/tests/test_upstream_answers.py
@@ -3,6 +3,7 @@
 import asyncio
 from dataclasses import dataclass
 from random import Random
+from unittest import TestCase
 
 from poplarrack.upstreams import Exchange
 from poplarrack.upstreams import Outcome
@@ -58,7 +59,7 @@
             self.connection.connection_made(FakeTransport())
         self.sent += 1
         done = []
-        self.connection.send(
+        assert self.connection.try_send(
             Exchange(
                 self.pool,
                 b'',
@@ -193,6 +194,84 @@
     assert exchange(two, end=True)[0] is Outcome.LOST
 
 
+# Logs didn't tell which answers were skipped, or what came behind one.
+def test_what_is_out_of_step_is_logged():
+    logger = 'poplarrack.upstreams'
+    with TestCase().assertLogs(logger, 'INFO') as logs:
+        exchange(answer(b'r0') + answer() + answer(), b'x')
+    skipped, behind = logs.records
+    assert skipped.msg == behind.msg == 'answer_out_of_step'
+    assert skipped.outcome == 'answer to another request'
+    assert (skipped.request, skipped.other) == ('r1', 'r0')
+    assert (behind.outcome, behind.request) == ('bytes after the answer', 'r1')
+
+
+# A trailer, which a cut answer's chunks may take from the next head, could
+# name the id of the request.
+def test_a_trailer_is_no_header():
+    raw = head(200, b'r0', b'transfer-encoding: chunked') + b'0\r\n'
+    raw = raw.replace(b'x-id: r0\r\n', b'') + b'x-id: r1\r\n\r\n'
+    assert exchange(raw, end=True)[0] is Outcome.LOST
+
+
+# Nothing but a blank line may stay unseen after an answer.
+def test_a_blank_line_after_an_answer_does_no_harm():
+    async def run(line):
+        caller = Caller()
+        caller.send()
+        caller.receive(answer() + line)
+        assert caller.pool.idle == [caller.connection]
+        done = caller.send()
+        caller.receive(answer(b'r2'))
+        assert done[0][0] is Outcome.ANSWERED
+
+    for line in (b'\r\n', b'\r', b'\n\r\n'):
+        asyncio.run(run(line))
+
+
+# A request was called lost, so that it was not offered to another endpoint,
+# though its connection had been reset before it took a byte.
+def test_a_request_that_no_connection_took_was_never_sent():
+    async def run(is_idle):
+        pool = UpstreamPool('127.0.0.1:1', 1_000, 1.0)
+        loop = asyncio.get_running_loop()
+
+        async def connect(build, host, port):
+            connection = build()
+            connection.connection_made(FakeTransport())
+            connection.transport.abort()
+            connection.connection_lost(ConnectionResetError())
+
+        loop.create_connection = connect
+        if is_idle:
+            kept = UpstreamConnection(pool)
+            kept.connection_made(FakeTransport())
+            pool.open += 1
+            pool.release(kept)
+            kept.transport.abort()
+        done = []
+        pool.start(b'', False, 5.0, lambda *item: done.append(item))
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        assert done == [(Outcome.NEVER_SENT, None)]
+        assert (pool.open, pool.idle, pool.sending) == (0, [], set())
+
+    asyncio.run(run(False))
+    asyncio.run(run(True))
+
+
+def test_a_closing_connection_is_not_pooled():
+    async def run():
+        caller = Caller()
+        caller.send()
+        caller.connection.detach()
+        caller.connection.transport.abort()
+        caller.pool.release(caller.connection)
+        assert caller.pool.idle == []
+
+    asyncio.run(run())
+
+
 @dataclass
 class SentAnswer:
     """An answer as the server meant it."""
