Measure how late a change is when others are cut

A node in touch must have a change in force within 2.5 s (small sites) or 3.0 s (grown ones) of the store's ack, whatever other nodes are cut off. The fakes' fetcher polls the store, so that no test saw a watch that has gone silent.

--- a/poplarrack/stand_ins/fakes.py
+++ b/poplarrack/stand_ins/fakes.py
@@ -182,6 +182,9 @@
     ``stale_read_rate`` is the chance that a poll of the platform returns
     the first configuration that the node read. ``is_partitioned`` takes the
     (region, zone) of two nodes and returns whether they are partitioned.
+    ``cut_nodes`` are cut off from all other nodes and the platform. The
+    platform refuses the calls of ``turned_away`` and does not answer those of
+    ``unanswered``, nor watches that began before ``watches_silent_at``.
     """
 
     loss_rate: float = 0.0
@@ -189,6 +192,10 @@
     max_extra_delay_seconds: float = 0.0
     stale_read_rate: float = 0.0
     is_partitioned: object = None
+    cut_nodes: set = field(default_factory=set)
+    turned_away: set = field(default_factory=set)
+    unanswered: set = field(default_factory=set)
+    watches_silent_at: float = 0.0
 
 
 @dataclass
@@ -245,6 +252,8 @@
 class FakeMesh:
     """Real nodes on fakes, in one process; a node's address is its id."""
 
+    fetcher_type = FakeFetcher
+
     def __init__(self, clock, seed, platform_region='south'):
         self.clock = clock
         self.random = Random(seed)
@@ -260,6 +269,7 @@
         self.injected_faults = FaultInjection()
         self.traffic = TrafficTotals()
         self.observers = []
+        self.watches = 0
 
     async def deliver(self, source, target, raw):
         """Delay a message by its way and by the injected faults, or lose it.
@@ -273,8 +283,10 @@
         partitioned = bool(
             is_partitioned and end and start and is_partitioned(start, end)
         )
+        cut = {source, target} & self.injected_faults.cut_nodes
         if (
             down
+            or cut
             or partitioned
             or self.random.random() < self.injected_faults.loss_rate
         ):
@@ -294,6 +306,12 @@
         if target not in self.handlers:
             raise PoplarrackError(ErrorKind.PEER_UNAVAILABLE, target)
 
+    def platform_delay(self, node_id):
+        """Return the one-way delay between a node and the platform."""
+        if self.nodes[node_id].settings.region == self.platform_region:
+            return INTRA_REGION_DELAY_SECONDS
+        return CROSS_REGION_DELAY_SECONDS
+
     def _location(self, node_id):
         node = self.nodes.get(node_id)
         return node and (node.settings.region, node.settings.zone)
@@ -318,7 +336,7 @@
             FakePeerClient(self, node_id),
             client,
             self._run_blocking,
-            lambda node: FakeFetcher(node, client, self),
+            lambda node: self.fetcher_type(node, client, self),
             self.clock,
             Random(self.random.random()),
         )
@@ -426,9 +444,19 @@
         knows every other node.
     """
     mesh = FakeMesh(clock, seed)
+    await start_nodes(mesh, tuple(spread_over_zones(count, zones)), changes)
+    return mesh
+
+
+async def start_nodes(mesh, nodes, changes):
+    """Start nodes, and wait for their configuration and membership.
+
+    :param nodes: the (node id, region, zone) of each.
+    :param changes: the settings by path.
+    """
     revision = mesh.write_settings(changes)
     seeds = []
-    for node_id, region, zone in spread_over_zones(count, zones):
+    for node_id, region, zone in nodes:
         mesh.add_node(node_id, region, zone, seeds[-3:])
         seeds.append(node_id)
         await asyncio.sleep(0.02)
@@ -436,11 +464,10 @@
     def knows_all_members():
         return all(
             sum(m.present for m in node.knowledge.members.members.values())
-            == count
+            == len(nodes)
             for node in mesh.nodes.values()
         )
 
     await mesh.wait_for_revision(revision, 60)
     await mesh.wait_until(knows_all_members, 60)
     await asyncio.sleep(3)
-    return mesh
