Follow the store where the source falls silent

Callers saw 404 on a route that had been confirmed: a zone learned of a change only through its two fetchers, and a region far from the store only through its lead. While these were cut off, the others waited for anti-entropy, and for suspicions and deaths to be declared, 2.4 to 9 s on fakes; a node that was the last of its zone, or whose zone was cut off and its fetchers turned away, never learned of it.

A node now sends a beat, a comparison of digests, to the nodes that depend on it, and one that has heard no beat for 1.5 s becomes a fetcher itself. It waits for no verdict on other nodes, so that any number of them may be lost at once. A fetcher that the store fails leaves out one dependent, which then tries in its place. No message is new: nodes of the earlier build send no beats, and those below them read the store.

Beats are sent on the platform only, where the bound holds and a message has no HTTP headers; elsewhere the interval is 0.

--- a/poplarrack/blackboards.py
+++ b/poplarrack/blackboards.py
@@ -75,6 +75,7 @@
     report_receivers: tuple[str, ...] = ()
     summary_signature: int = -1
     summary_at: float = 0.0
+    beat_at: float = 0.0
     compared_at: float = 0.0
     compare_turn: int = 0
     rejoined_at: float = 0.0
@@ -87,7 +88,8 @@
     """Everything that controllers read.
 
     ``suspected`` maps a suspect's node id to the time since which this node
-    knows of the suspicion.
+    knows of the suspicion. ``source_heard_at`` is the time of the last beat
+    of the topology's source, in seconds since the epoch.
     """
 
     settings: NodeSettings
@@ -96,6 +98,7 @@
     knowledge: Knowledge = field(default_factory=Knowledge)
     topology: Topology = field(default_factory=Topology)
     contacts: Mapping[str, Contact] = field(default_factory=dict)
+    source_heard_at: float = 0.0
     suspected: Mapping[str, float] = field(default_factory=dict)
     reports: Mapping[str, ChildReport] = field(default_factory=dict)
     cells: tuple[Cell, ...] = ()
@@ -112,6 +115,7 @@
     'knowledge': 'merging',
     'topology': 'merging',
     'contacts': 'peers',
+    'source_heard_at': 'peers',
     'reports': 'reports',
     'cells': 'calls',
     'in_flight_calls': 'calls',
--- a/poplarrack/controllers.py
+++ b/poplarrack/controllers.py
@@ -3,6 +3,7 @@
 Each is registered by decorator; importing this module registers them all.
 """
 
+from poplarrack.decisions import Beat
 from poplarrack.decisions import Compare
 from poplarrack.decisions import controller
 from poplarrack.decisions import CONTROLLERS
@@ -17,6 +18,7 @@
 
 __all__ = (
     'advance_moves',
+    'beat',
     'CONTROLLERS',
     'decide_watch',
     'detect_failures',
@@ -32,15 +34,29 @@
 BRIDGE_COMPARE_ROUNDS = 3
 
 
+# How long a node may hear nothing from its source before it follows the store
+# itself, in beats. Beats pass on no evidence from further up: each node on the
+# way answers for its own source.
+MAX_SILENT_BEATS = 2.5
+# How many dependents of a fetcher that fails to reach the store get no beat,
+# so that they try in its place.
+SUBSTITUTES = 1
+
+
 @controller('anti-entropy')
 def run_anti_entropy(facts, now):
     """Compare digests with neighbours and, at roots, bridges in turn."""
     sent, topology = facts.sent, facts.topology
     if now - sent.compared_at < facts.settings.peers.compare_seconds:
         return
-    if topology.neighbours:
-        turn = sent.compare_turn % len(topology.neighbours)
-        yield Compare(topology.neighbours[turn])
+    substitutes = _substitutes(facts)
+    neighbours = [
+        node_id
+        for node_id in topology.neighbours
+        if node_id not in substitutes
+    ]
+    if neighbours:
+        yield Compare(neighbours[sent.compare_turn % len(neighbours)])
     if topology.bridges and sent.compare_turn % BRIDGE_COMPARE_ROUNDS == 0:
         turn = (sent.compare_turn // BRIDGE_COMPARE_ROUNDS) % len(
             topology.bridges
@@ -48,6 +64,28 @@
         yield Compare(topology.bridges[turn])
 
 
+@controller('beats')
+def beat(facts, now):
+    """Send a beat to the nodes that depend on this one."""
+    lifecycle, dependents = facts.lifecycle, facts.topology.dependents
+    interval = facts.settings.peers.beat_seconds
+    active = interval and lifecycle.joined and not lifecycle.draining
+    if active and now - facts.sent.beat_at >= interval:
+        substitutes = _substitutes(facts)
+        reached = tuple(
+            node_id for node_id in dependents if node_id not in substitutes
+        )
+        if reached:
+            yield Beat(reached)
+
+
+def _substitutes(facts):
+    """Return the dependents that are to try the store instead."""
+    if facts.platform.watching and facts.platform.failing_since:
+        return facts.topology.dependents[:SUBSTITUTES]
+    return ()
+
+
 @controller('announcements')
 def expire_announcement(facts, now):
     """Remove the local endpoint when its announcement has expired."""
@@ -57,15 +95,24 @@
         yield ForgetEndpoint()
 
 
+def _is_deaf(facts, now):
+    """Return whether the node has not heard from its source for too long."""
+    interval = facts.settings.peers.beat_seconds
+    silence = now - facts.source_heard_at
+    return bool(interval) and silence > MAX_SILENT_BEATS * interval
+
+
 @controller('fetching')
 def decide_watch(facts, now):
     """Watch the platform while the topology makes this node a fetcher.
 
-    The topology of a node that is still joining does not count: it is
-    derived from a membership view of that node alone.
+    A node that does not hear from its source watches too, because nobody
+    else may tell it of a change. The topology of a node that is still
+    joining does not count: it is derived from a membership view of that
+    node alone.
     """
     lifecycle = facts.lifecycle
     active = lifecycle.joined and not lifecycle.draining
-    wanted = active and facts.topology.is_fetcher
+    wanted = active and (facts.topology.is_fetcher or _is_deaf(facts, now))
     if wanted != facts.platform.watching:
         yield Watch(wanted)
--- a/poplarrack/decisions.py
+++ b/poplarrack/decisions.py
@@ -16,6 +16,13 @@
     node_id: str
 
 
+@dataclass(frozen=True)
+class Beat:
+    """Show the nodes that depend on this one that it runs and is reached."""
+
+    node_ids: tuple[str, ...]
+
+
 @dataclass(frozen=True)
 class Rejoin:
     """Sync with nodes that may be partitioned from this one.
--- a/poplarrack/executors.py
+++ b/poplarrack/executors.py
@@ -5,6 +5,7 @@
 from dataclasses import replace
 import logging
 
+from poplarrack.decisions import Beat
 from poplarrack.decisions import Compare
 from poplarrack.decisions import ForgetEndpoint
 from poplarrack.decisions import HaltMove
@@ -69,6 +70,26 @@
         await sync(node, node.address_of(decision.node_id), answer)
 
 
+@executes(Beat)
+async def beat(node, decision):
+    """Compare digests with all nodes at once, without waiting for answers."""
+    node.write_sent(beat_at=node.clock())
+    for node_id in decision.node_ids:
+        node.start_task(_beat(node, node_id))
+
+
+async def _beat(node, node_id):
+    """Compare digests; only the configuration is synchronised."""
+    own = node.digests()
+    try:
+        address = node.address_of(node_id)
+        answer = await node.dependencies.peers.call(address, 'Compare', own)
+        if answer.digests.revision != own.revision:
+            await sync(node, address, DigestsAnswer(answer.digests))
+    except PoplarrackError as error:
+        logger.debug('beat_failed', extra={'detail': error.detail})
+
+
 def _differs(own, other):
     return (
         own.revision != other.revision
--- a/poplarrack/joiners.py
+++ b/poplarrack/joiners.py
@@ -39,6 +39,8 @@
         await asyncio.sleep(node.random.random() * max_delay_seconds)
         synced = await sync_with_some(node, await find_seeds(node))
     node.write_lifecycle(joined=True)
+    # The source has yet to learn of this node.
+    node.blackboard.write('peers', source_heard_at=node.clock())
     logger.info('node_joined', extra={'peers_asked': synced})
 
 
--- a/poplarrack/nodes.py
+++ b/poplarrack/nodes.py
@@ -334,6 +334,14 @@
         }
         self.blackboard.write('peers', contacts={**kept, node_id: contact})
 
+    def record_beat(self, node_id):
+        """Record that a node runs and reaches this one, if it is its source.
+
+        Each comparison that the source begins is such a beat.
+        """
+        if node_id == self.facts.topology.source:
+            self.blackboard.write('peers', source_heard_at=self.clock())
+
     # Merging and dissemination.
 
     def merge_updates(self, updates, sender=''):
--- a/poplarrack/peer_handlers.py
+++ b/poplarrack/peer_handlers.py
@@ -39,6 +39,7 @@
 @handles('Compare')
 async def on_compare(node, digests):
     """Return the own digests, with bucket digests where members differ."""
+    node.record_beat(digests.node_id)
     own = node.digests()
     buckets = ()
     if digests.members != own.members:
--- a/poplarrack/platform/settings.py
+++ b/poplarrack/platform/settings.py
@@ -19,6 +19,9 @@
 # Rollouts last only seconds on this platform, so that evidence is passed up
 # the tree at short intervals.
 EVIDENCE_SECONDS = 0.5
+# A node without a beat follows the store, so that a change is in force in time
+# at each node that reaches the store.
+BEAT_SECONDS = 0.6
 # File descriptors reserved for files and for connections to other nodes, the
 # endpoint and the store.
 RESERVED_FDS = 900
@@ -93,7 +96,9 @@
             summary_ttl_seconds=0.0,
         ),
         seeds=tuple(raw.get('seeds', ())),
-        peers=PeerSettings(evidence_seconds=EVIDENCE_SECONDS),
+        peers=PeerSettings(
+            beat_seconds=BEAT_SECONDS, evidence_seconds=EVIDENCE_SECONDS
+        ),
         calls=CallSettings(
             max_answer_bytes=MAX_ANSWER_BYTES,
             announcement_ttl_seconds=(
--- a/poplarrack/settings.py
+++ b/poplarrack/settings.py
@@ -53,10 +53,13 @@
     A message times out after ``call_timeout_seconds``. A member that was
     suspected for ``suspect_seconds`` is declared dead. An unchanged report is
     repeated after ``report_seconds``, and new evidence is reported at most
-    once in ``evidence_seconds``.
+    once in ``evidence_seconds``. A node shows those that depend on it every
+    ``beat_seconds`` that it runs, so that they need not follow the platform
+    themselves; 0 stands for no beats.
     """
 
     compare_seconds: float = 1.0
+    beat_seconds: float = 0.0
     call_timeout_seconds: float = 0.8
     suspect_seconds: float = 3.0
     report_seconds: float = 10.0
--- a/poplarrack/stand_ins/fakes.py
+++ b/poplarrack/stand_ins/fakes.py
@@ -28,6 +28,7 @@
 from poplarrack.platforms import PlatformClient
 from poplarrack.platforms import raise_for_status
 from poplarrack.settings import NodeSettings
+from poplarrack.settings import PeerSettings
 from poplarrack.settings import PlatformSettings
 from poplarrack.stand_ins.platforms import PlatformStandIn
 from poplarrack.stand_ins.platforms import UNLIMITED_PER_SECOND
@@ -253,6 +254,7 @@
     """Real nodes on fakes, in one process; a node's address is its id."""
 
     fetcher_type = FakeFetcher
+    peer_settings = PeerSettings()
 
     def __init__(self, clock, seed, platform_region='south'):
         self.clock = clock
@@ -328,6 +330,7 @@
             node_id,
             PlatformSettings(('stand-in:0',), self.platform_region),
             tuple(seeds),
+            peers=self.peer_settings,
         )
         client = DirectPlatformClient(
             self.platform, Random(self.random.random()), self.clock
--- a/poplarrack/topologies.py
+++ b/poplarrack/topologies.py
@@ -28,6 +28,8 @@
     lead is one.
     ``bridges`` are the nodes in other zones that a root forwards to;
     ``lead`` represents the node's region and ``far_leads`` the others;
+    ``dependents`` learn of changes only through this node, and it through
+    ``source``, which is empty for a fetcher.
     ``neighbours`` are the nodes that it monitors. ``rank`` is the node's
     index in its zone's rendezvous order. ``is_worker`` marks the node that
     advances moves.
@@ -36,6 +38,8 @@
     roots: tuple[str, ...] = ()
     parent: str | None = None
     children: tuple[str, ...] = ()
+    source: str = ''
+    dependents: tuple[str, ...] = ()
     neighbours: tuple[str, ...] = ()
     bridges: tuple[str, ...] = ()
     lead: str = ''
@@ -111,21 +115,32 @@
     leads = _choose_region_leads(representatives)
     is_lead = leads[own.region] == own.node_id
     roots = tuple(zone_ranks[:ROOTS_PER_ZONE])
-    below = slice(TREE_FAN_OUT * rank + 1, TREE_FAN_OUT * (rank + 1) + 1)
+    parent = zone_ranks[(rank - 1) // TREE_FAN_OUT] if rank else None
+    children = _children(rank, zone_ranks)
+    bridges = (
+        _bridges(own, representatives, leads) if rank < len(roots) else ()
+    )
+    is_fetcher = rank < len(roots) and (near_platform or is_lead)
+    dependents = children
+    if near_platform:
+        dependents = tuple(node for node in children if node not in roots)
+    elif is_lead:
+        far_leads = leads.values()
+        dependents += tuple(node for node in bridges if node not in far_leads)
     return Topology(
         roots=roots,
-        parent=zone_ranks[(rank - 1) // TREE_FAN_OUT] if rank else None,
-        children=tuple(zone_ranks[below]),
+        parent=parent,
+        children=children,
+        source='' if is_fetcher else parent or leads[own.region],
+        dependents=dependents,
         neighbours=_neighbours(own.node_id, zone_ranks),
-        bridges=(
-            _bridges(own, representatives, leads) if rank < len(roots) else ()
-        ),
+        bridges=bridges,
         lead=leads[own.region],
         far_leads=tuple(
             lead for region, lead in leads.items() if region != own.region
         ),
         rank=rank,
-        is_fetcher=rank < len(roots) and (near_platform or is_lead),
+        is_fetcher=is_fetcher,
         is_lead=is_lead,
         is_worker=is_lead
         and (near_platform or platform_region == REMOTE_REGION),
@@ -133,6 +148,12 @@
     )
 
 
+def _children(rank, zone_ranks):
+    """Return the children of the node of a rank in the zone's tree."""
+    first = TREE_FAN_OUT * rank + 1
+    return tuple(zone_ranks[first : first + TREE_FAN_OUT])
+
+
 def _ranks_by_zone(own, table):
     """Return each zone's present nodes in rendezvous order, suspects last.
 
--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+from poplarrack.platform.settings import BEAT_SECONDS
+from poplarrack.settings import PeerSettings
 from poplarrack.stand_ins.fakes import FakeMesh
 from poplarrack.stand_ins.fakes import run_on_virtual_clock
 from poplarrack.stand_ins.fakes import start_nodes
@@ -160,6 +162,7 @@
     """Start a site's nodes; wait until they follow the store in no step."""
     mesh = FakeMesh(clock, seed, 'kingston')
     mesh.fetcher_type = WatchingFetcher
+    mesh.peer_settings = PeerSettings(beat_seconds=BEAT_SECONDS)
     nodes = tuple(
         (f'sidecar-{zone}-{number}', region, zone)
         for (region, zone), count in SITES[site].items()
