Spread a configuration on two ways

All nodes below a root that was cut off in silence got a change late, after 2.38 s on fakes, since each has one parent in the tree. The nodes of a zone now form pairs by rank, and each also pushes a delta to the children of the other. Members and verdicts keep to one way.

--- a/poplarrack/spreaders.py
+++ b/poplarrack/spreaders.py
@@ -46,9 +46,17 @@
         self.senders = set()
         # A single sender has all the changes; several may each lack some.
         skipped = senders if len(senders) == 1 else ()
-        for node_id in self.node.facts.topology.next_hops():
+        topology = self.node.facts.topology
+        for node_id in topology.next_hops():
             if node_id not in skipped:
                 self.node.start_task(self._push(node_id, changes))
+        if changes.delta is None:
+            return
+        # A change of configuration reaches each node on two ways.
+        change = Updates(changes.sender, changes.delta)
+        for node_id in topology.step_children:
+            if node_id not in skipped:
+                self.node.start_task(self._push(node_id, change))
 
     async def _push(self, node_id, changes):
         """Push changes to a node, and retry if it does not answer.
--- a/poplarrack/topologies.py
+++ b/poplarrack/topologies.py
@@ -28,8 +28,9 @@
     lead is one.
     ``bridges`` are the nodes in other zones that a root forwards to;
     ``lead`` represents the node's region and ``far_leads`` the others;
-    ``dependents`` learn of changes only through this node, and it through
-    ``source``, which is empty for a fetcher.
+    ``step_children`` are the children of the other node of its pair, to which
+    it sends the configuration too. ``dependents`` learn of changes only
+    through this node, and it through ``source``, which is empty for a fetcher.
     ``neighbours`` are the nodes that it monitors. ``rank`` is the node's
     index in its zone's rendezvous order. ``is_worker`` marks the node that
     advances moves.
@@ -38,6 +39,7 @@
     roots: tuple[str, ...] = ()
     parent: str | None = None
     children: tuple[str, ...] = ()
+    step_children: tuple[str, ...] = ()
     source: str = ''
     dependents: tuple[str, ...] = ()
     neighbours: tuple[str, ...] = ()
@@ -131,6 +133,11 @@
         roots=roots,
         parent=parent,
         children=children,
+        step_children=tuple(
+            node
+            for node in _children(rank ^ 1, zone_ranks)
+            if node not in (own.node_id, parent)
+        ),
         source='' if is_fetcher else parent or leads[own.region],
         dependents=dependents,
         neighbours=_neighbours(own.node_id, zone_ranks),
