--- a/poplarrack/peer_handlers.py
+++ b/poplarrack/peer_handlers.py
@@ -40,6 +40,7 @@
 async def on_compare(node, digests):
     """Return the own digests, with bucket digests where members differ."""
     node.check_content(digests)
+    node.record_beat(digests.node_id)
     own = node.digests()
     buckets = ()
     if digests.members != own.members:
