--- a/poplarrack/upstreams.py
+++ b/poplarrack/upstreams.py
@@ -52,14 +52,41 @@
     CANCELLED = 'cancelled'
 
 
+@dataclass(frozen=True, slots=True)
+class Mark:
+    """A header by which a server may name the exchange that it answers.
+
+    ``value`` is the exchange's own: ``prefix``, which all exchanges of this
+    node share, and a number. A server may forward the mark of a call that it
+    made itself, which is of another form.
+    """
+
+    name: bytes
+    value: bytes
+    prefix: bytes
+
+    def is_other(self, answer):
+        """Return whether an answer bears another mark."""
+        return answer.header(self.name) not in (None, self.value)
+
+    def is_of_other_exchange(self, answer):
+        """Return whether an answer is that to another exchange of the node."""
+        value = answer.header(self.name)
+        return (
+            self.is_other(answer)
+            and value.startswith(self.prefix)
+            and value.removeprefix(self.prefix).isdigit()
+        )
+
+
 @dataclass(slots=True)
 class Exchange:
     """A request in flight to a backend server.
 
     ``on_done`` is called once, with an Outcome and an HttpAnswer or None.
     ``echo`` is the name and value of a header that the answer must have, or
-    None. ``mark`` is a header that the answer may have with this value only;
-    after an answer with another one, the connection is out of step.
+    None. ``mark`` is the Mark that the answer may bear; after an answer with
+    another one, the connection is out of step.
     """
 
     pool: object
@@ -67,7 +94,7 @@
     bodiless: bool
     on_done: object
     echo: tuple[bytes, bytes] | None = None
-    mark: tuple[bytes, bytes] | None = None
+    mark: Mark | None = None
     timer: object = None
     connection: object = None
     ended: bool = False
@@ -82,10 +109,18 @@
         self.on_done(outcome, answer)
 
     def is_out_of_step(self, answer):
-        """Return whether an answer bears the mark of another exchange."""
-        if self.mark is None:
+        """Return whether an answer bears another mark."""
+        return self.mark is not None and self.mark.is_other(answer)
+
+    def is_mismatched(self, answer):
+        """Return whether an answer belongs to another exchange."""
+        if self.mark is not None and self.mark.is_of_other_exchange(answer):
+            return True
+        if self.echo is None:
             return False
-        return answer.header(self.mark[0]) not in (None, self.mark[1])
+        name, own = self.echo
+        ids = [value for key, value in answer.headers if key == name]
+        return not ids or any(value != own for value in ids)
 
 
 class UpstreamConnection(SharedBufferProtocol):
@@ -118,18 +153,28 @@
         """Store the transport."""
         self.transport = transport
 
-    def send(self, exchange):
-        """Send the exchange's request; the answer ends the exchange."""
+    def try_send(self, exchange):
+        """Send the exchange's request; the answer ends the exchange.
+
+        :returns: False if the connection was lost before it took a byte.
+        """
         self.exchange = exchange
         self.pool.sending.add(self)
         exchange.connection = self
         self.parser = HttpResponseParser(self)
-        self._reset_answer()
+        self.answer = None
+        self.has_head = False
         self.overhead_bytes = 0
         self.complete = False
         self.followed = False
         self.mismatched_answers = 0
         self.transport.write(exchange.request)
+        if self.transport.is_closing():
+            exchange.connection = None
+            self.detach()
+            self.close()
+            return False
+        return True
 
     def _reset_answer(self):
         self._drop_body()
@@ -213,12 +258,11 @@
 
         The head of an answer that was cut off goes on with the next answer's.
         """
+        texts = [value for _, value in self.answer.headers]
+        texts.append(self.reason)
         return (
             self.answer.status < 100
-            or STATUS_LINE.search(self.reason) is not None
-            or any(
-                STATUS_LINE.search(value) for _, value in self.answer.headers
-            )
+            or STATUS_LINE.search(b'\n'.join(texts)) is not None
         )
 
     def _complete_head(self):
@@ -263,14 +307,7 @@
         self.reusable = self.parser.should_keep_alive()
 
     def _is_mismatched(self):
-        """Return whether the answer belongs to another request."""
-        echo = self.exchange.echo
-        if echo is None:
-            return False
-        name, own = echo
-        return {
-            value for key, value in self.answer.headers if key == name
-        } != {own}
+        return self.exchange.is_mismatched(self.answer)
 
     def _skip_mismatched(self):
         self._log_out_of_step('answer to another request')
@@ -313,7 +350,7 @@
         """Log why the connection's bytes are not one answer to its request."""
         echo = self.exchange and self.exchange.echo
         name, own = echo or (b'', b'')
-        other = self.answer.header(name) if echo else None
+        other = self.answer.header(name) if echo and self.answer else None
         logger.info(
             'answer_out_of_step',
             extra={
@@ -426,7 +463,7 @@
         :param timeout_seconds: time until the exchange ends as TIMED_OUT.
         :param on_done: called once, with an Outcome and an HttpAnswer or None.
         :param echo: name and value of a header that the answer must have.
-        :param mark: name of a header, and the only value that it may have.
+        :param mark: the Mark that the answer may bear.
         :returns: the Exchange, to be passed to ``cancel``.
         """
         loop = get_running_loop()
@@ -435,14 +472,18 @@
             timeout_seconds, self._expire, exchange
         )
         self.close_idle(loop.time())
-        if self.idle:
-            self.idle.pop().send(exchange)
-        else:
+        if not self._try_send_on_idle(exchange):
             task = loop.create_task(self._connect(loop, exchange))
             self.connect_tasks.add(task)
             task.add_done_callback(self.connect_tasks.discard)
         return exchange
 
+    def _try_send_on_idle(self, exchange):
+        while self.idle:
+            if self.idle.pop().try_send(exchange):
+                return True
+        return False
+
     async def _connect(self, loop, exchange):
         self.open += 1
         connection = UpstreamConnection(self)
@@ -459,12 +500,13 @@
             return
         if exchange.ended:
             self.release(connection)
-            return
-        connection.send(exchange)
+        elif not connection.try_send(exchange):
+            # Such as one beyond the server's limit, which it resets.
+            exchange.finish(Outcome.NEVER_SENT)
 
     def release(self, connection):
         """Return a connection to the pool for the next exchange."""
-        if self.closed:
+        if self.closed or connection.transport.is_closing():
             connection.close()
             return
         connection.idle_since = get_running_loop().time()
