Begin anew where a fetcher's content was wrong

Where the wrong content came from a node's own fetcher, the check of contents repaired the node and not the fetcher. It put the wrong content in force again with the next change, under a newer revision, and spread it.

A node whose content turned out to differ now stops its fetcher. The next one, started at the following decision, reads the store.

--- a/poplarrack/executors.py
+++ b/poplarrack/executors.py
@@ -269,16 +269,23 @@
     may repair all.
     """
     await asyncio.sleep(node.random.random() * MAX_CHECK_DELAY_SECONDS)
+    if _holds(node, decision):
+        snapshot, read_at = await node.dependencies.run_blocking(
+            read_configuration, node.dependencies.platform
+        )
+        node.on_snapshot(snapshot, read_at)
+        if read_at >= decision.revision:
+            held = node.knowledge.configuration.snapshot
+            node.checked_content = (held.revision, held.digest)
+    if node.fetcher is not None and not _holds(node, decision):
+        # What its watch goes on from may be wrong, too; the next one reads.
+        await watch(node, Watch(False))
+
+
+def _holds(node, decision):
+    """Return whether a node holds the content that it is to check."""
     held = node.knowledge.configuration.snapshot
-    if (held.revision, held.digest) != (decision.revision, decision.digest):
-        return
-    snapshot, read_at = await node.dependencies.run_blocking(
-        read_configuration, node.dependencies.platform
-    )
-    node.on_snapshot(snapshot, read_at)
-    if read_at >= decision.revision:
-        held = node.knowledge.configuration.snapshot
-        node.checked_content = (held.revision, held.digest)
+    return (held.revision, held.digest) == (decision.revision, decision.digest)
 
 
 @executes(Watch)
--- a/tests/test_nodes.py
+++ b/tests/test_nodes.py
@@ -599,6 +599,38 @@
         assert digests_of(mesh) == expected
 
 
+def spoil(fetcher):
+    """Have a fetcher go on from other content than it has read."""
+    poll = fetcher._poll
+
+    def poll_once(held, revision):
+        fetcher._poll = poll
+        held, revision = poll(held, revision)
+        route = route_json(timeout_seconds=9)
+        other = {**CHANGES, 't/routes/front': route}
+        return snapshot(held.revision, other), revision
+
+    fetcher._poll = poll_once
+
+
+# A node was repaired, and its fetcher put the wrong content in force again
+# with each change.
+@on_fakes
+async def test_a_fetcher_does_not_go_on_from_content_found_wrong(mesh):
+    spoiled = [node for node in mesh.nodes.values() if node.fetcher]
+    spoil(spoiled[0].fetcher)
+    await asyncio.sleep(1)
+    with assert_logs('poplarrack.nodes', 'ERROR'):
+        mesh.write_settings({'t/services/s-1': service_json('s-1')})
+        await asyncio.sleep(CHECK_INTERVAL_SECONDS)
+    assert len(digests_of(mesh)) == 1
+    with TestCase().assertNoLogs('poplarrack.nodes', 'ERROR'):
+        mesh.write_settings({'t/services/s-2': service_json('s-2')})
+        await asyncio.sleep(CHECK_INTERVAL_SECONDS)
+    assert len(digests_of(mesh)) == 1
+    assert all(node.fetcher for node in spoiled)
+
+
 # A node whose store can't be read tries again, but not at each comparison.
 @on_fakes
 async def test_a_difference_is_checked_a_bounded_number_of_times(mesh):
