Break off second answers in the soak

The soak's second answers were whole or went on later, so that it could not show a status that isn't the endpoint's own. An endpoint may now send the start of a second answer, cut off inside its head, where the next one is expected.

--- a/tests/soak_endpoints.py
+++ b/tests/soak_endpoints.py
@@ -86,6 +86,17 @@
     return second[middle:]
 
 
+@stutter
+async def late_broken_off(endpoint, writer, first, second):
+    """Write the start of the second answer where the next is expected.
+
+    It ends inside its head, with which the next answer then goes on.
+    """
+    writer.write(first)
+    head_size = second.index(b'\r\n\r\n')
+    return second[: endpoint.random.randrange(1, head_size)]
+
+
 @form
 def with_length(random, fields, status, body):
     """Build an answer with a length."""
