Rename what would stop a new reader

Read as a newcomer: the source that is silent, the children of a node's partner, the number of substitutes, and an answer that may be cut off are named for what they are; two paths in place of two ways. Nothing else changes.

--- a/poplarrack/controllers.py
+++ b/poplarrack/controllers.py
@@ -32,15 +32,13 @@
 
 # Roots also compare with a bridge in every third round.
 BRIDGE_COMPARE_ROUNDS = 3
-
-
 # How long a node may hear nothing from its source before it follows the store
 # itself, in beats. Beats pass on no evidence from further up: each node on the
 # way answers for its own source.
 MAX_SILENT_BEATS = 2.5
 # How many dependents of a fetcher that fails to reach the store get no beat,
 # so that they try in its place.
-SUBSTITUTES = 1
+MAX_SUBSTITUTES = 1
 
 
 @controller('anti-entropy')
@@ -82,7 +80,7 @@
 def _substitutes(facts):
     """Return the dependents that are to try the store instead."""
     if facts.platform.watching and facts.platform.failing_since:
-        return facts.topology.dependents[:SUBSTITUTES]
+        return facts.topology.dependents[:MAX_SUBSTITUTES]
     return ()
 
 
@@ -95,7 +93,7 @@
         yield ForgetEndpoint()
 
 
-def _is_deaf(facts, now):
+def _is_source_silent(facts, now):
     """Return whether the node has not heard from its source for too long."""
     interval = facts.settings.peers.beat_seconds
     silence = now - facts.source_heard_at
@@ -113,6 +111,8 @@
     """
     lifecycle = facts.lifecycle
     active = lifecycle.joined and not lifecycle.draining
-    wanted = active and (facts.topology.is_fetcher or _is_deaf(facts, now))
+    wanted = active and (
+        facts.topology.is_fetcher or _is_source_silent(facts, now)
+    )
     if wanted != facts.platform.watching:
         yield Watch(wanted)
--- a/poplarrack/spreaders.py
+++ b/poplarrack/spreaders.py
@@ -52,9 +52,9 @@
                 self.node.start_task(self._push(node_id, changes))
         if changes.delta is None:
             return
-        # A change of configuration reaches each node on two ways.
+        # A change of configuration reaches each node along two paths.
         change = Updates(changes.sender, changes.delta)
-        for node_id in topology.step_children:
+        for node_id in topology.partner_children:
             if node_id not in skipped:
                 self.node.start_task(self._push(node_id, change))
 
--- a/poplarrack/topologies.py
+++ b/poplarrack/topologies.py
@@ -28,9 +28,10 @@
     lead is one.
     ``bridges`` are the nodes in other zones that a root forwards to;
     ``lead`` represents the node's region and ``far_leads`` the others;
-    ``step_children`` are the children of the other node of its pair, to which
-    it sends the configuration too. ``dependents`` learn of changes only
-    through this node, and it through ``source``, which is empty for a fetcher.
+    ``partner_children`` are the children of the other node of its pair of
+    ranks (2k and 2k + 1), to which it sends the configuration too.
+    ``dependents`` learn of changes only through this node, and it through
+    ``source``, which is empty for a fetcher.
     ``neighbours`` are the nodes that it monitors. ``rank`` is the node's
     index in its zone's rendezvous order. ``is_worker`` marks the node that
     advances moves.
@@ -39,7 +40,7 @@
     roots: tuple[str, ...] = ()
     parent: str | None = None
     children: tuple[str, ...] = ()
-    step_children: tuple[str, ...] = ()
+    partner_children: tuple[str, ...] = ()
     source: str = ''
     dependents: tuple[str, ...] = ()
     neighbours: tuple[str, ...] = ()
@@ -133,7 +134,7 @@
         roots=roots,
         parent=parent,
         children=children,
-        step_children=tuple(
+        partner_children=tuple(
             node
             for node in _children(rank ^ 1, zone_ranks)
             if node not in (own.node_id, parent)
--- a/poplarrack/upstreams.py
+++ b/poplarrack/upstreams.py
@@ -195,7 +195,7 @@
             self.parser.feed_data(data)
         except (HttpParserError, HttpParserUpgrade):
             self._note_bytes_after()
-            if not self.complete or self._may_go_on():
+            if not self.complete or self._may_be_cut_off():
                 self._fail(Outcome.LOST)
                 return
         if self.complete and self.exchange is not None:
@@ -216,11 +216,10 @@
             self.followed = True
             self._log_out_of_step('bytes after the answer')
 
-    def _may_go_on(self):
-        """Return whether the bytes after the answer may be a part of it.
+    def _may_be_cut_off(self):
+        """Return whether the start of another answer may fill the body.
 
-        An answer that is cut off looks complete if the start of another one
-        fills its body.
+        An answer that is cut off looks complete then.
         """
         return ANSWER_START.search(b''.join(self.chunks)) is not None
 
--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -257,7 +257,7 @@
     assert_in_force_in_time('small', root_frozen)
 
 
-# Without a second way, all below a root wait until it counts as silent.
+# Without a second path, all below a root wait until it counts as silent.
 def test_a_change_reaches_the_nodes_below_a_lost_root_on_a_second_way():
     for set_fault in (first_root_cut, root_frozen):
         took = measure('grown', set_fault, 3)
