--- a/poplarrack/dispatchers.py
+++ b/poplarrack/dispatchers.py
@@ -35,9 +35,9 @@
 from poplarrack.retries import Failure
 from poplarrack.retries import may_retry
 from poplarrack.retries import RetryBudget
+from poplarrack.upstream_pools import UpstreamPool
 from poplarrack.upstreams import Mark
 from poplarrack.upstreams import Outcome
-from poplarrack.upstreams import UpstreamPool
 
 # Calls that are queued for one service.
 MAX_QUEUED_CALLS = 200
--- a/poplarrack/receivers.py
+++ b/poplarrack/receivers.py
@@ -23,8 +23,8 @@
 from poplarrack.http_messages import is_end_to_end
 from poplarrack.members import EndpointState
 from poplarrack.members import same_start
+from poplarrack.upstream_pools import UpstreamPool
 from poplarrack.upstreams import Outcome
-from poplarrack.upstreams import UpstreamPool
 
 logger = logging.getLogger(__name__)
 
--- a/poplarrack/upstreams.py
+++ b/poplarrack/upstreams.py
@@ -1,4 +1,4 @@
-"""Send requests to backend servers over pooled keep-alive connections.
+"""Send requests to backend servers over keep-alive connections.
 
 A connection carries one exchange at a time. It is closed after an exchange
 that did not end with exactly one complete answer and no byte behind it, so
@@ -6,8 +6,6 @@
 id, an answer with another id is skipped.
 """
 
-from asyncio import get_running_loop
-from asyncio import timeout
 from dataclasses import dataclass
 from enum import Enum
 import logging
@@ -17,7 +15,6 @@
 from httptools import HttpParserUpgrade
 from httptools import HttpResponseParser
 
-from poplarrack.addresses import split_destination
 from poplarrack.buffers import SharedBufferProtocol
 from poplarrack.http_messages import HttpAnswer
 
@@ -33,8 +30,6 @@
 MAX_HEADER_BYTES = 65_536
 # Bytes of a chunk's size and line ends, without extensions.
 MAX_CHUNK_FRAMING_BYTES = 20
-# Answers of the greatest size that a pool buffers at a time.
-MAX_BUFFERED_ANSWERS = 2
 # Inside a head, where an answer was cut off and another one follows.
 STATUS_LINE = re.compile(rb'HTTP/\d\.\d \d\d\d')
 # In a body, where it may have been cut off and another answer follows.
@@ -420,139 +415,3 @@
             seconds = int(value) - IDLE_MARGIN_SECONDS
             return min(MAX_IDLE_SECONDS, max(0.0, seconds))
     return MAX_IDLE_SECONDS
-
-
-class UpstreamPool:
-    """A pool of connections to one backend server.
-
-    The most recently used connection is reused first.
-
-    :param address: IP number and port of the server.
-    :param max_answer_bytes: bound on the size of an answer.
-    :param connect_timeout_seconds: bound on the time to connect.
-    """
-
-    def __init__(self, address, max_answer_bytes, connect_timeout_seconds):
-        self.address = address
-        self.host, self.port = split_destination(address)
-        self.max_answer_bytes = max_answer_bytes
-        self.connect_timeout_seconds = connect_timeout_seconds
-        self.max_buffered_bytes = MAX_BUFFERED_ANSWERS * max_answer_bytes
-        self.idle = []
-        # Connections with an exchange, and the bytes that they buffer.
-        self.sending = set()
-        self.buffered_bytes = 0
-        self.open = 0
-        self.connect_tasks = set()
-        self.closed = False
-
-    def start(
-        self,
-        request,
-        bodiless,
-        timeout_seconds,
-        on_done,
-        echo=None,
-        mark=None,
-    ):
-        """Start an exchange.
-
-        :param request: bytes of the whole request.
-        :param bodiless: whether the answer has no body, as for HEAD.
-        :param timeout_seconds: time until the exchange ends as TIMED_OUT.
-        :param on_done: called once, with an Outcome and an HttpAnswer or None.
-        :param echo: name and value of a header that the answer must have.
-        :param mark: the Mark that the answer may bear.
-        :returns: the Exchange, to be passed to ``cancel``.
-        """
-        loop = get_running_loop()
-        exchange = Exchange(self, request, bodiless, on_done, echo, mark)
-        exchange.timer = loop.call_later(
-            timeout_seconds, self._expire, exchange
-        )
-        self.close_idle(loop.time())
-        if not self._try_send_on_idle(exchange):
-            task = loop.create_task(self._connect(loop, exchange))
-            self.connect_tasks.add(task)
-            task.add_done_callback(self.connect_tasks.discard)
-        return exchange
-
-    def _try_send_on_idle(self, exchange):
-        while self.idle:
-            if self.idle.pop().try_send(exchange):
-                return True
-        return False
-
-    async def _connect(self, loop, exchange):
-        self.open += 1
-        connection = UpstreamConnection(self)
-        try:
-            connecting = loop.create_connection(
-                lambda: connection, self.host, self.port
-            )
-            async with timeout(self.connect_timeout_seconds):
-                await connecting
-        except (OSError, TimeoutError, OverflowError, ValueError):
-            # The last two are raised for a port or a host out of range.
-            self.open -= 1
-            exchange.finish(Outcome.NEVER_SENT)
-            return
-        if exchange.ended:
-            self.release(connection)
-        elif not connection.try_send(exchange):
-            # Such as one beyond the server's limit, which it resets.
-            exchange.finish(Outcome.NEVER_SENT)
-
-    def release(self, connection):
-        """Return a connection to the pool for the next exchange."""
-        if self.closed or connection.transport.is_closing():
-            connection.close()
-            return
-        connection.idle_since = get_running_loop().time()
-        self.idle.append(connection)
-
-    def remove(self, connection):
-        """Remove a closed connection from the pool."""
-        if connection in self.idle:
-            self.idle.remove(connection)
-        if not connection.removed:
-            connection.removed = True
-            self.open -= 1
-
-    def on_buffered(self, size):
-        """Count buffered bytes; give up the largest answer if too many."""
-        self.buffered_bytes += size
-        if self.buffered_bytes > self.max_buffered_bytes:
-            largest = max(self.sending, key=lambda item: item.buffered_bytes)
-            largest.fail_too_large()
-
-    def cancel(self, exchange, outcome=Outcome.CANCELLED):
-        """End an exchange early and close its connection.
-
-        An exchange that times out before it was sent ends as NEVER_SENT.
-        """
-        connection = exchange.connection
-        if connection is None:
-            exchange.finish(
-                Outcome.NEVER_SENT if outcome is Outcome.TIMED_OUT else outcome
-            )
-            return
-        if connection.exchange is exchange:
-            connection.detach()
-            connection.close()
-        exchange.finish(outcome)
-
-    def close_idle(self, now):
-        """Close the connections whose idle timeout has passed."""
-        for connection in list(self.idle):
-            if now - connection.idle_since > connection.idle_seconds:
-                connection.close()
-
-    def close(self):
-        """Close idle connections now and the others after their exchange."""
-        self.closed = True
-        for connection in list(self.idle):
-            connection.close()
-
-    def _expire(self, exchange):
-        self.cancel(exchange, Outcome.TIMED_OUT)
--- a/tests/test_upstream_answers.py
+++ b/tests/test_upstream_answers.py
@@ -5,10 +5,10 @@
 from random import Random
 from unittest import TestCase
 
+from poplarrack.upstream_pools import UpstreamPool
 from poplarrack.upstreams import Exchange
 from poplarrack.upstreams import Outcome
 from poplarrack.upstreams import UpstreamConnection
-from poplarrack.upstreams import UpstreamPool
 from tests.support import build_load_tests
 
 load_tests = build_load_tests(__name__)
--- a/tests/test_upstreams.py
+++ b/tests/test_upstreams.py
@@ -3,8 +3,8 @@
 import asyncio
 from contextlib import suppress
 
+from poplarrack.upstream_pools import UpstreamPool
 from poplarrack.upstreams import Outcome
-from poplarrack.upstreams import UpstreamPool
 from tests.support import build_load_tests
 
 load_tests = build_load_tests(__name__)
