--- a/poplarrack/platform/configurations.py
+++ b/poplarrack/platform/configurations.py
@@ -89,10 +89,10 @@
     :param previous: the Translation of the items before them; it is not
         changed, so that threads may share it.
     """
-    return _Pass(items, previous).run()
+    return _TranslationPass(items, previous).run()
 
 
-class _Pass:
+class _TranslationPass:
     """One translation of the store's items, while it is under way."""
 
     def __init__(self, items, previous):
--- a/tests/soak_hosts.py
+++ b/tests/soak_hosts.py
@@ -129,7 +129,7 @@
         if code != 0 and (started or code != -signal.SIGTERM):
             self.record.violate('EXIT', self.name, f'exited with {code}')
 
-    def check_runs(self):
+    def check_process(self):
         """Check that the process did not end by itself."""
         if self.killed or self.stopping:
             return
@@ -140,7 +140,7 @@
 
     async def watch(self):
         """Check the process once, and whether callers may call it."""
-        self.check_runs()
+        self.check_process()
         if not self.called:
             self.called = await self.is_ready()
         await self.check_revision()
