Deny no route without a configuration

Callers saw, in the soak of the product's own mesh: 404 on a route that was there, from a node that had just started and knew no configuration.

Cause: the dispatcher took the absence of a configuration for that of the route. The sidecar answers 503 then.

Change: the call table has the configuration's revision; with 0, a call without a route is refused as one without an endpoint.

Measured: the new test failed before (404); test_calls, test_end_to_end and test_callers pass.

--- a/poplarrack/call_tables.py
+++ b/poplarrack/call_tables.py
@@ -35,7 +35,8 @@
 
     ``versions``, ``moves`` and ``warm_up_seconds`` are by service; ``moves``
     has the VersionSplits of the moves in effect. ``candidates`` has a tuple
-    of Candidates by service and version.
+    of Candidates by service and version. ``revision`` 0 means that no
+    configuration is known yet.
     """
 
     router: Router = field(default_factory=Router)
@@ -43,6 +44,7 @@
     moves: dict = field(default_factory=dict)
     candidates: dict = field(default_factory=dict)
     warm_up_seconds: dict = field(default_factory=dict)
+    revision: int = 0
 
 
 def derive_call_table(locality, knowledge, now):
@@ -71,6 +73,7 @@
         moves,
         derive_candidates(locality, members, callers.__getitem__),
         {name: service.warm_up_seconds for name, service in services.items()},
+        configuration.revision,
     )
 
 
--- a/poplarrack/dispatchers.py
+++ b/poplarrack/dispatchers.py
@@ -188,7 +188,10 @@
         self.counts['calls'] += 1
         route = self.table.router.match(request.method, request.target)
         if route is None:
-            self._refuse(call, ErrorKind.NO_ROUTE, request.target)
+            if self.table.revision:
+                self._refuse(call, ErrorKind.NO_ROUTE, request.target)
+            else:
+                self._refuse(call, ErrorKind.NO_ENDPOINT, 'no configuration')
             return call
         call.route = route
         call.deadline = self.clock() + self._timeout_seconds(call, route)
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -94,7 +94,9 @@
     given = {('front', 'v1'): tuple(candidates)}
     dispatcher.set_table(
         CallTable(
-            Router(ROUTES), {'front': 'v1'}, **{'candidates': given, **table}
+            Router(ROUTES),
+            {'front': 'v1'},
+            **{'candidates': given, 'revision': 1, **table},
         )
     )
     calls = CallServer(dispatcher, time.monotonic)
@@ -384,6 +386,16 @@
         assert load.in_flight == 0
 
 
+# CONFIG: a node that knew no configuration yet denied routes that were there.
+@run
+async def test_a_node_without_a_configuration_denies_no_route():
+    async with call_path_to(lambda *x: OK) as path:
+        path.dispatcher.set_table(CallTable())
+        status, headers, _ = await path.call('/jars')
+        assert status == 503
+        assert headers['poplarrack-ran'] == 'no'
+
+
 @run
 async def test_requests_over_the_bounds_are_refused():
     async with call_path_to(lambda *x: OK) as path:
