Call own nodes of the soak from their start on

Callers of the product's own mesh waited for a node's readiness, since one without a configuration answered 404. It answers 503 now, so that the wait, which kept the check of denied routes from such nodes, is gone.

--- a/tests/soak_callers.py
+++ b/tests/soak_callers.py
@@ -39,8 +39,7 @@
     async def run(self):
         """Send requests until the run stops."""
         while not self.soak.stopped:
-            if self.host.called:
-                await self.call()
+            await self.call()
             await self.pause(self.random.random() * self.soak.pause_seconds)
         self.connection.close()
 
--- a/tests/soak_hosts.py
+++ b/tests/soak_hosts.py
@@ -35,8 +35,7 @@
     ``lock`` is held while the process is stopped, started or suspended.
     ``revision`` is the latest revision that the process reported,
     ``log_offset`` the size of the log in bytes when the process started.
-    ``killed`` says whether the process was sent SIGKILL, ``called`` whether
-    callers may call it.
+    ``killed`` says whether the process was sent SIGKILL.
     """
 
     name: str
@@ -51,7 +50,6 @@
     log_offset: int = 0
     killed: bool = False
     stopping: bool = False
-    called: bool = True
     lock: asyncio.Lock = field(default_factory=asyncio.Lock)
 
     @property
@@ -97,7 +95,6 @@
                 command, stdout=log, stderr=log, env=environment
             )
         self.revision, self.killed, self.stopping = 0, False, False
-        self.called = not self.soak.mesh.callers_ask_readiness
         self.record.boots[self.name].append(self.record.clock())
 
     def kill(self):
@@ -139,21 +136,10 @@
             self.start()
 
     async def watch(self):
-        """Check the process once, and whether callers may call it."""
+        """Check the process once."""
         self.check_process()
-        if not self.called:
-            self.called = await self.is_ready()
         await self.check_revision()
 
-    async def is_ready(self):
-        """Return whether the process says that it is ready."""
-        raw = build_request('GET', '/ready', connection='close')
-        try:
-            answer = await exchange(self.operator_address, raw)
-        except NO_ANSWER:
-            return False
-        return answer.status == 200
-
     async def check_revision(self):
         """Check that the process did not return to an older revision."""
         process = self.process
--- a/tests/soak_meshes.py
+++ b/tests/soak_meshes.py
@@ -53,8 +53,6 @@
     unknown_faults = ()
     # Whether an answer with the id of another request is told apart.
     echoes = True
-    # Whether callers call a node only after it said that it is ready.
-    callers_ask_readiness = False
     # From an endpoint's leave to the last request that it gets, in seconds.
     leave_tolerance = LEAVE_TOLERANCE_SECONDS
 
@@ -145,7 +143,6 @@
     # SIGHUP ends a program that has no settings to read again.
     unknown_faults = ('reload_node',)
     echoes = False
-    callers_ask_readiness = True
     # Other nodes learn of it from the local one.
     leave_tolerance = DRAIN_SECONDS
 
