Begin each watch as one that has not failed

A node that stopped its watch while the store failed kept that failure. Its next watch, which nodes begin and end more often since they follow the store where their source is silent, counted as failing until its first answer, and a node below it got no beat meanwhile.

Measured: the new test failed before; test_nodes and test_spread pass.

--- a/poplarrack/executors.py
+++ b/poplarrack/executors.py
@@ -297,7 +297,10 @@
     elif node.fetcher is not None:
         node.fetcher.stop()
         node.fetcher = None
-    platform = replace(node.facts.platform, watching=decision.wanted)
+    # What an earlier watch met says nothing of the next one.
+    platform = replace(
+        node.facts.platform, watching=decision.wanted, failing_since=0.0
+    )
     node.blackboard.write('platform', platform=platform)
 
 
--- a/tests/test_nodes.py
+++ b/tests/test_nodes.py
@@ -15,6 +15,7 @@
 from poplarrack.decisions import ProbeThrough
 from poplarrack.decisions import Publish
 from poplarrack.decisions import Rejoin
+from poplarrack.decisions import Watch
 from poplarrack.detectors import BRIDGED_ZONE_SEARCH_INTERVAL_SECONDS
 from poplarrack.detectors import detect_failures
 from poplarrack.detectors import rejoin_others
@@ -25,6 +26,7 @@
 from poplarrack.evidence import ENTIRE_STAGE
 from poplarrack.evidence import Side
 from poplarrack.evidence import Verdict
+from poplarrack.executors import EXECUTORS
 from poplarrack.knowledge import Knowledge
 from poplarrack.members import MemberState
 from poplarrack.members import refute
@@ -679,3 +681,15 @@
         mesh.add_node(name, settings.region, settings.zone, seeds)
     await mesh.wait_for_revision(write_change(mesh, 9), 10)
     assert len(seen) > 6
+
+
+# A node that stopped its watch while the store failed counted the next watch
+# as failing from its start, and kept its beats from a node below it.
+@on_fakes
+async def test_a_new_watch_has_not_failed_yet(mesh):
+    node = next(n for n in mesh.nodes.values() if n.facts.platform.watching)
+    node.record_platform_call(False, 'away')
+    assert node.facts.platform.failing_since
+    for wanted in (False, True):
+        await EXECUTORS[Watch](node, Watch(wanted))
+        assert not node.facts.platform.failing_since
