--- a/poplarrack/benches/capacities.py
+++ b/poplarrack/benches/capacities.py
@@ -71,7 +71,7 @@
         'from poplarrack.callers import CallServer\n'
         'from poplarrack.dispatchers import Dispatcher'
     ),
-    'pages': 'from poplarrack.pages import PageServer',
+    'pages': 'from poplarrack.page_servers import PageServer',
     'platform_client': 'from poplarrack.platforms import PlatformClient',
     'logs': 'from poplarrack.logs import configure_logs',
     'settings': 'import json5',
