Judge heartbeats by the node's own service

Cause: a heartbeat of an unknown service was refused only once a configuration was known. Before that it became the node's record of its endpoint, and the true endpoint's heartbeats, which named an earlier start, were ignored for as long as the process lived. A heartbeat of another service that is configured did the same at any time.

Change: a heartbeat is judged by the service that the settings name, which the node knows from its start. Where they differ, the settings are read again first, as they may change with the endpoint and without a signal.

Before, test_a_heartbeat_of_another_service_... ended in a timeout, as the node never got its endpoint, and test_an_endpoint_is_taken_once_the_settings_name_its_service failed.

--- a/poplarrack/sidecar_servers.py
+++ b/poplarrack/sidecar_servers.py
@@ -221,23 +221,31 @@
     def on_heartbeat(self, heartbeat):
         """Apply a heartbeat of the local endpoint.
 
-        :raises PoplarrackError: MALFORMED_REQUEST if its service is neither
-            configured nor this node's. Another writer sent it then.
+        :raises PoplarrackError: MALFORMED_REQUEST if its service is not this
+            node's. Another writer sent it then.
         """
-        now = self.clock()
-        services = self.node.knowledge.configuration.services
-        service = services.get(heartbeat.service)
-        is_known = service or heartbeat.service == self.settings.service
-        if services and not is_known:
+        if not self._is_own_service(heartbeat.service):
             raise PoplarrackError(
                 ErrorKind.MALFORMED_REQUEST,
-                f'heartbeat: unknown service {heartbeat.service!r:.80}',
+                f'heartbeat: service {heartbeat.service!r:.80} is not that '
+                'of this node',
             )
+        services = self.node.knowledge.configuration.services
+        service = services.get(heartbeat.service)
         service = service or Service(heartbeat.service, '')
-        record = apply_heartbeat(self.record, heartbeat, service, now)
+        record = apply_heartbeat(self.record, heartbeat, service, self.clock())
         if record is not self.record:
             self._set_record(record)
 
+    def _is_own_service(self, service):
+        """Return whether the settings name a service as this node's.
+
+        The settings may have changed with the endpoint, without a signal.
+        """
+        if service != self.settings.service:
+            self.reload()
+        return service == self.settings.service
+
     def on_deregistration(self, instance_id, born):
         """Apply the deregistration of the local endpoint.
 
--- a/tests/test_sidecar_servers.py
+++ b/tests/test_sidecar_servers.py
@@ -221,6 +221,69 @@
     await exchange(settings.announce_address, put)
 
 
+async def send_heartbeat(settings, heartbeat, instance_id='i-1'):
+    """Send a heartbeat; return the answer's status."""
+    path = f'/-/instances/{instance_id}'
+    put = build_request('PUT', path, dumps(heartbeat).encode())
+    answer = await exchange(settings.announce_address, put)
+    return int(answer.split()[1])
+
+
+# RECOVER: a heartbeat of another writer, taken while no configuration was
+# known, kept the true endpoint out for as long as the process ran. One that
+# named another configured service did so at any time.
+def test_a_heartbeat_of_another_service_never_takes_the_endpoints_place():
+    def others(sequence):
+        for service in ('stocktake', 'back'):
+            info = {**HEARTBEAT['info'], 'service': service}
+            status = {'state': 'ready', 'sequence': sequence}
+            yield {**HEARTBEAT, 'info': info, 'status': status, 'born': 2**41}
+
+    async def run():
+        endpoint = ScriptedServer(lambda *x: ENDPOINT_ANSWER)
+        listener = await asyncio.start_server(endpoint.serve, '127.0.0.1', 0)
+        statuses = []
+        with running_store() as (stand_in, store):
+            stand_in.failure_status = 503
+            async with running_node(store) as (server, settings):
+                await until(lambda: joined(server))
+                for other in others(1):
+                    status = await send_heartbeat(settings, other, 'i-other')
+                    statuses.append(status)
+                await announce(settings, listener)
+                stand_in.put('op/config', CONFIG)
+                stand_in.failure_status = 0
+                await until(lambda: is_ready(settings))
+                for other in others(2):
+                    status = await send_heartbeat(settings, other, 'i-other')
+                    statuses.append(status)
+                await until(lambda: has_endpoint(server))
+                answer = await exchange(settings.call_address, CALL)
+        listener.close()
+        return statuses, answer
+
+    statuses, answer = asyncio.run(run())
+    assert answer.startswith(b'HTTP/1.1 200'), answer
+    assert statuses == [400] * 4, statuses
+
+
+def test_an_endpoint_is_taken_once_the_settings_name_its_service():
+    held = []
+
+    async def run():
+        with running_store() as (_, store):
+            node = running_node(store, lambda: held[-1], service='back')
+            async with node as (server, settings):
+                held.append(settings)
+                await until(lambda: joined(server))
+                before = await send_heartbeat(settings, HEARTBEAT)
+                held.append(replace(settings, service='front'))
+                after = await send_heartbeat(settings, HEARTBEAT)
+                return before, after, server.record.endpoint.service
+
+    assert asyncio.run(run()) == (400, 200, 'front')
+
+
 # LOST: a stopping node passed on requests that came late in its grace, and
 # closed their connections without an answer when the grace was over.
 def test_a_stopping_node_answers_every_request_that_it_has_read():
