Keep an acknowledged leave beyond the process

Cause: what makes a late heartbeat harmless, the id and the start of the endpoint that left, was held by one process only. Other nodes learned that the member has no endpoint, not which one had left.

Change: a member record has the last departure, which outlives the records around it in every node's table, and the store has it under a lease. A leave is acknowledged once one of them has it. A node that starts learns of it before it puts an endpoint in use.

--- a/poplarrack/executors.py
+++ b/poplarrack/executors.py
@@ -1,7 +1,6 @@
 """Execute the decisions of controllers."""
 
 import asyncio
-from dataclasses import dataclass
 from dataclasses import replace
 import logging
 
@@ -24,6 +23,7 @@
 from poplarrack.joiners import MAX_JOIN_DELAY_SECONDS
 from poplarrack.joiners import sync
 from poplarrack.joiners import sync_with_some
+from poplarrack.leases import renew_lease
 from poplarrack.messages import DigestsAnswer
 from poplarrack.messages import ProbeRequest
 from poplarrack.messages import Updates
@@ -43,17 +43,6 @@
 MAX_CHECK_DELAY_SECONDS = 1.0
 
 
-@dataclass(frozen=True)
-class SummaryLease:
-    """The platform lease of a zone's summary.
-
-    ``renew_at`` is in seconds since the epoch.
-    """
-
-    lease_id: int = 0
-    renew_at: float = 0.0
-
-
 def executes(decision_type):
     """Register the coroutine function that executes a type of decision."""
 
@@ -236,17 +225,12 @@
 
 
 def _put_summary(node, summary):
-    """Put a summary under its lease.
-
-    The lease is renewed once a third of the TTL has passed, well before it
-    expires.
-    """
+    """Put a summary under its lease."""
     platform = node.dependencies.platform
-    now = node.clock()
     ttl_seconds = node.settings.platform.summary_ttl_seconds
-    if ttl_seconds and now >= node.summary_lease.renew_at:
-        node.summary_lease = _renew_lease(
-            node.summary_lease, platform, ttl_seconds, now
+    if ttl_seconds:
+        node.summary_lease = renew_lease(
+            node.summary_lease, platform, ttl_seconds, node.clock()
         )
     key = f'{ZONE_PREFIX}{summary.region}/{summary.zone}'
     value = encode_summary(summary)
@@ -254,13 +238,6 @@
     platform.put_unconditionally(Operation(key, value, lease_id))
 
 
-def _renew_lease(held, platform, ttl_seconds, now):
-    lease_id = held.lease_id
-    if not lease_id or not platform.renew_lease(lease_id):
-        lease_id = platform.grant_lease(ttl_seconds)
-    return SummaryLease(lease_id, now + ttl_seconds / 3)
-
-
 @executes(CheckContent)
 async def check_content(node, decision):
     """Read the configuration again, unless it has been replaced meanwhile.
--- a/poplarrack/heartbeats.py
+++ b/poplarrack/heartbeats.py
@@ -8,8 +8,11 @@
 from dataclasses import dataclass
 from dataclasses import replace
 
+from poplarrack.members import Departure
 from poplarrack.members import Endpoint
 from poplarrack.members import EndpointState
+from poplarrack.members import LAST_SEQUENCE
+from poplarrack.members import latest_departure
 
 
 @dataclass(frozen=True)
@@ -32,42 +35,38 @@
     cold_seconds: float = 0.0
 
 
-# How long after an endpoint's deregistration its heartbeats may still arrive.
+# How long after an endpoint's leave its heartbeats may still arrive.
 MAX_HEARTBEAT_DELAY_SECONDS = 10.0
 
 
-@dataclass(frozen=True)
-class Deregistration:
-    """The deregistration of an endpoint; ``at`` is when it arrived.
-
-    ``born`` is None if neither it nor an earlier heartbeat contained it.
-    """
+def _precedes(start, sequence, departure, now):
+    """Return whether an endpoint sent a heartbeat before its leave.
 
-    instance_id: str
-    born: int | None
-    at: float
+    Those of earlier endpoints were, too, if they arrive soon after it.
 
-    def covers(self, heartbeat, now):
-        """Return whether a heartbeat was sent before the deregistration."""
-        if heartbeat.instance_id != self.instance_id:
-            return False
-        if self.born is None:
-            return now - self.at < MAX_HEARTBEAT_DELAY_SECONDS
-        return heartbeat.born <= self.born
+    :param start: the Heartbeat, or the Endpoint that came of it.
+    :param sequence: the heartbeat's sequence number.
+    """
+    is_recent = now - departure.at < MAX_HEARTBEAT_DELAY_SECONDS
+    born = departure.born
+    if start.instance_id != departure.instance_id:
+        return is_recent and 0 < start.born < (born or 0)
+    if born is None:
+        return is_recent
+    return (start.born, sequence) <= (born, departure.sequence)
 
 
 @dataclass(frozen=True)
 class EndpointRecord:
     """What a node knows of its local endpoint.
 
-    Heartbeats that were sent before the deregistration but arrive after it are
-    ignored, also by a node that was started in between and knows the
-    endpoint from its deregistration alone.
+    Heartbeats that were sent before the last departure but arrive after it
+    are ignored, also by a process that started in between.
     """
 
     endpoint: Endpoint | None = None
     sequence: int = -1
-    deregistration: Deregistration | None = None
+    departure: Departure | None = None
 
 
 def apply_heartbeat(record, heartbeat, service, now):
@@ -77,8 +76,9 @@
     :param service: the endpoint's Service, or one with defaults.
     :param now: seconds since the epoch.
     """
-    if record.deregistration is not None and record.deregistration.covers(
-        heartbeat, now
+    departure = record.departure
+    if departure is not None and _precedes(
+        heartbeat, heartbeat.sequence, departure, now
     ):
         return record
     previous = record.endpoint
@@ -106,7 +106,20 @@
         heartbeat.instance_id,
         heartbeat.born,
     )
-    return replace(record, endpoint=endpoint, sequence=heartbeat.sequence)
+    if heartbeat.draining:
+        departure = _extend_departure(departure, heartbeat, now)
+    return EndpointRecord(endpoint, heartbeat.sequence, departure)
+
+
+def _extend_departure(held, heartbeat, now):
+    """Return the departure of an endpoint that drains.
+
+    It begins with the first heartbeat that says so.
+    """
+    start = (heartbeat.instance_id, heartbeat.born)
+    if held is not None and (held.instance_id, held.born) == start:
+        return held
+    return Departure(*start, heartbeat.sequence, now)
 
 
 def apply_deregistration(record, instance_id, born, now):
@@ -116,16 +129,30 @@
     :param now: seconds since the epoch.
     """
     previous = record.endpoint
-    if previous is None:
-        return replace(
-            record, deregistration=Deregistration(instance_id, born, now)
-        )
-    if previous.instance_id != instance_id:
-        return record
-    if born is None:
-        born = previous.born
-    if born < previous.born:
+    if previous is not None:
+        if previous.instance_id != instance_id:
+            return record
+        if born is None:
+            born = previous.born
+        if born < previous.born:
+            return record
+    departure = Departure(instance_id, born, LAST_SEQUENCE, now)
+    return EndpointRecord(None, record.sequence, departure)
+
+
+def apply_departure(record, departure, now):
+    """Return the record after a leave that an earlier process acknowledged.
+
+    An endpoint that is known from a heartbeat before the leave is dropped.
+
+    :param now: seconds since the epoch.
+    :returns: the same object if the record has this leave or a later one.
+    """
+    if latest_departure(departure, record.departure) == record.departure:
         return record
-    return EndpointRecord(
-        None, record.sequence, Deregistration(instance_id, born, now)
-    )
+    endpoint = record.endpoint
+    if endpoint is not None and _precedes(
+        endpoint, record.sequence, departure, now
+    ):
+        endpoint = None
+    return replace(record, endpoint=endpoint, departure=departure)
--- a/poplarrack/members.py
+++ b/poplarrack/members.py
@@ -75,12 +75,43 @@
     )
 
 
+# The sequence number of a deregistration, which no heartbeat follows.
+LAST_SEQUENCE = 2**63 - 1
+
+
+@dataclass(frozen=True, slots=True)
+class Departure:
+    """The leave of one start of a backend server.
+
+    Its heartbeats up to ``sequence`` no longer count. ``born`` is None if it
+    is not known; ``at`` is when the leave arrived, in seconds since the epoch.
+    """
+
+    instance_id: str
+    born: int | None
+    sequence: int
+    at: float
+
+    @property
+    def rank(self):
+        """Return the merge key: the departure with the greater one wins."""
+        return (self.born or 0, self.sequence, self.at, self.instance_id)
+
+
+def latest_departure(one, other):
+    """Return the departure that wins, or None if both are None."""
+    known = [item for item in (one, other) if item is not None]
+    return max(known, key=lambda item: item.rank, default=None)
+
+
 @dataclass(frozen=True, slots=True)
 class Member:
     """A node, its locality and its backend server.
 
     ``incarnation`` is set when the process starts (milliseconds since the
     epoch); ``sequence`` counts the changes that the owner made.
+    ``departure`` is the last leave that the node acknowledged, also in an
+    earlier process; unlike the other fields, it is merged by its own rank.
     """
 
     node_id: str
@@ -92,6 +123,7 @@
     state: MemberState = MemberState.ALIVE
     endpoint: Endpoint | None = None
     operator_address: str = ''
+    departure: Departure | None = None
 
     @property
     def rank(self):
@@ -105,9 +137,12 @@
 
 
 def member_digest(member):
-    """Return a 64-bit hash of a record's node id and rank."""
+    """Return a 64-bit hash of a record's node id, rank and departure."""
     key = f'{member.node_id}\0{member.incarnation}\0{member.sequence}'
-    return xxh64_intdigest(f'{key}\0{int(member.state)}'.encode())
+    key = f'{key}\0{int(member.state)}'
+    if member.departure is not None:
+        key = f'{key}\0{member.departure.rank}'
+    return xxh64_intdigest(key.encode())
 
 
 def _presence_digest(member):
@@ -168,12 +203,19 @@
 def merge_members(table, received):
     """Merge records into a table; the one with the greater rank wins.
 
+    A departure is kept in the record that wins, so that a process that
+    starts after it can learn of it.
+
     :param received: Member records.
     :returns: a MemberMerge.
     """
-    changes = tuple(
-        member for member in received if _overrides(table.members, member)
-    )
+    merged = {}
+    for member in received:
+        held = merged.get(member.node_id, table.members.get(member.node_id))
+        winner = _merge_records(held, member)
+        if winner is not held:
+            merged[member.node_id] = winner
+    changes = tuple(merged.values())
     if not changes:
         return MemberMerge(table, ())
     members = dict(table.members)
@@ -182,8 +224,6 @@
     presence = table.presence
     for member in changes:
         old = members.get(member.node_id)
-        if old is not None and old.rank >= member.rank:
-            continue
         bucket = bucket_of(member.node_id)
         buckets[bucket] ^= member_digest(old) if old else 0
         buckets[bucket] ^= member_digest(member)
@@ -193,18 +233,24 @@
         suspects.discard(member.node_id)
         if member.state is MemberState.SUSPECT:
             suspects.add(member.node_id)
-    merged = MemberTable(
+    after = MemberTable(
         MappingProxyType(members),
         tuple(buckets),
         frozenset(suspects),
         presence,
     )
-    return MemberMerge(merged, changes)
-
-
-def _overrides(members, member):
-    old = members.get(member.node_id)
-    return old is None or member.rank > old.rank
+    return MemberMerge(after, changes)
+
+
+def _merge_records(held, received):
+    """Return the record that wins; the one that is held if it is as good."""
+    if held is None:
+        return received
+    winner = received if received.rank > held.rank else held
+    departure = latest_departure(held.departure, received.departure)
+    if departure == winner.departure:
+        return winner
+    return replace(winner, departure=departure)
 
 
 def refute(own, table):
--- a/poplarrack/nodes.py
+++ b/poplarrack/nodes.py
@@ -24,10 +24,11 @@
 from poplarrack.errors import ErrorKind
 from poplarrack.errors import PoplarrackError
 from poplarrack.executors import EXECUTORS
-from poplarrack.executors import SummaryLease
 from poplarrack.knowledge import apply_snapshot
 from poplarrack.knowledge import merge_updates
 from poplarrack.knowledge import prune_verdicts
+from poplarrack.leases import Lease
+from poplarrack.members import latest_departure
 from poplarrack.members import Member
 from poplarrack.members import MemberState
 from poplarrack.members import refute
@@ -100,7 +101,10 @@
         self.locality = Locality(own.node_id, own.region, own.zone)
         self.history = SnapshotHistory()
         self.fetcher = None
-        self.summary_lease = SummaryLease()
+        self.summary_lease = Lease()
+        self.departure_lease = Lease()
+        # Called with a Departure that an earlier process acknowledged.
+        self.on_departure = lambda departure: None
         # The revision and the digest of the content that was last compared
         # with the store's because another node had other content.
         self.checked_content = (0, 0)
@@ -402,6 +406,7 @@
             self._log_rejection(result.knowledge.rejection)
             self.blackboard.write('merging', knowledge=result.knowledge)
         self._refute_if_suspected()
+        self._recall_departure()
         if not result.changes.empty:
             self.spreader.spread(result.changes, sender)
         return result.stale
@@ -412,6 +417,22 @@
             logger.info('accusation_refuted')
             self.update_own(refutation)
 
+    def _recall_departure(self):
+        """Take over a departure that other nodes hold for this one."""
+        own = self.facts.own
+        held = self.knowledge.members.members.get(own.node_id)
+        if held is not None and held.departure != own.departure:
+            self.record_departure(held.departure)
+            self.on_departure(held.departure)
+
+    def record_departure(self, departure):
+        """Add the local backend server's Departure to the own record."""
+        own = self.facts.own
+        latest = latest_departure(own.departure, departure)
+        if latest != own.departure:
+            sequence = own.sequence + 1
+            self.update_own(replace(own, sequence=sequence, departure=latest))
+
     def update_own(self, own):
         """Replace the own record and spread it."""
         self.blackboard.write('membership', own=own)
--- a/poplarrack/platform/pages.py
+++ b/poplarrack/platform/pages.py
@@ -25,20 +25,30 @@
         return _handle_heartbeat(server, instance_id, request.body)
     if request.method == 'DELETE':
         server.on_deregistration(instance_id, decode_born(request.body))
-        return json_page({})
+        return _acknowledge_leave(server)
     return Page(405, TEXT, b'')
 
 
 def _handle_heartbeat(server, instance_id, body):
     try:
-        server.on_heartbeat(decode_heartbeat(instance_id, body))
+        heartbeat = decode_heartbeat(instance_id, body)
+        server.on_heartbeat(heartbeat)
     except PoplarrackError as error:
         logger.warning('heartbeat_rejected', extra={'detail': error.detail})
         status = error.answer.http_status
         return Page(status, TEXT, error.detail.encode())
+    if heartbeat.draining:
+        return _acknowledge_leave(server)
     return json_page({})
 
 
+async def _acknowledge_leave(server):
+    """Acknowledge a leave once it outlives the process of this node."""
+    if await server.hold_departure():
+        return json_page({})
+    return Page(503, TEXT, b'nobody else keeps the leave')
+
+
 def serve_ready(server, request):
     """Answer whether the node is ready to send the machine's requests."""
     if request.target.partition('?')[0] != READY_PATH:
--- a/tests/test_heartbeats.py
+++ b/tests/test_heartbeats.py
@@ -2,6 +2,7 @@
 
 from dataclasses import replace
 
+from poplarrack.heartbeats import apply_departure
 from poplarrack.heartbeats import apply_deregistration
 from poplarrack.heartbeats import apply_heartbeat
 from poplarrack.heartbeats import EndpointRecord
@@ -73,3 +74,45 @@
     assert apply(with_start, restarted, 101.0).endpoint.born == 2000
     without_start = apply_deregistration(EndpointRecord(), 'i-1', None, 100.0)
     assert apply(without_start, restarted, 111.0).endpoint.born == 2000
+
+
+# DRAIN: a process that started after its predecessor had acknowledged a leave
+# took a late heartbeat of the endpoint for that of a new one.
+def test_a_leave_that_an_earlier_process_acknowledged_holds():
+    draining = replace(HEARTBEAT, draining=True)
+    for leave in (
+        apply(EndpointRecord(), draining),
+        apply_deregistration(
+            apply(EndpointRecord(), HEARTBEAT), 'i-1', 1000, 100.0
+        ),
+    ):
+        started = apply_departure(EndpointRecord(), leave.departure, 101.0)
+        late = apply(started, replace(HEARTBEAT, sequence=3), 106.0)
+        assert late.endpoint is None
+        misled = apply(EndpointRecord(), replace(HEARTBEAT, sequence=3))
+        assert misled.endpoint is not None
+        told = apply_departure(misled, leave.departure, 106.0)
+        assert told.endpoint is None
+        assert apply(told, replace(HEARTBEAT, sequence=3)).endpoint is None
+        other = replace(HEARTBEAT, instance_id='i-2', born=2000, sequence=0)
+        assert apply(started, other).endpoint.instance_id == 'i-2'
+
+
+def test_a_recalled_leave_does_not_end_a_later_endpoint():
+    left = apply_deregistration(EndpointRecord(), 'i-1', 1000, 100.0)
+    later = replace(HEARTBEAT, instance_id='i-2', born=2000)
+    record = apply_departure(
+        apply(EndpointRecord(), later), left.departure, 101.0
+    )
+    assert record.endpoint.instance_id == 'i-2'
+    assert apply_departure(record, left.departure, 102.0) is record
+
+
+def test_a_late_heartbeat_of_an_earlier_endpoint_names_none_that_runs():
+    left = apply_deregistration(
+        apply(EndpointRecord(), HEARTBEAT), 'i-1', 1000, 100.0
+    )
+    earlier = replace(HEARTBEAT, instance_id='i-0', born=500)
+    assert apply(left, earlier, 106.0) is left
+    # Endpoints' clocks may be set back.
+    assert apply(left, earlier, 111.0).endpoint.instance_id == 'i-0'
--- a/tests/test_sidecar_servers.py
+++ b/tests/test_sidecar_servers.py
@@ -9,6 +9,7 @@
 from poplarrack.addresses import split_address
 from poplarrack.errors import ErrorKind
 from poplarrack.errors import PoplarrackError
+from poplarrack.members import EndpointState
 from poplarrack.platform.header_names import HEADER_NAMES
 from poplarrack.platform.pages import serve_control
 from poplarrack.platform.pages import serve_ready
@@ -284,6 +285,64 @@
     assert asyncio.run(run()) == (400, 200, 'front')
 
 
+# DRAIN: see test_departures; here the two processes share the store only.
+def test_a_late_heartbeat_does_not_undo_the_leave_before_a_restart():
+    later = {**HEARTBEAT, 'born': HEARTBEAT['born'] + 1}
+
+    async def run():
+        with running_store() as (stand_in, store):
+            stand_in.put('op/config', CONFIG)
+            async with running_node(store) as (server, settings):
+                await until(lambda: is_ready(settings))
+                await send_heartbeat(settings, HEARTBEAT)
+                delete = build_request('DELETE', '/-/instances/i-1')
+                acknowledged = await exchange(
+                    settings.announce_address, delete
+                )
+            async with running_node(store) as (server, settings):
+                await until(lambda: is_ready(settings))
+                await until(lambda: has_recalled(server))
+                await send_heartbeat(settings, HEARTBEAT)
+                late = server.record.endpoint
+                await send_heartbeat(settings, later)
+                return acknowledged, late, server.record.endpoint
+
+    acknowledged, late, endpoint = asyncio.run(run())
+    assert acknowledged.startswith(b'HTTP/1.1 200'), acknowledged
+    assert late is None
+    assert endpoint.born == later['born']
+
+
+async def has_recalled(server):
+    return server.recalled
+
+
+def test_no_leave_is_acknowledged_that_ends_with_the_process():
+    status = {**HEARTBEAT['status'], 'state': 'draining'}
+
+    async def run():
+        with running_store() as (stand_in, store):
+            stand_in.failure_status = 503
+            async with running_node(store) as (server, settings):
+                await until(lambda: has_recalled(server))
+                await send_heartbeat(settings, HEARTBEAT)
+                leave = {**HEARTBEAT, 'status': {**status, 'sequence': 5}}
+                alone = await send_heartbeat(settings, leave)
+                state = server.record.endpoint.state
+                stand_in.failure_status = 0
+                leave = {**HEARTBEAT, 'status': {**status, 'sequence': 6}}
+                await until(lambda: is_acknowledged(settings, leave))
+                return alone, state
+
+    alone, state = asyncio.run(run())
+    assert alone == 503
+    assert state is EndpointState.DRAINING
+
+
+async def is_acknowledged(settings, heartbeat):
+    return await send_heartbeat(settings, heartbeat) == 200
+
+
 # LOST: a stopping node passed on requests that came late in its grace, and
 # closed their connections without an answer when the grace was over.
 def test_a_stopping_node_answers_every_request_that_it_has_read():
