Let a silent endpoint give way to any other

Callers would see 503 for as long as a node's process lives, when the clock of its endpoint's machine is set back and the endpoint starts again: its start is then earlier than that of its predecessor, and each heartbeat counted as late.

Change: an earlier start is refused only while the later one is heard, within the time for which an announcement lasts.

Before, the test test_a_silent_endpoint_gives_way_to_one_with_an_earlier_start fails, since no heartbeat of an earlier start was ever taken.

Conclusion: a late heartbeat of a start that has ended is still refused while its successor reports.

--- a/poplarrack/heartbeats.py
+++ b/poplarrack/heartbeats.py
@@ -61,20 +61,24 @@
     """What a node knows of its local endpoint.
 
     Heartbeats that were sent before the last departure but arrive after it
-    are ignored, also by a process that started in between.
+    are ignored, also by a process that started in between. ``heard_at`` is
+    when the endpoint's last heartbeat arrived, in seconds since the epoch.
     """
 
     endpoint: Endpoint | None = None
     sequence: int = -1
     departure: Departure | None = None
+    heard_at: float = 0.0
 
 
-def apply_heartbeat(record, heartbeat, service, now):
+def apply_heartbeat(record, heartbeat, service, now, ttl_seconds):
     """Return the record after a heartbeat; the same object if it is stale.
 
     :param heartbeat: the Heartbeat.
     :param service: the endpoint's Service, or one with defaults.
     :param now: seconds since the epoch.
+    :param ttl_seconds: after this time without a heartbeat, an endpoint gives
+        way to any other.
     """
     departure = record.departure
     if departure is not None and _precedes(
@@ -83,7 +87,8 @@
         return record
     previous = record.endpoint
     if previous is not None:
-        if heartbeat.born < previous.born:
+        is_heard = now - record.heard_at <= ttl_seconds
+        if heartbeat.born < previous.born and is_heard:
             return record
         same = (previous.instance_id, previous.born) == (
             heartbeat.instance_id,
@@ -108,7 +113,7 @@
     )
     if heartbeat.draining:
         departure = _extend_departure(departure, heartbeat, now)
-    return EndpointRecord(endpoint, heartbeat.sequence, departure)
+    return EndpointRecord(endpoint, heartbeat.sequence, departure, now)
 
 
 def _extend_departure(held, heartbeat, now):
--- a/poplarrack/sidecar_servers.py
+++ b/poplarrack/sidecar_servers.py
@@ -279,7 +279,13 @@
         service = services.get(heartbeat.service)
         service = service or Service(heartbeat.service, '')
         self._set_record(
-            apply_heartbeat(self.record, heartbeat, service, self.clock())
+            apply_heartbeat(
+                self.record,
+                heartbeat,
+                service,
+                self.clock(),
+                self.settings.calls.announcement_ttl_seconds,
+            )
         )
 
     def _is_own_service(self, service):
--- a/tests/test_heartbeats.py
+++ b/tests/test_heartbeats.py
@@ -14,13 +14,14 @@
 load_tests = build_load_tests(__name__)
 
 SERVICE = Service('front', '', warm_up_seconds=5.0)
+TTL_SECONDS = 6.0
 HEARTBEAT = Heartbeat(
     'i-1', 'front', '10.0.0.1:80', 'v1', 'a', 9, False, 4, born=1000
 )
 
 
 def apply(record, heartbeat, now=100.0):
-    return apply_heartbeat(record, heartbeat, SERVICE, now)
+    return apply_heartbeat(record, heartbeat, SERVICE, now, TTL_SECONDS)
 
 
 def test_a_drain_is_not_undone_by_a_late_heartbeat():
@@ -116,3 +117,16 @@
     assert apply(left, earlier, 106.0) is left
     # Endpoints' clocks may be set back.
     assert apply(left, earlier, 111.0).endpoint.instance_id == 'i-0'
+
+
+# RECOVER: an endpoint whose clock was set back, and which started again, was
+# ignored for as long as the node's process lived.
+def test_a_silent_endpoint_gives_way_to_one_with_an_earlier_start():
+    record = apply(EndpointRecord(), HEARTBEAT, 100.0)
+    record = apply(record, replace(HEARTBEAT, sequence=5), 101.0)
+    earlier = replace(HEARTBEAT, instance_id='i-0', born=500, sequence=0)
+    assert apply(record, earlier, 106.0) is record
+    assert apply(record, earlier, 107.5).endpoint.instance_id == 'i-0'
+    # What ended as the same start doesn't begin again.
+    late = replace(HEARTBEAT, sequence=4)
+    assert apply(record, late, 107.5) is record
