Bound the memory that endless answers take

Callers of a node would lose their requests when it runs out of memory (LOST): an endpoint that sends heads of many small headers without end to 400 callers took its node to 674 MiB, where memory_mb is 300.

Cause: a connection and its parser refer to each other, so that the head that they held stayed until a rare run of the garbage collector. Beside that, bytes were counted and not the memory that they take (a chunk of two bytes takes 56), and each endpoint's start had a bound of its own.

Change: a connection that ends drops its parser and its answer. Small pieces of a body are joined into blocks. One ByteBudget for the process, a quarter of memory_mb, bounds what incomplete answers take, headers included; above it the largest one is given up.

test_upstreams and test_upstream_answers asked the pool for what it buffers; they ask the budget now, with the same bounds.

Conclusion: the peak is bounded by the budget and not by the number of answers.

--- a/poplarrack/buffers.py
+++ b/poplarrack/buffers.py
@@ -1,4 +1,6 @@
-"""Read from sockets into one buffer that all connections share.
+"""Buffer what is read from sockets.
+
+All connections read into one buffer that they share.
 
 For a plain Protocol the event loop allocates 256 KB for each read, which
 costs page faults. One buffer is enough here, since received bytes are parsed
@@ -8,6 +10,8 @@
 from asyncio import BufferedProtocol
 
 READ_BUFFER_BYTES = 65_536
+# The least size of a BodyBuffer's blocks, but for the last one.
+BLOCK_BYTES = 16_384
 
 _buffer = memoryview(bytearray(READ_BUFFER_BYTES))
 
@@ -32,3 +36,39 @@
         :param data: a memoryview that is valid only during the call.
         """
         raise NotImplementedError
+
+
+class BodyBuffer:
+    """Collects a body that arrives in pieces of any size.
+
+    Small pieces are joined into blocks: each object takes some 40 bytes
+    beside its content. Blocks rather than one array, which would be copied
+    as it grows.
+    """
+
+    def __init__(self):
+        self.blocks = []
+        self.last_block = bytearray()
+        self.size = 0
+
+    def append(self, piece):
+        """Add a piece, as bytes."""
+        self.size += len(piece)
+        if len(piece) >= BLOCK_BYTES:
+            self._close_block()
+            self.blocks.append(piece)
+            return
+        self.last_block += piece
+        if len(self.last_block) >= BLOCK_BYTES:
+            self._close_block()
+
+    def _close_block(self):
+        if self.last_block:
+            self.blocks.append(bytes(self.last_block))
+            self.last_block = bytearray()
+
+    def joined(self):
+        """Return the whole body."""
+        if not self.blocks:
+            return bytes(self.last_block)
+        return b''.join((*self.blocks, self.last_block))
--- a/poplarrack/dispatchers.py
+++ b/poplarrack/dispatchers.py
@@ -13,6 +13,8 @@
 from poplarrack.balancers import choose_server
 from poplarrack.balancers import may_eject
 from poplarrack.balancers import ServerLoad
+from poplarrack.byte_budgets import ByteBudget
+from poplarrack.byte_budgets import MAX_BUFFERED_BYTES
 from poplarrack.call_tables import CallTable
 from poplarrack.call_tables import derive_call_table
 from poplarrack.errors import ErrorKind
@@ -101,6 +103,7 @@
     :param random: a ``random.Random``.
     :param max_answer_bytes: bound on the size of an answer.
     :param balancer: name of the registered balancer.
+    :param max_buffered_bytes: bound on what all connections buffer.
     """
 
     def __init__(
@@ -110,11 +113,13 @@
         random=None,
         max_answer_bytes=8_000_000,
         balancer='least_loaded',
+        max_buffered_bytes=MAX_BUFFERED_BYTES,
     ):
         self.call_id_prefix = b'%s-' % node_id.encode()
         self.clock = clock
         self.random = random or Random()
         self.max_answer_bytes = max_answer_bytes
+        self.byte_budget = ByteBudget(max_buffered_bytes)
         self.pick = BALANCERS[balancer]
         self.table = CallTable()
         # ServerLoads by service and version, and the same by address.
@@ -331,6 +336,7 @@
                 endpoint.address,
                 self.max_answer_bytes,
                 CONNECT_TIMEOUT_SECONDS,
+                self.byte_budget,
             )
 
         def on_done(outcome, answer):
--- a/poplarrack/nodes.py
+++ b/poplarrack/nodes.py
@@ -130,6 +130,7 @@
             self.random,
             self.settings.calls.max_answer_bytes,
             self.settings.calls.balancer,
+            self.settings.calls.max_buffered_bytes,
         )
 
     @property
--- a/poplarrack/platform/settings.py
+++ b/poplarrack/platform/settings.py
@@ -100,7 +100,7 @@
             beat_seconds=BEAT_SECONDS, evidence_seconds=EVIDENCE_SECONDS
         ),
         calls=CallSettings(
-            max_answer_bytes=MAX_ANSWER_BYTES,
+            **_divide_memory(raw['limits']),
             announcement_ttl_seconds=(
                 MAX_MISSED_HEARTBEATS * parse_duration(raw['heartbeat'])
             ),
@@ -119,8 +119,23 @@
     )
 
 
-# An answer is buffered completely in the memory of both nodes.
+# The part of a process's memory that messages which are incomplete may take.
+# The rest is for those that are complete, which are copied from hop to hop,
+# and for the process itself.
+BUFFERED_FRACTION = 0.25
 MAX_ANSWER_BYTES = 32_000_000
+DEFAULT_MEMORY_MEGABYTES = 300
+BYTES_PER_MEGABYTE = 2**20
+
+
+def _divide_memory(limits):
+    """Return the bounds on buffered bytes, by name of the setting."""
+    memory = limits.get('memory_mb', DEFAULT_MEMORY_MEGABYTES)
+    buffered_bytes = int(memory * BYTES_PER_MEGABYTE * BUFFERED_FRACTION)
+    return {
+        'max_buffered_bytes': buffered_bytes,
+        'max_answer_bytes': min(MAX_ANSWER_BYTES, buffered_bytes // 2),
+    }
 
 
 def parse_duration(text):
--- a/poplarrack/receivers.py
+++ b/poplarrack/receivers.py
@@ -13,6 +13,7 @@
 from msgspec.structs import replace
 
 from poplarrack.admissions import Admission
+from poplarrack.byte_budgets import ByteBudget
 from poplarrack.endpoint_health import FailureRate
 from poplarrack.exchanges import Delivery
 from poplarrack.exchanges import Occupancy
@@ -93,12 +94,14 @@
     :param clock: a function that returns seconds since the epoch and never
         goes back, such as a SteadyClock.
     :param max_answer_bytes: bound on the size of an answer.
+    :param budget: the ByteBudget of the process.
     """
 
-    def __init__(self, header_names, clock, max_answer_bytes):
+    def __init__(self, header_names, clock, max_answer_bytes, budget=None):
         self.header_names = header_names
         self.clock = clock
         self.max_answer_bytes = max_answer_bytes
+        self.budget = budget or ByteBudget()
         self.endpoint = None
         self.pool = None
         self.admission = Admission(0)
@@ -135,7 +138,10 @@
         self.admission = Admission(endpoint.slots)
         self.failure_rate = FailureRate()
         self.pool = UpstreamPool(
-            endpoint.address, self.max_answer_bytes, CONNECT_TIMEOUT_SECONDS
+            endpoint.address,
+            self.max_answer_bytes,
+            CONNECT_TIMEOUT_SECONDS,
+            self.budget,
         )
 
     def occupancy(self):
--- a/poplarrack/settings.py
+++ b/poplarrack/settings.py
@@ -17,6 +17,7 @@
 from typing import get_origin
 from typing import get_type_hints
 
+from poplarrack.byte_budgets import MAX_BUFFERED_BYTES
 from poplarrack.errors import ErrorKind
 from poplarrack.errors import PoplarrackError
 from poplarrack.retry_budgets import RetryLimits
@@ -68,9 +69,14 @@
 
 @dataclass(frozen=True)
 class CallSettings:
-    """Limits and timeouts of the call path, and its load balancer."""
+    """Limits and timeouts of the call path, and its load balancer.
+
+    ``max_buffered_bytes`` bounds what all connections of the process buffer
+    of messages that are incomplete.
+    """
 
     max_answer_bytes: int = 8_000_000
+    max_buffered_bytes: int = MAX_BUFFERED_BYTES
     drain_seconds: float = 3.0
     announcement_ttl_seconds: float = 3.0
     balancer: str = 'least_loaded'
--- a/poplarrack/sidecar_servers.py
+++ b/poplarrack/sidecar_servers.py
@@ -14,6 +14,7 @@
 import signal
 
 from poplarrack.addresses import split_address
+from poplarrack.byte_budgets import ByteBudget
 from poplarrack.callers import CallServer
 from poplarrack.clocks import SteadyClock
 from poplarrack.departures import hold_departure
@@ -125,12 +126,16 @@
         self.adapter = adapter
         self.clock = SteadyClock()
         self.traffic = PeerTraffic()
+        self.budget = ByteBudget(settings.calls.max_buffered_bytes)
         self.streams = PeerStreams(
             self.traffic, settings.peers.call_timeout_seconds
         )
         self.platform = adapter.platform
         self.receiver = Receiver(
-            adapter.header_names, self.clock, settings.calls.max_answer_bytes
+            adapter.header_names,
+            self.clock,
+            settings.calls.max_answer_bytes,
+            self.budget,
         )
         self.sender = Sender(
             settings,
--- a/poplarrack/upstream_pools.py
+++ b/poplarrack/upstream_pools.py
@@ -4,13 +4,11 @@
 from asyncio import timeout
 
 from poplarrack.addresses import split_destination
+from poplarrack.byte_budgets import ByteBudget
 from poplarrack.upstreams import Exchange
 from poplarrack.upstreams import Outcome
 from poplarrack.upstreams import UpstreamConnection
 
-# Answers of the greatest size that a pool buffers at a time.
-MAX_BUFFERED_ANSWERS = 2
-
 
 class UpstreamPool:
     """A pool of connections to one backend server.
@@ -20,18 +18,18 @@
     :param address: IP number and port of the server.
     :param max_answer_bytes: bound on the size of an answer.
     :param connect_timeout_seconds: bound on the time to connect.
+    :param budget: the ByteBudget of the process.
     """
 
-    def __init__(self, address, max_answer_bytes, connect_timeout_seconds):
+    def __init__(
+        self, address, max_answer_bytes, connect_timeout_seconds, budget=None
+    ):
         self.address = address
+        self.budget = budget or ByteBudget()
         self.host, self.port = split_destination(address)
         self.max_answer_bytes = max_answer_bytes
         self.connect_timeout_seconds = connect_timeout_seconds
-        self.max_buffered_bytes = MAX_BUFFERED_ANSWERS * max_answer_bytes
         self.idle = []
-        # Connections with an exchange, and the bytes that they buffer.
-        self.sending = set()
-        self.buffered_bytes = 0
         self.open = 0
         self.connect_tasks = set()
         self.closed = False
@@ -109,13 +107,6 @@
             connection.removed = True
             self.open -= 1
 
-    def on_buffered(self, size):
-        """Count buffered bytes; give up the largest answer if too many."""
-        self.buffered_bytes += size
-        if self.buffered_bytes > self.max_buffered_bytes:
-            largest = max(self.sending, key=lambda item: item.buffered_bytes)
-            largest.fail_too_large()
-
     def cancel(self, exchange, outcome=Outcome.CANCELLED):
         """End an exchange early and close its connection.
 
--- a/poplarrack/upstreams.py
+++ b/poplarrack/upstreams.py
@@ -15,6 +15,7 @@
 from httptools import HttpParserUpgrade
 from httptools import HttpResponseParser
 
+from poplarrack.buffers import BodyBuffer
 from poplarrack.buffers import SharedBufferProtocol
 from poplarrack.http_messages import HttpAnswer
 
@@ -34,6 +35,8 @@
 STATUS_LINE = re.compile(rb'HTTP/\d\.\d \d\d\d')
 # In a body, where it may have been cut off and another answer follows.
 ANSWER_START = re.compile(rb'HTTP/|H(T(TP?)?)?\Z')
+# Memory that a header takes beside its bytes: a pair of two objects.
+HEADER_OVERHEAD_BYTES = 160
 
 
 class Outcome(Enum):
@@ -130,11 +133,11 @@
         self.answer = None
         self.reason = b''
         self.has_head = False
-        self.chunks = []
-        self.size = 0
+        self.body = BodyBuffer()
+        # Bytes of the names and values of the headers.
+        self.header_bytes = 0
         # Bytes of the exchange that are not part of a body or its framing.
         self.overhead_bytes = 0
-        self.buffered_bytes = 0
         self.complete = False
         # Whether bytes came after the complete answer.
         self.followed = False
@@ -154,7 +157,6 @@
         :returns: False if the connection was lost before it took a byte.
         """
         self.exchange = exchange
-        self.pool.sending.add(self)
         exchange.connection = self
         self.parser = HttpResponseParser(self)
         self.answer = None
@@ -172,11 +174,11 @@
         return True
 
     def _reset_answer(self):
-        self._drop_body()
+        self.body = BodyBuffer()
         self.answer = HttpAnswer(0)
         self.reason = b''
         self.has_head = False
-        self.size = 0
+        self.header_bytes = 0
         self.reusable = False
 
     def data_received(self, data):
@@ -198,6 +200,17 @@
         elif self.overhead_bytes > MAX_HEADER_BYTES:
             # The parser keeps an unfinished header, whatever its size.
             self._fail(Outcome.LOST)
+        elif self.exchange is not None:
+            self.pool.budget.hold(self, self._buffered_bytes())
+
+    def _buffered_bytes(self):
+        headers = self.answer.headers if self.answer else ()
+        return (
+            self.body.size
+            + self.header_bytes
+            + HEADER_OVERHEAD_BYTES * len(headers)
+            + self.overhead_bytes
+        )
 
     def on_message_begin(self):
         """Start an answer, or note that one follows the complete answer."""
@@ -216,7 +229,7 @@
 
         An answer that is cut off looks complete then.
         """
-        return ANSWER_START.search(b''.join(self.chunks)) is not None
+        return ANSWER_START.search(self.body.joined()) is not None
 
     def on_status(self, part):
         """Add a part of the reason phrase."""
@@ -225,9 +238,9 @@
 
     def on_header(self, name, value):
         """Add a header to the answer; trailers are left out."""
-        if self.complete or self.has_head:
+        if self.complete or self.has_head or self.exchange is None:
             return
-        self.size += len(name) + len(value)
+        self.header_bytes += len(name) + len(value)
         self.answer.headers.append((name.lower(), value))
 
     def on_headers_complete(self):
@@ -236,7 +249,7 @@
             return
         self.has_head = True
         self.answer.status = self.parser.get_status_code()
-        if self.size > MAX_HEADER_BYTES:
+        if self.header_bytes > MAX_HEADER_BYTES:
             self._fail(Outcome.TOO_LARGE)
         elif self._is_spoiled_head():
             self._log_out_of_step('spoiled head')
@@ -281,13 +294,10 @@
         self._discount(len(body))
         if self.complete or self.exchange is None:
             return
-        self.size += len(body)
-        if self.size > self.pool.max_answer_bytes:
+        if self.body.size + len(body) > self.pool.max_answer_bytes:
             self._fail(Outcome.TOO_LARGE)
             return
-        self.chunks.append(body)
-        self.buffered_bytes += len(body)
-        self.pool.on_buffered(len(body))
+        self.body.append(body)
 
     def on_message_complete(self):
         """Complete the answer, unless it is interim or mismatched."""
@@ -306,7 +316,7 @@
     def _skip_mismatched(self):
         self._log_out_of_step('answer to another request')
         self.mismatched_answers += 1
-        self._drop_body()
+        self.body = BodyBuffer()
         if self.mismatched_answers > MAX_MISMATCHED_ANSWERS or (
             not self.parser.should_keep_alive()
         ):
@@ -333,6 +343,10 @@
         """Fail the exchange in flight."""
         self.pool.remove(self)
         self._fail(Outcome.LOST)
+        # The parser refers to the connection, so that both would stay until
+        # the next garbage collection.
+        self.parser = None
+        self.answer = None
 
     def close(self):
         """Close at once."""
@@ -363,8 +377,8 @@
         self.close()
         exchange.finish(outcome)
 
-    def fail_too_large(self):
-        """Give up an answer whose body the pool can't buffer."""
+    def give_up(self):
+        """Give up an answer that the budget has no room for."""
         self._fail(Outcome.TOO_LARGE)
 
     def detach(self):
@@ -373,18 +387,13 @@
         :returns: the Exchange, or None if there is none.
         """
         exchange, self.exchange = self.exchange, None
-        self.pool.sending.discard(self)
-        self._drop_body()
+        self.pool.budget.release(self)
+        self.body = BodyBuffer()
         return exchange
 
-    def _drop_body(self):
-        self.pool.buffered_bytes -= self.buffered_bytes
-        self.buffered_bytes = 0
-        self.chunks = []
-
     def _succeed(self):
-        answer = self.answer
-        answer.body = b''.join(self.chunks)
+        answer, self.answer = self.answer, None
+        answer.body = self.body.joined()
         exchange = self.detach()
         self.idle_seconds = idle_timeout_seconds(answer)
         can_reuse = (
--- /dev/null
+++ b/tests/test_endless_answers.py
@@ -0,0 +1,192 @@
+"""Test that answers without end leave the nodes of a call their memory.
+
+A faulty endpoint sends bytes until its connection is closed, to many callers
+at once. The nodes must stay within the platform's limit, and go on serving
+requests to a sound endpoint meanwhile.
+"""
+
+import asyncio
+from pathlib import Path
+from tempfile import TemporaryDirectory
+
+from tests.node_processes import call
+from tests.node_processes import running_nodes
+from tests.support import build_load_tests
+
+load_tests = build_load_tests(__name__)
+
+CALLERS = 400
+ATTACK_SECONDS = 4.0
+WITNESS_PAUSE_SECONDS = 0.05
+# The ``memory_mb`` of the platform's settings.
+MAX_MEBIBYTES = 300
+BLOCK_BYTES = 65_536
+FRAMINGS = {}
+
+
+def framing(head, block):
+    """Register an endless answer: its start, and what is then repeated."""
+
+    def register(name):
+        FRAMINGS[name] = (head, block * max(1, BLOCK_BYTES // len(block)))
+
+    return register
+
+
+STATUS = b'HTTP/1.1 200 OK\r\n'
+CHUNKED = STATUS + b'server-stamp: s\r\ntransfer-encoding: chunked\r\n\r\n'
+framing(STATUS, b'a:b\r\n')('many small headers')
+framing(STATUS + b'a: ', b'b')('one header')
+framing(STATUS + b'a', b'b')('the name of a header')
+framing(b'HTTP/1.1 200 ', b'O')('a reason phrase')
+framing(b'', b'HTTP/1.1 103 Early Hints\r\na: b\r\n\r\n')('interim answers')
+framing(b'', b'no answer ')('bytes that are no answer')
+framing(STATUS + b'content-length: 1000000000000\r\n\r\n', b'b')('a length')
+framing(STATUS + b'server-stamp: s\r\n\r\n', b'b')('no length')
+framing(CHUNKED, b'ffff\r\n' + b'b' * 0xFFFF + b'\r\n')('chunks')
+framing(CHUNKED, b'2\r\nbb\r\n')('small chunks')
+framing(CHUNKED + b'1;a=', b'b')('the extension of a chunk')
+framing(CHUNKED + b'0\r\n', b'a:b\r\n')('trailers')
+framing(STATUS + b'server-stamp: s\r\ncontent-length: 2\r\n\r\nok', b'bytes')(
+    'bytes after an answer'
+)
+
+
+async def serve_sound(reader, writer):
+    """Answer requests properly."""
+    while True:
+        head = await reader.readuntil(b'\r\n\r\n')
+        (request_id,) = [
+            line.partition(b': ')[2]
+            for line in head.split(b'\r\n')
+            if line.startswith(b'request-id: ')
+        ]
+        writer.write(
+            STATUS + b'server-stamp: s\r\ncontent-length: 2\r\n'
+            b'request-id: %s\r\n\r\nok' % request_id
+        )
+
+
+def build_endless(head, block):
+    """Return the function of an endpoint that answers without end."""
+
+    async def serve(reader, writer):
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(head)
+        while True:
+            writer.write(block)
+            await writer.drain()
+
+    return serve
+
+
+async def call_until(end, *arguments, pause_seconds=0.0):
+    """Make calls one after another; return their statuses."""
+    clock = asyncio.get_running_loop().time
+    statuses = []
+    while clock() < end:
+        statuses.append(await call(*arguments))
+        await asyncio.sleep(pause_seconds)
+    return statuses
+
+
+async def attack(directory, serve):
+    """Make calls to a faulty endpoint through both nodes.
+
+    :returns: the peak of memory of the endpoint's node and of the callers',
+        in MiB, and the statuses of the calls to the sound endpoint.
+    """
+    endpoints = {'back': serve_sound, 'front': serve}
+    async with running_nodes(directory, endpoints) as (nodes, _):
+        faulty, sound = nodes['front'], nodes['back']
+        await asyncio.sleep(1.5)
+        for node in nodes.values():
+            assert await call(node, 'back') == 200
+        end = asyncio.get_running_loop().time() + ATTACK_SECONDS
+        attackers = [
+            asyncio.ensure_future(call_until(end, nodes[name], 'front'))
+            for _ in range(CALLERS // 2)
+            for name in nodes
+        ]
+        witnesses = await asyncio.gather(
+            *(
+                call_until(
+                    end, node, 'back', pause_seconds=WITNESS_PAUSE_SECONDS
+                )
+                for node in nodes.values()
+            )
+        )
+        await asyncio.gather(*attackers)
+        ended = [node.process.poll() for node in nodes.values()]
+        assert ended == [None, None], ended
+        peaks = faulty.peak_mebibytes(), sound.peak_mebibytes()
+        return peaks, [status for part in witnesses for status in part]
+
+
+def check(name):
+    """Check the memory and the other calls while a framing has no end."""
+    with TemporaryDirectory(prefix='poplarrack-endless-') as directory:
+        serve = build_endless(*FRAMINGS[name])
+        peaks, statuses = asyncio.run(attack(Path(directory), serve))
+    detail = (
+        f'{name}: peaks {peaks} MiB of {MAX_MEBIBYTES}, '
+        f'{statuses.count(200)} of {len(statuses)} other calls served'
+    )
+    print(detail)
+    assert max(peaks) < MAX_MEBIBYTES, detail
+    assert statuses and set(statuses) == {200}, detail
+
+
+# LOST: heads of many small headers took a node over its memory. Each took 40
+# times its bytes, and those that were given up stayed in memory.
+def test_many_small_headers_without_end():
+    check('many small headers')
+
+
+def test_one_header_without_end():
+    check('one header')
+
+
+def test_the_name_of_a_header_without_end():
+    check('the name of a header')
+
+
+def test_a_reason_phrase_without_end():
+    check('a reason phrase')
+
+
+def test_interim_answers_without_end():
+    check('interim answers')
+
+
+def test_bytes_without_end_that_are_no_answer():
+    check('bytes that are no answer')
+
+
+def test_a_body_with_a_length_without_end():
+    check('a length')
+
+
+def test_a_body_without_a_length_without_end():
+    check('no length')
+
+
+def test_chunks_without_end():
+    check('chunks')
+
+
+# LOST: each small chunk took 30 times its bytes.
+def test_small_chunks_without_end():
+    check('small chunks')
+
+
+def test_the_extension_of_a_chunk_without_end():
+    check('the extension of a chunk')
+
+
+def test_trailers_without_end():
+    check('trailers')
+
+
+def test_bytes_without_end_behind_an_answer():
+    check('bytes after an answer')
--- a/tests/test_upstream_answers.py
+++ b/tests/test_upstream_answers.py
@@ -113,7 +113,8 @@
         if end:
             caller.end()
         outcome, found = (*done, (None, None))[0]
-        assert len(done) < 2 and caller.pool.buffered_bytes == 0
+        assert len(done) < 2 and not caller.connection.body.size
+        assert not done or not caller.pool.budget.held_bytes
         return outcome, found and found.body, not caller.closed
 
     return asyncio.run(run())
@@ -254,7 +255,7 @@
         await asyncio.sleep(0)
         await asyncio.sleep(0)
         assert done == [(Outcome.NEVER_SENT, None)]
-        assert (pool.open, pool.idle, pool.sending) == (0, [], set())
+        assert (pool.open, pool.idle, pool.budget.held_bytes) == (0, [], {})
 
     asyncio.run(run(False))
     asyncio.run(run(True))
@@ -393,7 +394,7 @@
             assert found.status == own.status, (own, found)
             assert found.header(b'x-stamp') == b's-' + own.call_id
             assert found.body == own.body, (own, found)
-    assert caller.pool.buffered_bytes == 0
+    assert not caller.pool.budget.held_bytes
     return outcomes
 
 
--- a/tests/test_upstreams.py
+++ b/tests/test_upstreams.py
@@ -3,6 +3,7 @@
 import asyncio
 from contextlib import suppress
 
+from poplarrack.byte_budgets import ByteBudget
 from poplarrack.upstream_pools import UpstreamPool
 from poplarrack.upstreams import Outcome
 from tests.support import build_load_tests
@@ -38,14 +39,15 @@
         self.cut_off += 1
 
 
-async def exchange_with(server, exchanges=1):
+async def exchange_with(server, budget, exchanges=1):
     """Exchange requests with a server.
 
-    :returns: the outcomes, the pool, and the most bytes that it buffered.
+    :param budget: the ByteBudget of all exchanges.
+    :returns: the outcomes, the pool, and the most bytes that its budget held.
     """
     listener = await asyncio.start_server(server.serve, '127.0.0.1', 0)
     port = listener.sockets[0].getsockname()[1]
-    pool = UpstreamPool(f'127.0.0.1:{port}', MAX_ANSWER_BYTES, 1.0)
+    pool = UpstreamPool(f'127.0.0.1:{port}', MAX_ANSWER_BYTES, 1.0, budget)
     outcomes = []
     for _ in range(exchanges):
         pool.start(
@@ -56,7 +58,7 @@
         )
     most = 0
     while len(outcomes) < exchanges or server.cut_off < exchanges:
-        most = max(most, pool.buffered_bytes)
+        most = max(most, budget.total_bytes)
         await asyncio.sleep(0)
     listener.close()
     return outcomes, pool, most
@@ -64,8 +66,8 @@
 
 def outcome_of(first, rest):
     server = EndlessServer(first, rest)
-    outcomes, pool, _ = asyncio.run(exchange_with(server))
-    assert (pool.open, pool.buffered_bytes) == (0, 0)
+    outcomes, pool, _ = asyncio.run(exchange_with(server, ByteBudget()))
+    assert (pool.open, pool.budget.total_bytes) == (0, 0)
     return outcomes[0]
 
 
@@ -103,7 +105,7 @@
 # Each answer was within its bound, but many at once filled the memory.
 def test_bodies_without_end_share_one_bound():
     server = EndlessServer(STATUS + b'\r\n', b'a' * 512)
-    outcomes, pool, most = asyncio.run(exchange_with(server, 20))
+    budget = ByteBudget(2 * MAX_ANSWER_BYTES)
+    outcomes, pool, most = asyncio.run(exchange_with(server, budget, 20))
     assert set(outcomes) == {Outcome.TOO_LARGE}
-    assert MAX_ANSWER_BYTES < most <= pool.max_buffered_bytes
-    assert pool.max_buffered_bytes < 20 * MAX_ANSWER_BYTES
+    assert MAX_ANSWER_BYTES < most <= budget.max_bytes
