Bound what frames of all peers take

Callers of a node would lose their requests when it runs out of memory (LOST): each peer could make it buffer a frame of 72 MB, so that five of them filled the 300 MB of a process.

Cause: the bound on a frame was the only one; there was none on their sum.

Change: what is buffered of incomplete frames counts in the process's ByteBudget. A frame that is given up is skipped, its request answered as not run (or lost, if it was an answer), and the connection goes on with the next one: requests of many callers share it.

Conclusion: bounded on both ends of a connection between nodes. The product's own mesh, on gRPC, bounds each message only.

--- a/poplarrack/sidecar_servers.py
+++ b/poplarrack/sidecar_servers.py
@@ -128,7 +128,7 @@
         self.traffic = PeerTraffic()
         self.budget = ByteBudget(settings.calls.max_buffered_bytes)
         self.streams = PeerStreams(
-            self.traffic, settings.peers.call_timeout_seconds
+            self.traffic, settings.peers.call_timeout_seconds, self.budget
         )
         self.platform = adapter.platform
         self.receiver = Receiver(
@@ -158,7 +158,7 @@
         )
         self.node = Node(settings, dependencies)
         self.stream_server = StreamServer(
-            self.traffic, self.receiver, bind_handlers(self.node)
+            self.traffic, self.receiver, bind_handlers(self.node), self.budget
         )
         self.call_server = CallServer(
             self.sender, self.clock, settings.max_connections
--- a/poplarrack/stream_servers.py
+++ b/poplarrack/stream_servers.py
@@ -6,6 +6,7 @@
 from msgspec import MsgspecError
 
 from poplarrack.addresses import split_address
+from poplarrack.byte_budgets import ByteBudget
 from poplarrack.errors import PoplarrackError
 from poplarrack.exchanges import ANSWER_CODEC
 from poplarrack.exchanges import Delivery
@@ -23,7 +24,7 @@
     """A connection from another node."""
 
     def __init__(self, server):
-        super().__init__()
+        super().__init__(server.budget)
         self.server = server
         self.received_requests = {}
 
@@ -34,6 +35,7 @@
 
     def connection_lost(self, error):
         """Cancel the other node's requests, whose answers can't reach it."""
+        self.budget.release(self)
         self.server.streams.discard(self)
         received_requests, self.received_requests = self.received_requests, {}
         for received in received_requests.values():
@@ -52,15 +54,23 @@
         elif kind == FrameKind.PING:
             self.send(FrameKind.PONG, message_id)
 
+    def on_skipped_frame(self, kind, message_id):
+        """Refuse a request or a control message that was skipped."""
+        if kind == FrameKind.REQUEST:
+            self._refuse(message_id, 'too large')
+        elif kind == FrameKind.CONTROL:
+            self.send(FrameKind.CONTROL_ERROR, message_id, b'too large')
+
+    def _refuse(self, message_id, reason):
+        delivery = Delivery(Verdict.NOT_RUN, reason=reason)
+        self.send(FrameKind.ANSWER, message_id, ANSWER_CODEC.encode(delivery))
+
     def _on_request(self, message_id, payload):
         try:
             request = REQUEST_CODEC.decode(payload)
         except MsgspecError as error:
             logger.warning('request_unreadable', extra={'detail': str(error)})
-            delivery = Delivery(Verdict.NOT_RUN, reason='unreadable')
-            self.send(
-                FrameKind.ANSWER, message_id, ANSWER_CODEC.encode(delivery)
-            )
+            self._refuse(message_id, 'unreadable')
             return
         answered = False
 
@@ -82,9 +92,11 @@
 
     :param receiver: the Receiver that runs their requests.
     :param handlers: coroutine functions by control method.
+    :param budget: the ByteBudget of the process.
     """
 
-    def __init__(self, traffic, receiver, handlers):
+    def __init__(self, traffic, receiver, handlers, budget=None):
+        self.budget = budget or ByteBudget()
         self.traffic = traffic
         self.receiver = receiver
         self.handlers = handlers
--- a/poplarrack/streams.py
+++ b/poplarrack/streams.py
@@ -18,6 +18,7 @@
 from msgspec import MsgspecError
 
 from poplarrack.addresses import split_destination
+from poplarrack.byte_budgets import ByteBudget
 from poplarrack.errors import ErrorKind
 from poplarrack.errors import PoplarrackError
 from poplarrack.exchanges import ANSWER_CODEC
@@ -61,11 +62,18 @@
 
 
 class FrameProtocol(asyncio.Protocol):
-    """Splits a byte stream into frames."""
+    """Splits a byte stream into frames.
 
-    def __init__(self):
+    :param budget: the ByteBudget of the process. A frame that it has no room
+        for is skipped; those after it are not affected.
+    """
+
+    def __init__(self, budget):
+        self.budget = budget
         self.transport = None
         self.buffer = bytearray()
+        # What is yet to come of a frame that is skipped.
+        self.skipped_bytes_left = 0
         self.last_received_at = 0.0
 
     def connection_made(self, transport):
@@ -76,8 +84,10 @@
     def data_received(self, data):
         """Pass each complete frame to ``on_frame``."""
         self.last_received_at = asyncio.get_running_loop().time()
+        skipped = min(self.skipped_bytes_left, len(data))
+        self.skipped_bytes_left -= skipped
         buffer = self.buffer
-        buffer += data
+        buffer += data[skipped:]
         offset = 0
         while len(buffer) - offset >= FRAME_HEADER.size:
             size, kind, message_id = FRAME_HEADER.unpack_from(buffer, offset)
@@ -88,11 +98,20 @@
             end = offset + FRAME_HEADER.size + size
             if len(buffer) < end:
                 break
-            payload = bytes(buffer[offset + FRAME_HEADER.size : end])
+            with memoryview(buffer) as view:
+                payload = bytes(view[offset + FRAME_HEADER.size : end])
             offset = end
             self.on_frame(kind, message_id, payload)
         if offset:
             del buffer[:offset]
+        self.budget.hold(self, len(buffer))
+
+    def give_up(self):
+        """Skip the frame whose start is buffered."""
+        size, kind, message_id = FRAME_HEADER.unpack_from(self.buffer)
+        self.skipped_bytes_left = FRAME_HEADER.size + size - len(self.buffer)
+        self.buffer = bytearray()
+        self.on_skipped_frame(kind, message_id)
 
     def send(self, kind, message_id, payload=b''):
         """Send a frame unless the connection is closing."""
@@ -103,6 +122,10 @@
         """Handle one frame."""
         raise NotImplementedError
 
+    def on_skipped_frame(self, kind, message_id):
+        """Handle a frame whose payload was skipped."""
+        raise NotImplementedError
+
 
 @dataclass(slots=True)
 class PendingRequest:
@@ -116,7 +139,7 @@
     """A connection to another node."""
 
     def __init__(self, peer):
-        super().__init__()
+        super().__init__(peer.budget)
         self.peer = peer
         self.pending = {}
         self.probe_sent_at = 0.0
@@ -124,6 +147,13 @@
     def on_frame(self, kind, message_id, payload):
         """Pass an answer to its request; drop it if the request has ended."""
         self.probe_sent_at = 0.0
+        self._end(message_id, kind, payload)
+
+    def on_skipped_frame(self, kind, message_id):
+        """End the request whose answer was skipped as one without any."""
+        self._end(message_id, None, b'')
+
+    def _end(self, message_id, kind, payload):
         pending = self.pending.pop(message_id, None)
         if pending is None:
             return
@@ -133,6 +163,7 @@
 
     def connection_lost(self, error):
         """Fail the pending requests, which may have arrived."""
+        self.budget.release(self)
         self.peer.remove_stream(self)
         pending, self.pending = self.pending, {}
         for item in pending.values():
@@ -163,8 +194,9 @@
 class Peer:
     """The connection to one node, opened on demand."""
 
-    def __init__(self, address, traffic, on_unresponsive):
+    def __init__(self, address, traffic, budget, on_unresponsive):
         self.address = address
+        self.budget = budget
         self.on_unresponsive = on_unresponsive
         self.host, self.port = split_destination(address)
         self.traffic = traffic
@@ -284,10 +316,13 @@
 
     ``on_unresponsive`` is called with the address of a node that does not
     answer a probe.
+
+    :param budget: the ByteBudget of the process.
     """
 
-    def __init__(self, traffic, call_timeout_seconds):
+    def __init__(self, traffic, call_timeout_seconds, budget=None):
         self.traffic = traffic
+        self.budget = budget or ByteBudget()
         self.call_timeout_seconds = call_timeout_seconds
         self.on_unresponsive = lambda address: None
         self.peers = {}
@@ -300,7 +335,12 @@
         found = self.peers.get(address)
         if found is None:
             try:
-                found = Peer(address, self.traffic, self._on_peer_unresponsive)
+                found = Peer(
+                    address,
+                    self.traffic,
+                    self.budget,
+                    self._on_peer_unresponsive,
+                )
             except ValueError as error:
                 raise PoplarrackError(
                     ErrorKind.PEER_UNAVAILABLE, str(error)
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -9,6 +9,9 @@
 from pathlib import Path
 from tempfile import TemporaryDirectory
 
+from poplarrack.streams import FRAME_HEADER
+from poplarrack.streams import FrameKind
+from poplarrack.streams import MAX_FRAME_BYTES
 from tests.node_processes import call
 from tests.node_processes import running_nodes
 from tests.support import build_load_tests
@@ -16,6 +19,7 @@
 load_tests = build_load_tests(__name__)
 
 CALLERS = 400
+PEERS = 10
 ATTACK_SECONDS = 4.0
 WITNESS_PAUSE_SECONDS = 0.05
 # The ``memory_mb`` of the platform's settings.
@@ -190,3 +194,47 @@
 
 def test_bytes_without_end_behind_an_answer():
     check('bytes after an answer')
+
+
+async def send_frames(node):
+    """Send a node a request of a peer that has no end."""
+    reader, writer = await asyncio.open_connection(node.ip, 8145)
+    try:
+        head = FRAME_HEADER.pack(MAX_FRAME_BYTES, FrameKind.REQUEST, 1)
+        while True:
+            writer.write(head + bytes(MAX_FRAME_BYTES - BLOCK_BYTES))
+            await writer.drain()
+            await asyncio.sleep(ATTACK_SECONDS)
+    except OSError:
+        pass
+    finally:
+        writer.transport.abort()
+
+
+async def attack_as_peers(directory):
+    """Send unfinished frames; return the peak in MiB, and statuses."""
+    endpoints = {'back': serve_sound}
+    async with running_nodes(directory, endpoints) as (nodes, _):
+        node = nodes['back']
+        await asyncio.sleep(1.5)
+        senders = [
+            asyncio.ensure_future(send_frames(node)) for _ in range(PEERS)
+        ]
+        end = asyncio.get_running_loop().time() + ATTACK_SECONDS
+        statuses = await call_until(
+            end, node, 'back', pause_seconds=WITNESS_PAUSE_SECONDS
+        )
+        for sender in senders:
+            sender.cancel()
+        await asyncio.gather(*senders, return_exceptions=True)
+        return node.peak_mebibytes(), statuses
+
+
+# LOST: each peer could fill 72 MB, so that a few took a node over its memory.
+def test_frames_of_peers_without_end():
+    with TemporaryDirectory(prefix='poplarrack-endless-') as directory:
+        peak, statuses = asyncio.run(attack_as_peers(Path(directory)))
+    detail = f'peak {peak} MiB, {statuses.count(200)} of {len(statuses)}'
+    print('frames of peers:', detail)
+    assert peak < MAX_MEBIBYTES, detail
+    assert statuses and set(statuses) == {200}, detail
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -2,7 +2,10 @@
 
 import asyncio
 from contextlib import asynccontextmanager
+from contextlib import AsyncExitStack
+from contextlib import suppress
 
+from poplarrack.byte_budgets import ByteBudget
 from poplarrack.errors import ErrorKind
 from poplarrack.errors import PoplarrackError
 from poplarrack.exchanges import Delivery
@@ -12,6 +15,9 @@
 from poplarrack.messages import ProbeRequest
 from poplarrack.stream_servers import StreamServer
 from poplarrack.streams import AVOID_AFTER_SECONDS
+from poplarrack.streams import FRAME_HEADER
+from poplarrack.streams import FrameKind
+from poplarrack.streams import MAX_FRAME_BYTES
 from poplarrack.streams import PeerStreams
 from poplarrack.streams import PROBE_AFTER_SECONDS
 from poplarrack.streams import PROBE_TIMEOUT_SECONDS
@@ -51,13 +57,16 @@
 
 
 @asynccontextmanager
-async def connected(receiver):
-    """Yield PeerStreams and the address of a server for a receiver."""
+async def connected(receiver, budgets=(None, None)):
+    """Yield PeerStreams and the address of a server for a receiver.
+
+    :param budgets: the ByteBudgets of the server and of the streams.
+    """
     handlers = {'Compare': on_compare, 'Probe': on_failure}
-    server = StreamServer(PeerTraffic(), receiver, handlers)
+    server = StreamServer(PeerTraffic(), receiver, handlers, budgets[0])
     await server.listen('127.0.0.1:0')
     port = server.listener.sockets[0].getsockname()[1]
-    streams = PeerStreams(PeerTraffic(), 2.0)
+    streams = PeerStreams(PeerTraffic(), 2.0, budgets[1])
     try:
         yield streams, f'127.0.0.1:{port}'
     finally:
@@ -65,6 +74,33 @@
         await server.close()
 
 
+@asynccontextmanager
+async def endless_peer():
+    """Yield the address of a peer whose first answer has no end."""
+
+    async def serve(reader, writer):
+        with suppress(OSError, asyncio.IncompleteReadError):
+            size, _, message_id = FRAME_HEADER.unpack(
+                await reader.readexactly(FRAME_HEADER.size)
+            )
+            await reader.readexactly(size)
+            writer.write(
+                FRAME_HEADER.pack(
+                    MAX_FRAME_BYTES, FrameKind.ANSWER, message_id
+                )
+            )
+            while True:
+                writer.write(bytes(100_000))
+                await writer.drain()
+        writer.transport.abort()
+
+    server = await asyncio.start_server(serve, '127.0.0.1', 0)
+    try:
+        yield f'127.0.0.1:{server.sockets[0].getsockname()[1]}'
+    finally:
+        server.close()
+
+
 async def deliver(streams, address, seconds=2.0, **more):
     """Send a request; return its Delivery."""
     future = asyncio.get_running_loop().create_future()
@@ -184,3 +220,48 @@
     avoided, delivery = asyncio.run(run())
     assert avoided
     assert delivery.verdict is Verdict.LOST
+
+
+# LOST: each peer could fill 72 MB, so that a few took a node over its memory.
+def test_answers_of_peers_without_end_share_one_bound():
+    async def run():
+        budget = ByteBudget(1_000_000)
+        async with AsyncExitStack() as stack:
+            streams, sound = await stack.enter_async_context(
+                connected(FakeReceiver(), (None, budget))
+            )
+            faulty = [
+                await stack.enter_async_context(endless_peer())
+                for _ in range(5)
+            ]
+            lost = [
+                asyncio.ensure_future(deliver(streams, address))
+                for address in faulty
+            ]
+            served, most = [], 0
+            while not all(item.done() for item in lost):
+                served.append(await deliver(streams, sound))
+                most = max(most, budget.total_bytes)
+            return [item.result().verdict for item in lost], served, most
+
+    verdicts, served, most = asyncio.run(run())
+    assert verdicts == [Verdict.LOST] * 5
+    assert {item.verdict for item in served} == {Verdict.ANSWERED}
+    assert 100_000 < most <= 1_000_000, most
+
+
+def test_a_frame_that_is_skipped_affects_no_other():
+    async def run(*budgets):
+        async with connected(FakeReceiver(), budgets) as (streams, address):
+            bodies = (b'a', bytes(3_000_000), b'b')
+            deliveries = await asyncio.gather(
+                *(deliver(streams, address, body=body) for body in bodies)
+            )
+            return [item.verdict for item in deliveries]
+
+    small = ByteBudget(1_000_000)
+    answered, lost = Verdict.ANSWERED, Verdict.LOST
+    assert asyncio.run(run(None, small)) == [answered, lost, answered]
+    not_run = Verdict.NOT_RUN
+    assert asyncio.run(run(small, None)) == [answered, not_run, answered]
+    assert small.total_bytes == 0
