Bound the answers of the store

Callers of a node would lose their requests when it runs out of memory (LOST): a store, or what answers in its place, that sends a body without end made the node read it all.

Cause: the client read each response as a whole before it looked at it. The timeout is for each read, so that it never passed.

Change: a response is read in pieces, to 8 MB at most, and for twice the timeout of its call at most. It is then an outcome that is not known, after which a fetcher reads again.

--- a/poplarrack/platforms.py
+++ b/poplarrack/platforms.py
@@ -41,6 +41,12 @@
 WRITE_KEY_TTL_SECONDS = 300
 MAX_WRITE_ATTEMPTS = 4
 
+# Far more than the store answers at a time.
+MAX_RESPONSE_BYTES = 8_000_000
+READ_BYTES = 65_536
+# How many times its timeout a response may take that arrives in pieces.
+MAX_TIMEOUTS = 2
+
 # Approximate overhead of HTTP and TCP for a call and for a line of a watch.
 CALL_OVERHEAD_BYTES = 400
 LINE_OVERHEAD_BYTES = 80
@@ -55,6 +61,13 @@
 }
 
 
+@dataclass(frozen=True)
+class Response:
+    """The body of a response."""
+
+    data: bytes
+
+
 @dataclass(frozen=True)
 class RangeResponse:
     """The keys found and the store's revision when they were read."""
@@ -106,12 +119,13 @@
         """Return the revision and the fault of left out entries by key."""
         return {}
 
-    def request(self, method, path, body=None, **options):
+    def request(self, method, path, body=None, timeout=None, streams=False):
         """Make one call, unless the circuit is open.
 
         :param body: an object to send as JSON, or None.
-        :param options: further arguments of the pool's ``request``.
-        :returns: the response, of status 200.
+        :param timeout: a urllib3 Timeout; None stands for the usual ones.
+        :param streams: whether to leave the body to be read by the caller.
+        :returns: the Response, of status 200; with ``streams``, urllib3's.
         :raises PoplarrackError: the status's kind, OUTCOME_UNKNOWN when no
             response arrived, PLATFORM_UNAVAILABLE when no request was sent.
         """
@@ -124,7 +138,7 @@
                 )
             self.calls += 1
         try:
-            response = self._send(method, path, body, options)
+            response = self._send(method, path, body, timeout, streams)
         except PoplarrackError as error:
             self._record(error.kind not in _RETRYABLE_KINDS)
             raise
@@ -147,7 +161,8 @@
         with self.lock:
             self.circuit = self.circuit.record(succeeded, self.clock())
 
-    def _send(self, method, path, body, options):
+    def _send(self, method, path, body, timeout, streams):
+        timeout = timeout or build_timeout(CALL_TIMEOUT_SECONDS)
         address = self.random.choice(self.addresses)
         encoded = None if body is None else dumps(body).encode()
         try:
@@ -156,8 +171,12 @@
                 f'http://{address}{path}',
                 body=encoded,
                 headers={'Content-Type': 'application/json'},
-                **options,
+                timeout=timeout,
+                preload_content=False,
             )
+            if streams and response.status == 200:
+                return response
+            data = self._read_body(path, response, timeout)
         except (ConnectTimeoutError, NewConnectionError) as error:
             raise PoplarrackError(
                 ErrorKind.PLATFORM_UNAVAILABLE, str(error)
@@ -167,7 +186,24 @@
                 ErrorKind.OUTCOME_UNKNOWN, f'{path}: {error}'
             ) from error
         raise_for_status(path, response.status)
-        return response
+        return Response(data)
+
+    def _read_body(self, path, response, timeout):
+        """Return the body of a response, if it ends.
+
+        :raises PoplarrackError: OUTCOME_UNKNOWN if it is too large or late.
+        """
+        body = bytearray()
+        end = self.clock() + MAX_TIMEOUTS * timeout.read_timeout
+        for part in response.stream(READ_BYTES):
+            body += part
+            if len(body) > MAX_RESPONSE_BYTES or self.clock() > end:
+                response.close()
+                raise PoplarrackError(
+                    ErrorKind.OUTCOME_UNKNOWN,
+                    f'{path}: no end after {len(body)} bytes',
+                )
+        return bytes(body)
 
 
 def raise_for_status(path, status):
@@ -275,7 +311,7 @@
             'POST',
             '/v3/watch',
             {'create_request': create_request},
-            preload_content=False,
+            streams=True,
             timeout=build_timeout(WATCH_READ_TIMEOUT_SECONDS),
         )
         try:
@@ -333,9 +369,14 @@
 
 def _read_lines(response):
     remainder = b''
-    for chunk in response.stream(amt=None):
+    for chunk in response.stream(READ_BYTES):
         *lines, remainder = (remainder + chunk).split(b'\n')
         yield from lines
+        if len(remainder) > MAX_RESPONSE_BYTES:
+            raise PoplarrackError(
+                ErrorKind.PLATFORM_UNAVAILABLE,
+                f'watch failed: a line of over {MAX_RESPONSE_BYTES} bytes',
+            )
 
 
 def _decode_batch(result):
--- a/poplarrack/stand_ins/fakes.py
+++ b/poplarrack/stand_ins/fakes.py
@@ -27,6 +27,7 @@
 from poplarrack.platforms import CONFIGURATION_PREFIX
 from poplarrack.platforms import PlatformClient
 from poplarrack.platforms import raise_for_status
+from poplarrack.platforms import Response
 from poplarrack.settings import NodeSettings
 from poplarrack.settings import PeerSettings
 from poplarrack.settings import PlatformSettings
@@ -109,19 +110,14 @@
         self.sleep = lambda seconds: None
         self.disconnected = False
 
-    def _send(self, method, path, body, options):
+    def _send(self, method, path, body, timeout, streams):
         if self.disconnected:
             raise PoplarrackError(
                 ErrorKind.PLATFORM_UNAVAILABLE, 'client is disconnected'
             )
         status, answer = self.platform.answer(path, body)
         raise_for_status(path, status)
-        return _Response(dumps(answer))
-
-
-@dataclass(frozen=True)
-class _Response:
-    data: str
+        return Response(dumps(answer).encode())
 
 
 class FakeFetcher:
--- a/tests/store_stand_in.py
+++ b/tests/store_stand_in.py
@@ -23,13 +23,15 @@
     """Answers calls from a Store in memory.
 
     A ``failure_status`` other than 0 is the answer to every call;
-    ``page_size`` limits the items of a range answer.
+    ``page_size`` limits the items of a range answer. ``endless``, if set, is
+    what is answered in place of the rest: its start, and what is repeated.
     """
 
     def __init__(self):
         self.store = Store()
         self.changed = Condition()
         self.failure_status = 0
+        self.endless = None
         self.now = 0.0
         self.page_size = 500
         self.calls = []
@@ -141,6 +143,9 @@
         length = int(self.headers.get('Content-Length') or 0)
         body = loads(self.rfile.read(length)) if length else None
         stand_in = self.server.stand_in
+        if stand_in.endless:
+            self._answer_endlessly(*stand_in.endless)
+            return
         status, value = stand_in.answer(self.command, parts.path, query, body)
         raw = dumps(value).encode()
         self.send_response(status)
@@ -148,6 +153,12 @@
         self.end_headers()
         self.wfile.write(raw)
 
+    def _answer_endlessly(self, head, block):
+        self.close_connection = True
+        self.wfile.write(head)
+        while True:
+            self.wfile.write(block)
+
     do_GET = do_POST = do_DELETE = _serve
 
     def log_message(self, *arguments):
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -12,6 +12,7 @@
 from poplarrack.streams import FRAME_HEADER
 from poplarrack.streams import FrameKind
 from poplarrack.streams import MAX_FRAME_BYTES
+from tests.node_processes import build_configuration
 from tests.node_processes import call
 from tests.node_processes import running_nodes
 from tests.support import build_load_tests
@@ -20,6 +21,7 @@
 
 CALLERS = 400
 PEERS = 10
+RECOVER_SECONDS = 15.0
 ATTACK_SECONDS = 4.0
 WITNESS_PAUSE_SECONDS = 0.05
 # The ``memory_mb`` of the platform's settings.
@@ -196,6 +198,41 @@
     check('bytes after an answer')
 
 
+async def attack_as_store(directory, names):
+    """Let the store answer without end, one framing after the other.
+
+    :returns: the peak in MiB, and the statuses of calls meanwhile.
+    """
+    endpoints = {'back': serve_sound}
+    async with running_nodes(directory, endpoints) as (nodes, store):
+        node, statuses = nodes['back'], []
+        clock = asyncio.get_running_loop().time
+        await asyncio.sleep(1.5)
+        for name in names:
+            store.endless = FRAMINGS[name]
+            statuses += await call_until(
+                clock() + ATTACK_SECONDS, node, 'back', pause_seconds=0.2
+            )
+        store.endless = None
+        store.put('op/config', build_configuration(('back', 'added')))
+        async with asyncio.timeout(RECOVER_SECONDS):
+            # Without endpoints, but known.
+            while await call(node, 'added') != 503:
+                await asyncio.sleep(0.1)
+        return node.peak_mebibytes(), statuses
+
+
+# LOST: a node read whatever the store sent into its memory.
+def test_answers_of_the_store_without_end():
+    names = ('many small headers', 'no length', 'chunks', 'small chunks')
+    with TemporaryDirectory(prefix='poplarrack-endless-') as directory:
+        peak, statuses = asyncio.run(attack_as_store(Path(directory), names))
+    detail = f'peak {peak} MiB, {statuses.count(200)} of {len(statuses)}'
+    print('answers of the store:', detail)
+    assert peak < MAX_MEBIBYTES, detail
+    assert statuses and set(statuses) == {200}, detail
+
+
 async def send_frames(node):
     """Send a node a request of a peer that has no end."""
     reader, writer = await asyncio.open_connection(node.ip, 8145)
