Bound what callers' unfinished requests take

Callers of a node would lose their requests when it runs out of memory (LOST), by the requests of others: it is the cause of the endless answers on the other side of the node.

Cause: a header was counted when it was complete, so that one without end was kept as long as bytes came; a head and a body were counted by their bytes and not by the memory that they take; and there was no bound on their sum.

Change: what a request takes until it is complete counts in the process's ByteBudget; one that is given up is refused with 503 and Retry-After. The bytes of an unfinished header count. A refused request is freed at once, and so is an answer that is given up: a busy node reads hundreds of connections before it handles the end of one.

--- a/poplarrack/buffers.py
+++ b/poplarrack/buffers.py
@@ -10,6 +10,8 @@
 from asyncio import BufferedProtocol
 
 READ_BUFFER_BYTES = 65_536
+# Bytes of a chunk's size and line ends, without extensions.
+MAX_CHUNK_FRAMING_BYTES = 20
 # The least size of a BodyBuffer's blocks, but for the last one.
 BLOCK_BYTES = 16_384
 
--- a/poplarrack/byte_budgets.py
+++ b/poplarrack/byte_budgets.py
@@ -5,6 +5,8 @@
 logger = logging.getLogger(__name__)
 
 MAX_BUFFERED_BYTES = 64_000_000
+# Memory that a header takes beside its bytes: a pair of two objects.
+HEADER_OVERHEAD_BYTES = 160
 
 
 class ByteBudget:
--- a/poplarrack/callers.py
+++ b/poplarrack/callers.py
@@ -8,7 +8,12 @@
 from httptools import HttpParserUpgrade
 from httptools import HttpRequestParser
 
+from poplarrack.buffers import BodyBuffer
+from poplarrack.buffers import MAX_CHUNK_FRAMING_BYTES
+from poplarrack.buffers import READ_BUFFER_BYTES
 from poplarrack.buffers import SharedBufferProtocol
+from poplarrack.byte_budgets import ByteBudget
+from poplarrack.byte_budgets import HEADER_OVERHEAD_BYTES
 from poplarrack.errors import ErrorKind
 from poplarrack.http_messages import build_error
 from poplarrack.http_messages import HttpRequest
@@ -24,6 +29,9 @@
 MIN_EVICTION_IDLE_SECONDS = 0.5
 # Connections evicted at a time, those idle the longest first.
 EVICTION_BATCH = 64
+# After which a request that found no memory may be sent again; those that
+# fill it end within their deadlines.
+RETRY_AFTER_SECONDS = 1.0
 DRAIN_IDLE_SECONDS = 1.0
 DRAIN_POLL_SECONDS = 0.05
 
@@ -36,8 +44,10 @@
         self.transport = None
         self.parser = HttpRequestParser(self)
         self.request = None
-        self.chunks = []
-        self.size = 0
+        self.body = BodyBuffer()
+        self.header_bytes = 0
+        # Bytes of the request that are not part of a body or its framing.
+        self.overhead_bytes = 0
         self.pipelined = deque()
         self.call = None
         self.closing = False
@@ -59,6 +69,11 @@
     def connection_lost(self, error):
         """Cancel the call in flight, whose caller disconnected."""
         self.server.connections.discard(self)
+        self.server.budget.release(self)
+        # The parser refers to the connection, so that both would stay until
+        # the next garbage collection.
+        self.parser = None
+        self.request = None
         call, self.call = self.call, None
         self.pipelined.clear()
         if call is not None:
@@ -69,6 +84,7 @@
         if self.closing:
             return
         self.last_read = self.server.clock()
+        self.overhead_bytes += len(data)
         try:
             self.parser.feed_data(data)
         except HttpParserUpgrade:
@@ -76,12 +92,29 @@
         except HttpParserError as error:
             if not self.closing:
                 self._refuse(ErrorKind.MALFORMED_REQUEST, str(error))
+        if self.overhead_bytes > (
+            self.server.limits.max_header_bytes + READ_BUFFER_BYTES
+        ):
+            # The parser keeps an unfinished header, whatever its size.
+            self._refuse(ErrorKind.TOO_LARGE, 'headers')
+        self.server.budget.hold(self, self._buffered_bytes())
+
+    def _buffered_bytes(self):
+        """Return the memory that a request takes that is not complete."""
+        if self.request is None or self.closing:
+            return 0
+        return (
+            self.body.size
+            + self.header_bytes
+            + HEADER_OVERHEAD_BYTES * len(self.request.headers)
+            + self.overhead_bytes
+        )
 
     def on_message_begin(self):
         """Start a new request."""
         self.request = HttpRequest('', '')
-        self.chunks = []
-        self.size = 0
+        self.body = BodyBuffer()
+        self.header_bytes = 0
 
     def on_url(self, url):
         """Append to the request target, which may arrive in parts."""
@@ -90,35 +123,44 @@
 
     def on_header(self, name, value):
         """Add a header to the request."""
+        if self.closing:
+            return
         self.request.headers.append((name.lower(), value))
         self._count_header(len(name) + len(value))
 
     def _count_header(self, size):
-        self.size += size
-        if self.size > self.server.limits.max_header_bytes:
+        self.header_bytes += size
+        if self.header_bytes > self.server.limits.max_header_bytes:
             self._refuse(ErrorKind.TOO_LARGE, 'headers')
 
     def on_headers_complete(self):
         """Store the method; answer an Expect header with 100 Continue."""
         self.request.method = self.parser.get_method().decode()
-        self.size = 0
         if self.request.header(b'expect') and not self.closing:
             self.transport.write(b'HTTP/1.1 100 Continue\r\n\r\n')
 
+    def on_chunk_header(self):
+        """Allow for the framing of a chunk."""
+        self._discount(MAX_CHUNK_FRAMING_BYTES)
+
+    def _discount(self, size):
+        self.overhead_bytes = max(0, self.overhead_bytes - size)
+
     def on_body(self, body):
         """Add a chunk to the body, up to the size limit."""
-        self.size += len(body)
-        if self.size > self.server.limits.max_body_bytes:
+        self._discount(len(body))
+        if self.body.size + len(body) > self.server.limits.max_body_bytes:
             self._refuse(ErrorKind.TOO_LARGE, 'body')
             return
-        self.chunks.append(body)
+        self.body.append(body)
 
     def on_message_complete(self):
         """Dispatch the request, or queue it behind the one in flight."""
         request, self.request = self.request, None
+        self.overhead_bytes = 0
         if self.closing:
             return
-        request.body = b''.join(self.chunks)
+        request.body, self.body = self.body.joined(), BodyBuffer()
         request.keep_alive = self.parser.should_keep_alive()
         if self.call is not None:
             self._enqueue(request)
@@ -154,7 +196,11 @@
             self.transport.resume_reading()
             self._serve(self.pipelined.popleft())
 
-    def _refuse(self, kind, detail):
+    def give_up(self):
+        """Refuse a request that the budget has no room for."""
+        self._refuse(ErrorKind.OVERLOADED, 'memory', RETRY_AFTER_SECONDS)
+
+    def _refuse(self, kind, detail, retry_after=None):
         """Refuse a request that can't be served, and close the connection.
 
         An error answer is sent only if no call is in flight, since it would
@@ -163,9 +209,13 @@
         if self.closing:
             return
         self.closing = True
+        # Freed at once: more is read before the connection's end is handled.
+        self.request = HttpRequest('', '')
+        self.body = BodyBuffer()
         self.server.dispatcher.counts[f'refused_{kind.value}'] += 1
         if self.call is None:
-            self.transport.write(build_error(kind, detail, None, False))
+            raw = build_error(kind, detail, None, False, retry_after)
+            self.transport.write(raw)
             self.transport.close()
         else:
             self.transport.abort()
@@ -195,10 +245,18 @@
         Sender.
     :param clock: a function that returns monotonic seconds.
     :param max_connections: connections that are served at once.
+    :param budget: the ByteBudget of the process.
     """
 
-    def __init__(self, dispatcher, clock, max_connections=MAX_CONNECTIONS):
+    def __init__(
+        self,
+        dispatcher,
+        clock,
+        max_connections=MAX_CONNECTIONS,
+        budget=None,
+    ):
         self.dispatcher = dispatcher
+        self.budget = budget or ByteBudget()
         self.max_connections = max_connections
         self.clock = clock
         self.limits = CallerLimits('callers')
--- a/poplarrack/sidecar_servers.py
+++ b/poplarrack/sidecar_servers.py
@@ -161,7 +161,7 @@
             self.traffic, self.receiver, bind_handlers(self.node), self.budget
         )
         self.call_server = CallServer(
-            self.sender, self.clock, settings.max_connections
+            self.sender, self.clock, settings.max_connections, self.budget
         )
         self.page_servers = []
         self.record = EndpointRecord()
@@ -255,7 +255,7 @@
         dispatcher = PageDispatcher(
             lambda request: serve(self, request), self.sender.counts
         )
-        server = CallServer(dispatcher, self.clock)
+        server = CallServer(dispatcher, self.clock, budget=self.budget)
         await server.listen(self.loop, *split_address(address))
         self.page_servers.append(server)
 
--- a/poplarrack/upstreams.py
+++ b/poplarrack/upstreams.py
@@ -16,7 +16,9 @@
 from httptools import HttpResponseParser
 
 from poplarrack.buffers import BodyBuffer
+from poplarrack.buffers import MAX_CHUNK_FRAMING_BYTES
 from poplarrack.buffers import SharedBufferProtocol
+from poplarrack.byte_budgets import HEADER_OVERHEAD_BYTES
 from poplarrack.http_messages import HttpAnswer
 
 logger = logging.getLogger(__name__)
@@ -29,14 +31,10 @@
 # connection is closed as out of step.
 MAX_MISMATCHED_ANSWERS = 2
 MAX_HEADER_BYTES = 65_536
-# Bytes of a chunk's size and line ends, without extensions.
-MAX_CHUNK_FRAMING_BYTES = 20
 # Inside a head, where an answer was cut off and another one follows.
 STATUS_LINE = re.compile(rb'HTTP/\d\.\d \d\d\d')
 # In a body, where it may have been cut off and another answer follows.
 ANSWER_START = re.compile(rb'HTTP/|H(T(TP?)?)?\Z')
-# Memory that a header takes beside its bytes: a pair of two objects.
-HEADER_OVERHEAD_BYTES = 160
 
 
 class Outcome(Enum):
@@ -346,7 +344,6 @@
         # The parser refers to the connection, so that both would stay until
         # the next garbage collection.
         self.parser = None
-        self.answer = None
 
     def close(self):
         """Close at once."""
@@ -388,11 +385,12 @@
         """
         exchange, self.exchange = self.exchange, None
         self.pool.budget.release(self)
+        self.answer = None
         self.body = BodyBuffer()
         return exchange
 
     def _succeed(self):
-        answer, self.answer = self.answer, None
+        answer = self.answer
         answer.body = self.body.joined()
         exchange = self.detach()
         self.idle_seconds = idle_timeout_seconds(answer)
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -275,3 +275,65 @@
     print('frames of peers:', detail)
     assert peak < MAX_MEBIBYTES, detail
     assert statuses and set(statuses) == {200}, detail
+
+
+async def send_request(node, head, block, size):
+    """Send a node the start of a request, and wait for its refusal.
+
+    :param size: the bytes after which the sender goes silent, or None.
+    """
+    reader, writer = await asyncio.open_connection(node.ip, 8141)
+    try:
+        writer.write(head)
+        sent = 0
+        while size is None or sent < size:
+            writer.write(block)
+            await writer.drain()
+            sent += len(block)
+        await reader.read()
+    except OSError:
+        pass
+    finally:
+        writer.transport.abort()
+
+
+async def attack_as_callers(directory, number, *request):
+    """Send requests that are not complete; return the peak, and statuses."""
+    endpoints = {'back': serve_sound}
+    async with running_nodes(directory, endpoints) as (nodes, _):
+        node = nodes['back']
+        await asyncio.sleep(1.5)
+        senders = [
+            asyncio.ensure_future(send_request(node, *request))
+            for _ in range(number)
+        ]
+        end = asyncio.get_running_loop().time() + ATTACK_SECONDS
+        statuses = await call_until(
+            end, node, 'back', pause_seconds=WITNESS_PAUSE_SECONDS
+        )
+        for sender in senders:
+            sender.cancel()
+        await asyncio.gather(*senders, return_exceptions=True)
+        return node.peak_mebibytes(), statuses
+
+
+# LOST: a caller's head that is not complete was not counted, and one of many
+# small headers took 90 times what was counted.
+def test_requests_without_end():
+    start = b'POST /back/x HTTP/1.1\r\nhost: shop.example\r\n'
+    chunked = start + b'transfer-encoding: chunked\r\n\r\n'
+    requests = {
+        'many small headers': (CALLERS, start, b'a:b\r\n' * 1000, 40_000),
+        'one header': (PEERS, start + b'a: ', b'b' * BLOCK_BYTES, None),
+        'small chunks': (PEERS, chunked, b'2\r\nbb\r\n' * 9000, None),
+    }
+    for name, (number, *request) in requests.items():
+        with TemporaryDirectory(prefix='poplarrack-endless-') as directory:
+            peak, statuses = asyncio.run(
+                attack_as_callers(Path(directory), number, *request)
+            )
+        served = f'{statuses.count(200)} of {len(statuses)}'
+        detail = f'requests, {name}: peak {peak} MiB, {served}'
+        print(detail)
+        assert peak < MAX_MEBIBYTES, detail
+        assert statuses and set(statuses) == {200}, detail
