Rank departures by when they arrived

Callers' requests ran at an endpoint after its acknowledged leave (DRAIN), where its node had been killed and started before the leave and again after it.

Cause: departures were ranked by the endpoint's start. A leave that names no start, at a process that has not heard of the endpoint, lost against any earlier departure, in other nodes' tables and in the process itself.

Change: they are ranked by when they arrived. A node makes each later than those that it knows of, whatever its clock says, and a leave that a process acknowledged remains the last one for it.

--- a/poplarrack/heartbeats.py
+++ b/poplarrack/heartbeats.py
@@ -37,6 +37,8 @@
 
 # How long after an endpoint's leave its heartbeats may still arrive.
 MAX_HEARTBEAT_DELAY_SECONDS = 10.0
+# By which a leave is later than the one before where the clock says otherwise.
+MIN_CLOCK_STEP_SECONDS = 0.001
 
 
 def _precedes(start, sequence, departure, now):
@@ -61,14 +63,16 @@
     """What a node knows of its local endpoint.
 
     Heartbeats that were sent before the last departure but arrive after it
-    are ignored, also by a process that started in between. ``heard_at`` is
-    when the endpoint's last heartbeat arrived, in seconds since the epoch.
+    are ignored, also by a process that started in between; ``is_recalled``
+    says that an earlier process acknowledged it. ``heard_at`` is when the
+    endpoint's last heartbeat arrived, in seconds since the epoch.
     """
 
     endpoint: Endpoint | None = None
     sequence: int = -1
     departure: Departure | None = None
     heard_at: float = 0.0
+    is_recalled: bool = False
 
 
 def apply_heartbeat(record, heartbeat, service, now, ttl_seconds):
@@ -111,20 +115,24 @@
         heartbeat.instance_id,
         heartbeat.born,
     )
-    if heartbeat.draining:
-        departure = _extend_departure(departure, heartbeat, now)
-    return EndpointRecord(endpoint, heartbeat.sequence, departure, now)
-
+    record = replace(
+        record, endpoint=endpoint, sequence=heartbeat.sequence, heard_at=now
+    )
+    start = (heartbeat.instance_id, heartbeat.born)
+    if not heartbeat.draining or (
+        departure is not None
+        and (departure.instance_id, departure.born) == start
+    ):
+        return record
+    return _depart(record, *start, heartbeat.sequence, now)
 
-def _extend_departure(held, heartbeat, now):
-    """Return the departure of an endpoint that drains.
 
-    It begins with the first heartbeat that says so.
-    """
-    start = (heartbeat.instance_id, heartbeat.born)
-    if held is not None and (held.instance_id, held.born) == start:
-        return held
-    return Departure(*start, heartbeat.sequence, now)
+def _depart(record, instance_id, born, sequence, now):
+    """Return the record with a new departure, later than the one it has."""
+    if record.departure is not None:
+        now = max(now, record.departure.at + MIN_CLOCK_STEP_SECONDS)
+    departure = Departure(instance_id, born, sequence, now)
+    return replace(record, departure=departure, is_recalled=False)
 
 
 def apply_deregistration(record, instance_id, born, now):
@@ -141,23 +149,30 @@
             born = previous.born
         if born < previous.born:
             return record
-    departure = Departure(instance_id, born, LAST_SEQUENCE, now)
-    return EndpointRecord(None, record.sequence, departure)
+    record = replace(record, endpoint=None)
+    return _depart(record, instance_id, born, LAST_SEQUENCE, now)
 
 
 def apply_departure(record, departure, now):
     """Return the record after a leave that an earlier process acknowledged.
 
     An endpoint that is known from a heartbeat before the leave is dropped.
+    A leave that this process acknowledged remains the last one.
 
     :param now: seconds since the epoch.
     :returns: the same object if the record has this leave or a later one.
     """
-    if latest_departure(departure, record.departure) == record.departure:
+    held = record.departure
+    if latest_departure(departure, held) == held:
         return record
+    if held is not None and not record.is_recalled:
+        at = departure.at + MIN_CLOCK_STEP_SECONDS
+        return replace(record, departure=replace(held, at=at))
     endpoint = record.endpoint
     if endpoint is not None and _precedes(
         endpoint, record.sequence, departure, now
     ):
         endpoint = None
-    return replace(record, endpoint=endpoint, departure=departure)
+    return replace(
+        record, endpoint=endpoint, departure=departure, is_recalled=True
+    )
--- a/poplarrack/members.py
+++ b/poplarrack/members.py
@@ -84,7 +84,8 @@
     """The leave of one start of a backend server.
 
     Its heartbeats up to ``sequence`` no longer count. ``born`` is None if it
-    is not known; ``at`` is when the leave arrived, in seconds since the epoch.
+    is not known; ``at`` is when the leave arrived, in seconds since the epoch,
+    and later than any that the node knew of, whatever its clock says.
     """
 
     instance_id: str
@@ -95,7 +96,7 @@
     @property
     def rank(self):
         """Return the merge key: the departure with the greater one wins."""
-        return (self.born or 0, self.sequence, self.at, self.instance_id)
+        return (self.at, self.born or 0, self.sequence, self.instance_id)
 
 
 def latest_departure(one, other):
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -87,7 +87,7 @@
 
 
 def test_a_departure_is_kept_by_any_order_of_merges():
-    later = replace(DEPARTURE, instance_id='i-2', born=2000, sequence=4)
+    later = replace(DEPARTURE, instance_id='i-2', born=2000, at=101.0)
     records = (
         member('n', departure=DEPARTURE),
         member('n', sequence=2, state=MemberState.DEAD),
--- a/tests/test_heartbeats.py
+++ b/tests/test_heartbeats.py
@@ -8,6 +8,7 @@
 from poplarrack.heartbeats import EndpointRecord
 from poplarrack.heartbeats import Heartbeat
 from poplarrack.members import EndpointState
+from poplarrack.members import latest_departure
 from poplarrack.resources import Service
 from tests.support import build_load_tests
 
@@ -130,3 +131,22 @@
     # What ended as the same start doesn't begin again.
     late = replace(HEARTBEAT, sequence=4)
     assert apply(record, late, 107.5) is record
+
+
+# DRAIN: a node that had just started took a leave without a time of start, and
+# then took the one that its earlier process had acknowledged for the last one.
+def test_a_leave_of_this_process_is_the_last_whatever_was_before():
+    before = apply_deregistration(
+        apply(EndpointRecord(), HEARTBEAT), 'i-1', 1000, 100.0
+    ).departure
+    # The clock may have been set back.
+    for now in (101.0, 95.0):
+        record = apply_deregistration(EndpointRecord(), 'i-2', None, now)
+        record = apply_departure(record, before, now)
+        assert record.departure.instance_id == 'i-2'
+        assert latest_departure(before, record.departure) is record.departure
+        late = replace(HEARTBEAT, instance_id='i-2', born=2000)
+        assert apply(record, late, now + 6.0).endpoint is None
+        started = apply_departure(EndpointRecord(), before, now)
+        started = apply_departure(started, record.departure, now)
+        assert apply(started, late, now + 6.0).endpoint is None
