Send late and odd reports in the soak

Change: the kinds kill_after_leave, delay_report and send_odd_report; the check of a leave excuses a node only while it isn't in touch.

The check of confirmed versions no longer counts requests to nodes that all got SIGTERM at the end of a run. RULES.md, "In touch": a machine is in touch if for the whole window before there was no SIGTERM. Restarts during a run were left out by their disturbance already; the last stop has none, as the check of lost requests counts it.

Conclusion: the product's own mesh does without the new faults, as its announcements have no order and no service to check them by.

--- a/tests/soak_checks.py
+++ b/tests/soak_checks.py
@@ -138,8 +138,17 @@
             for change in record.changes
             if change.acked_at + CONFIG_SECONDS < request.sent_at
         ]
-        if not confirmed or not record.is_in_touch(
-            request.host, request.sent_at, handling.at, STABLE_WINDOW_SECONDS
+        # A node that got SIGTERM is not in touch.
+        is_stopped = request.sent_at > record.stopped_at
+        if (
+            not confirmed
+            or is_stopped
+            or not record.is_in_touch(
+                request.host,
+                request.sent_at,
+                handling.at,
+                STABLE_WINDOW_SECONDS,
+            )
         ):
             continue
         record.counts['handled in touch'] += 1
@@ -240,10 +249,14 @@
     if expected != run.instance:
         record.violate('ROUTE', run.key, f'ran in place of {expected}')
     left_at = endpoint.left_at
+    # The leave binds the process that the host starts next, too.
+    bound_from = run.began_at - STABLE_WINDOW_SECONDS
     if (
         left_at is not None
         and run.began_at - left_at > endpoint.mesh.leave_tolerance
-        and record.is_undisturbed(run.host, left_at, run.began_at)
+        and record.is_undisturbed(
+            run.host, max(left_at, bound_from), run.began_at
+        )
     ):
         record.violate('DRAIN', run.key, 'ran after the acknowledged leave')
 
--- a/tests/soak_faults.py
+++ b/tests/soak_faults.py
@@ -4,6 +4,7 @@
 from contextlib import contextmanager
 import signal
 
+from tests.soak_checks import STABLE_WINDOW_SECONDS
 from tests.soak_records import STORE
 
 FAULT_KINDS = {}
@@ -13,6 +14,7 @@
 MAX_FREEZE_SECONDS = 3.0
 MAX_STORE_FAILURE_SECONDS = 3.0
 MAX_GAP_SECONDS = 0.7
+MAX_LATE_SECONDS = 3.0
 # How often a zone's nodes are restarted in turn.
 MAX_ROUNDS = 2
 # From the time at which an endpoint that leaves gets nothing more to its end.
@@ -142,6 +144,35 @@
         await host.endpoint.start()
 
 
+@fault(4)
+async def kill_after_leave(soak, host):
+    """Kill a node whose endpoint has left; then an earlier report arrives."""
+    async with host.endpoint.lock:
+        report = soak.mesh.build_report(host.endpoint)
+        await host.endpoint.leave()
+        await kill_node(soak, host)
+        await asyncio.sleep(STABLE_WINDOW_SECONDS)
+        await pause(soak, MAX_LATE_SECONDS)
+        await host.endpoint.call_node(*report)
+        await asyncio.sleep(soak.mesh.leave_tolerance + LEAVE_SECONDS)
+        await host.endpoint.close()
+        await host.endpoint.start()
+
+
+@fault(4)
+async def delay_report(soak, host):
+    """Send a report that was written a while ago."""
+    report = soak.mesh.build_report(host.endpoint)
+    await pause(soak, MAX_LATE_SECONDS)
+    await host.endpoint.call_node(*report)
+
+
+@fault(4)
+async def send_odd_report(soak, host):
+    """Send the report of a service that isn't configured."""
+    await host.endpoint.call_node(*soak.mesh.build_odd_report(host.endpoint))
+
+
 @fault(4)
 async def crash_endpoint(soak, host):
     """Replace an endpoint that stops without a leave by a new instance."""
--- a/tests/soak_meshes.py
+++ b/tests/soak_meshes.py
@@ -30,6 +30,8 @@
 MAX_SEEDS = 3
 STORE_FAILURES = (429, 500, 503)
 PLATFORM_THREADS = 200
+# Later than the start of any endpoint of a soak.
+LATE_BORN = 2**41
 MESHES = {}
 
 
@@ -117,6 +119,16 @@
         }
         return 'PUT', f'/-/instances/{endpoint.instance}', dumps(body).encode()
 
+    def build_odd_report(self, endpoint):
+        """Return the report of a service that isn't configured."""
+        body = {
+            **HEARTBEAT,
+            'info': {**HEARTBEAT['info'], 'service': 'stocktake'},
+            'address': endpoint.address,
+            'born': LATE_BORN,
+        }
+        return 'PUT', '/-/instances/i-other', dumps(body).encode()
+
     def build_leave(self, endpoint):
         """Return the method, path and body of an endpoint's leave."""
         return 'DELETE', f'/-/instances/{endpoint.instance}', b''
@@ -140,8 +152,14 @@
 
     name = 'own'
     deadline_header = 'poplarrack-deadline-ms'
-    # SIGHUP ends a program that has no settings to read again.
-    unknown_faults = ('reload_node',)
+    # SIGHUP ends a program that has no settings to read again. Announcements
+    # have no order, and name no service to check them by.
+    unknown_faults = (
+        'reload_node',
+        'kill_after_leave',
+        'delay_report',
+        'send_odd_report',
+    )
     echoes = False
     # Other nodes learn of it from the local one.
     leave_tolerance = DRAIN_SECONDS
--- a/tests/soak_records.py
+++ b/tests/soak_records.py
@@ -112,7 +112,8 @@
 class Record:
     """All that callers, endpoints and the operator did and saw.
 
-    ``boots`` has the times at which each host's processes were started.
+    ``boots`` has the times at which each host's processes were started,
+    ``stopped_at`` when all hosts were sent SIGTERM at the end.
     """
 
     clock: object
@@ -125,6 +126,7 @@
     counts: Counter = field(default_factory=Counter)
     violations: list = field(default_factory=list)
     numbers: object = field(default_factory=lambda: count(1))
+    stopped_at: float = inf
 
     def add_run(self, run):
         """Add a run that begins."""
--- a/tests/soaks.py
+++ b/tests/soaks.py
@@ -112,6 +112,7 @@
             await self.wait_for_recovery()
             await self.disturb(self.clock() + seconds)
             await self.wait_for_recovery()
+            self.record.stopped_at = self.clock()
             await asyncio.gather(*(host.stop() for host in self.hosts))
         finally:
             self.stopped = True
