--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -115,6 +115,9 @@
     status: int
     data: bytes
 
+    def stream(self, size):
+        yield self.data
+
 
 def client_of(address):
     return PlatformStoreClient([address], sleep=lambda seconds: None)
