Split the local endpoint from the sidecar's server

sidecar_servers.py held the servers of a process and what its endpoint says of itself, which has become more than a few lines: heartbeats, leaves, what is kept of them elsewhere and recalled at the start. The second part is LocalEndpoint now, in a module of its own. No behaviour has changed.

--- a/poplarrack/platform/pages.py
+++ b/poplarrack/platform/pages.py
@@ -24,7 +24,9 @@
     if request.method == 'PUT':
         return _handle_heartbeat(server, instance_id, request.body)
     if request.method == 'DELETE':
-        server.on_deregistration(instance_id, decode_born(request.body))
+        server.local_endpoint.on_deregistration(
+            instance_id, decode_born(request.body)
+        )
         return _acknowledge_leave(server)
     return Page(405, TEXT, b'')
 
@@ -32,7 +34,7 @@
 def _handle_heartbeat(server, instance_id, body):
     try:
         heartbeat = decode_heartbeat(instance_id, body)
-        server.on_heartbeat(heartbeat)
+        server.local_endpoint.on_heartbeat(heartbeat)
     except PoplarrackError as error:
         logger.warning('heartbeat_rejected', extra={'detail': error.detail})
         status = error.answer.http_status
@@ -44,7 +46,7 @@
 
 async def _acknowledge_leave(server):
     """Acknowledge a leave once it outlives the process of this node."""
-    if await server.hold_departure():
+    if await server.local_endpoint.hold_departure():
         return json_page({})
     return Page(503, TEXT, b'nobody else keeps the leave')
 
--- a/poplarrack/sidecar_servers.py
+++ b/poplarrack/sidecar_servers.py
@@ -7,7 +7,6 @@
 """
 
 import asyncio
-from contextlib import suppress
 from dataclasses import dataclass
 import logging
 from random import Random
@@ -17,19 +16,14 @@
 from poplarrack.byte_budgets import ByteBudget
 from poplarrack.callers import CallServer
 from poplarrack.clocks import SteadyClock
-from poplarrack.departures import hold_departure
-from poplarrack.departures import read_departure
 from poplarrack.dumps import dump_node
 from poplarrack.errors import ErrorKind
 from poplarrack.errors import PoplarrackError
 from poplarrack.fetchers import build_fetcher
 from poplarrack.header_names import HeaderNames
-from poplarrack.heartbeats import apply_departure
-from poplarrack.heartbeats import apply_deregistration
-from poplarrack.heartbeats import apply_heartbeat
-from poplarrack.heartbeats import EndpointRecord
 from poplarrack.http_messages import build_answer
 from poplarrack.joiners import join
+from poplarrack.local_endpoints import LocalEndpoint
 from poplarrack.metrics import build_metrics_page
 from poplarrack.nodes import Node
 from poplarrack.nodes import NodeDependencies
@@ -38,7 +32,6 @@
 from poplarrack.pages import Page
 from poplarrack.peer_handlers import bind_handlers
 from poplarrack.receivers import Receiver
-from poplarrack.resources import Service
 from poplarrack.senders import Sender
 from poplarrack.stream_servers import StreamServer
 from poplarrack.streams import PeerStreams
@@ -57,10 +50,6 @@
 DRAIN_POLL_SECONDS = 0.05
 CONNECTION_EXPIRY_INTERVAL_SECONDS = 1.0
 SETTINGS_RELOAD_INTERVAL_SECONDS = 5.0
-# How long a node that has started waits for what the store and other nodes
-# know of its endpoint's leave, and the pauses before it asks the store again.
-RECALL_TIMEOUT_SECONDS = 1.0
-RECALL_RETRY_SECONDS = (1.0, 2.0, 4.0, 8.0)
 
 
 @dataclass(frozen=True)
@@ -164,14 +153,7 @@
             self.sender, self.clock, settings.max_connections, self.budget
         )
         self.page_servers = []
-        self.record = EndpointRecord()
-        # The last leave that outlives this process.
-        self.held_departure = None
-        # Whether the leaves that earlier processes acknowledged are known, and
-        # the heartbeats that wait for that.
-        self.recalled = False
-        self.early_heartbeats = []
-        self.node.on_departure = self.on_departure
+        self.local_endpoint = LocalEndpoint(self)
         self.loop = None
         self.stopping = None
         self.expiry_checked_at = 0.0
@@ -185,7 +167,9 @@
         self._handle_signals()
         self.node.update_own(self.node.facts.own)
         join_task = self.loop.create_task(join(self.node))
-        recall_task = self.loop.create_task(self._recall(join_task))
+        recall_task = self.loop.create_task(
+            self.local_endpoint.recall(join_task)
+        )
         logger.info('node_started', extra={'node': self.settings.node_id})
         while not self.stopping.is_set():
             self._tick()
@@ -259,131 +243,6 @@
         await server.listen(self.loop, *split_address(address))
         self.page_servers.append(server)
 
-    # The local endpoint.
-
-    def on_heartbeat(self, heartbeat):
-        """Apply a heartbeat of the local endpoint.
-
-        :raises PoplarrackError: MALFORMED_REQUEST if its service is not this
-            node's. Another writer sent it then.
-        """
-        if not self._is_own_service(heartbeat.service):
-            raise PoplarrackError(
-                ErrorKind.MALFORMED_REQUEST,
-                f'heartbeat: service {heartbeat.service!r:.80} is not that '
-                'of this node',
-            )
-        if not self.recalled and not heartbeat.draining:
-            # It may be late, and its sender may have left.
-            self.early_heartbeats.append(heartbeat)
-            return
-        self._apply_heartbeat(heartbeat)
-
-    def _apply_heartbeat(self, heartbeat):
-        services = self.node.knowledge.configuration.services
-        service = services.get(heartbeat.service)
-        service = service or Service(heartbeat.service, '')
-        self._set_record(
-            apply_heartbeat(
-                self.record,
-                heartbeat,
-                service,
-                self.clock(),
-                self.settings.calls.announcement_ttl_seconds,
-            )
-        )
-
-    def _is_own_service(self, service):
-        """Return whether the settings name a service as this node's.
-
-        The settings may have changed with the endpoint, without a signal.
-        """
-        if service != self.settings.service:
-            self.reload()
-        return service == self.settings.service
-
-    def on_deregistration(self, instance_id, born):
-        """Apply the deregistration of the local endpoint.
-
-        :param born: the endpoint's time of start, or None if not given.
-        """
-        self._set_record(
-            apply_deregistration(self.record, instance_id, born, self.clock())
-        )
-
-    async def hold_departure(self):
-        """Have the endpoint's leave kept elsewhere, before it is acknowledged.
-
-        :returns: whether it is; True if there is none.
-        """
-        departure = self.record.departure
-        if departure is None or self._is_held(departure):
-            return True
-        if await hold_departure(self.node, departure):
-            self.held_departure = departure
-        return self._is_held(departure)
-
-    def _is_held(self, departure):
-        held = self.held_departure
-        return held is not None and (held.instance_id, held.born) == (
-            departure.instance_id,
-            departure.born,
-        )
-
-    def on_departure(self, departure):
-        """Apply a leave that an earlier process acknowledged."""
-        logger.info(
-            'departure_recalled', extra={'instance': departure.instance_id}
-        )
-        self.held_departure = departure
-        self._set_record(apply_departure(self.record, departure, self.clock()))
-
-    async def _recall(self, join_task):
-        """Learn of the last leave before the first endpoint is put in use.
-
-        Without the store, the nodes that this one joins know of it.
-        """
-        known = False
-        with suppress(TimeoutError):
-            async with asyncio.timeout(RECALL_TIMEOUT_SECONDS):
-                known = await self._read_departure()
-                if not known:
-                    await asyncio.wait([join_task])
-        self.recalled = True
-        early, self.early_heartbeats = self.early_heartbeats, []
-        for heartbeat in early:
-            self._apply_heartbeat(heartbeat)
-        for delay_seconds in RECALL_RETRY_SECONDS:
-            if known:
-                return
-            await asyncio.sleep(delay_seconds)
-            known = await self._read_departure()
-
-    async def _read_departure(self):
-        """Read the last leave from the store; return whether it answered."""
-        try:
-            departure = await read_departure(self.node)
-        except PoplarrackError as error:
-            logger.info('departure_unknown', extra={'detail': error.detail})
-            return False
-        if departure is not None:
-            self.node.record_departure(departure)
-            self.on_departure(departure)
-        return True
-
-    def _set_record(self, record):
-        previous = self.record
-        if record is previous:
-            return
-        self.record = record
-        if record.departure is not None:
-            self.node.record_departure(record.departure)
-        self.receiver.set_endpoint(record.endpoint)
-        if record.endpoint is not None:
-            self.node.announce(record.endpoint)
-        elif previous.endpoint is not None:
-            self.node.forget_endpoint()
-
     # Shutdown.
 
     async def _drain(self):
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -367,7 +367,10 @@
                 await until(lambda: is_ready(settings))
                 assert page_of(server, {**odd, 'born': 10**14}) == 400
                 endpoint = server.receiver.endpoint
-                return endpoint.service, server.record.endpoint.service
+                return (
+                    endpoint.service,
+                    server.local_endpoint.record.endpoint.service,
+                )
 
     assert asyncio.run(check()) == ('front', 'front')
 
--- a/tests/test_sidecar_servers.py
+++ b/tests/test_sidecar_servers.py
@@ -280,7 +280,11 @@
                 before = await send_heartbeat(settings, HEARTBEAT)
                 held.append(replace(settings, service='front'))
                 after = await send_heartbeat(settings, HEARTBEAT)
-                return before, after, server.record.endpoint.service
+                return (
+                    before,
+                    after,
+                    server.local_endpoint.record.endpoint.service,
+                )
 
     assert asyncio.run(run()) == (400, 200, 'front')
 
@@ -303,9 +307,13 @@
                 await until(lambda: is_ready(settings))
                 await until(lambda: has_recalled(server))
                 await send_heartbeat(settings, HEARTBEAT)
-                late = server.record.endpoint
+                late = server.local_endpoint.record.endpoint
                 await send_heartbeat(settings, later)
-                return acknowledged, late, server.record.endpoint
+                return (
+                    acknowledged,
+                    late,
+                    server.local_endpoint.record.endpoint,
+                )
 
     acknowledged, late, endpoint = asyncio.run(run())
     assert acknowledged.startswith(b'HTTP/1.1 200'), acknowledged
@@ -314,7 +322,7 @@
 
 
 async def has_recalled(server):
-    return server.recalled
+    return server.local_endpoint.is_recalled
 
 
 def test_no_leave_is_acknowledged_that_ends_with_the_process():
@@ -328,7 +336,7 @@
                 await send_heartbeat(settings, HEARTBEAT)
                 leave = {**HEARTBEAT, 'status': {**status, 'sequence': 5}}
                 alone = await send_heartbeat(settings, leave)
-                state = server.record.endpoint.state
+                state = server.local_endpoint.record.endpoint.state
                 stand_in.failure_status = 0
                 leave = {**HEARTBEAT, 'status': {**status, 'sequence': 6}}
                 await until(lambda: is_acknowledged(settings, leave))
