Record the leave of an endpoint not yet heard

Callers' requests ran at an endpoint after its acknowledged leave (DRAIN), where it had left before its first heartbeat arrived, at a node that still took an earlier endpoint, which had crashed, for its own.

Cause: a leave of another instance than the one in use was acknowledged and dropped. Nothing stood against a late heartbeat then.

Change: it is recorded and kept elsewhere like any other. The endpoint in use stays, also where the leave names a later start.

--- a/poplarrack/heartbeats.py
+++ b/poplarrack/heartbeats.py
@@ -41,18 +41,21 @@
 MIN_CLOCK_STEP_SECONDS = 0.001
 
 
-def _precedes(start, sequence, departure, now):
+def _precedes(start, sequence, departure, now, is_known=False):
     """Return whether an endpoint sent a heartbeat before its leave.
 
     Those of earlier endpoints were, too, if they arrive soon after it.
 
     :param start: the Heartbeat, or the Endpoint that came of it.
     :param sequence: the heartbeat's sequence number.
+    :param is_known: whether its endpoint is in use: the leave of another one
+        does not end that.
     """
     is_recent = now - departure.at < MAX_HEARTBEAT_DELAY_SECONDS
     born = departure.born
     if start.instance_id != departure.instance_id:
-        return is_recent and 0 < start.born < (born or 0)
+        is_earlier = 0 < start.born < (born or 0)
+        return is_recent and is_earlier and not is_known
     if born is None:
         return is_recent
     return (start.born, sequence) <= (born, departure.sequence)
@@ -84,21 +87,20 @@
     :param ttl_seconds: after this time without a heartbeat, an endpoint gives
         way to any other.
     """
-    departure = record.departure
+    departure, previous = record.departure, record.endpoint
+    is_known = previous is not None and (
+        previous.instance_id,
+        previous.born,
+    ) == (heartbeat.instance_id, heartbeat.born)
     if departure is not None and _precedes(
-        heartbeat, heartbeat.sequence, departure, now
+        heartbeat, heartbeat.sequence, departure, now, is_known
     ):
         return record
-    previous = record.endpoint
     if previous is not None:
         is_heard = now - record.heard_at <= ttl_seconds
         if heartbeat.born < previous.born and is_heard:
             return record
-        same = (previous.instance_id, previous.born) == (
-            heartbeat.instance_id,
-            heartbeat.born,
-        )
-        if same and heartbeat.sequence <= record.sequence:
+        if is_known and heartbeat.sequence <= record.sequence:
             return record
     state = EndpointState.SERVING
     if heartbeat.draining:
@@ -138,18 +140,19 @@
 def apply_deregistration(record, instance_id, born, now):
     """Return the record after an endpoint's deregistration.
 
+    That of an endpoint other than the one in use counts, too: it may leave
+    before its first heartbeat has arrived.
+
     :param born: the time of start in the deregistration, or None.
     :param now: seconds since the epoch.
     """
     previous = record.endpoint
-    if previous is not None:
-        if previous.instance_id != instance_id:
-            return record
+    if previous is not None and previous.instance_id == instance_id:
         if born is None:
             born = previous.born
         if born < previous.born:
             return record
-    record = replace(record, endpoint=None)
+        record = replace(record, endpoint=None)
     return _depart(record, instance_id, born, LAST_SEQUENCE, now)
 
 
