Run repeatable requests that were sent ahead at once

Cause: a connection's pipelined requests ran one after another, so that 16 lookups of 100 ms that were sent ahead took 1.6 s, and the time of those that waited began when they were started.

Change: those on repeatable routes run side by side, 16 at most, and are answered in their order. Any other one runs alone, with nothing started behind it. Behind an answer that closes the connection, what runs is cancelled. A refusal leaves a connection open that carries other requests. Deadlines run from a request's arrival.

--- a/poplarrack/callers.py
+++ b/poplarrack/callers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import deque
+from dataclasses import dataclass
 import socket
 
 from httptools import HttpParserError
@@ -19,7 +20,10 @@
 from poplarrack.http_messages import HttpRequest
 from poplarrack.resources import CallerLimits
 
+# Requests of a connection that wait behind others before it is read on.
 MAX_PIPELINED_REQUESTS = 16
+# Repeatable requests of a connection that run at once.
+MAX_OVERLAPPING_REQUESTS = 16
 MAX_CONNECTIONS = 4_096
 LISTEN_BACKLOG = 1024
 # Connections are closed after this multiple of the idle timeout, so that a
@@ -36,8 +40,26 @@
 DRAIN_POLL_SECONDS = 0.05
 
 
+@dataclass(slots=True, eq=False)
+class CallerExchange:
+    """A request that was started, and its answer once there is one.
+
+    ``call`` is what the dispatcher returned, ``answer`` the bytes of an
+    answer that waits for those before it.
+    """
+
+    request: HttpRequest
+    call: object = None
+    answer: bytes | None = None
+    keep_alive: bool = True
+
+
 class CallerConnection(SharedBufferProtocol):
-    """A caller's connection, whose pipelined requests run one by one."""
+    """A caller's connection.
+
+    Its pipelined requests run at once while all of them are repeatable, any
+    other one alone. They are answered in the order in which they came.
+    """
 
     def __init__(self, server):
         self.server = server
@@ -48,8 +70,10 @@
         self.header_bytes = 0
         # Bytes of the request that are not part of a body or its framing.
         self.overhead_bytes = 0
+        # Requests that are not started yet, and those that are.
         self.pipelined = deque()
-        self.call = None
+        self.exchanges = deque()
+        self.starting = False
         self.closing = False
         self.last_read = server.clock()
 
@@ -67,17 +91,22 @@
             transport.abort()
 
     def connection_lost(self, error):
-        """Cancel the call in flight, whose caller disconnected."""
+        """Cancel the calls in flight, whose caller disconnected."""
         self.server.connections.discard(self)
         self.server.budget.release(self)
         # The parser refers to the connection, so that both would stay until
         # the next garbage collection.
         self.parser = None
         self.request = None
-        call, self.call = self.call, None
+        self._cancel_all()
+
+    def _cancel_all(self):
+        """Cancel the calls that have no answer, and start no more."""
         self.pipelined.clear()
-        if call is not None:
-            self.server.dispatcher.cancel(call)
+        exchanges, self.exchanges = self.exchanges, deque()
+        for exchange in exchanges:
+            if exchange.answer is None and exchange.call is not None:
+                self.server.dispatcher.cancel(exchange.call)
 
     def data_received(self, data):
         """Feed the parser and refuse malformed requests."""
@@ -155,46 +184,70 @@
         self.body.append(body)
 
     def on_message_complete(self):
-        """Dispatch the request, or queue it behind the one in flight."""
+        """Start the request, or queue it behind those before it."""
         request, self.request = self.request, None
         self.overhead_bytes = 0
         if self.closing:
             return
         request.body, self.body = self.body.joined(), BodyBuffer()
         request.keep_alive = self.parser.should_keep_alive()
-        if self.call is not None:
-            self._enqueue(request)
-        else:
-            self._serve(request)
-
-    def _enqueue(self, request):
+        request.arrived_at = self.last_read
+        if self.exchanges:
+            for exchange in self.exchanges:
+                exchange.request.is_pipelined = True
+            request.is_pipelined = True
         self.pipelined.append(request)
+        self._start_next()
         if len(self.pipelined) >= MAX_PIPELINED_REQUESTS:
             self.transport.pause_reading()
 
-    def _serve(self, request):
-        answered = False
+    def _start_next(self):
+        """Start the requests that need not wait for those before them."""
+        if self.starting:
+            # An answer that came at once; the loop below goes on.
+            return
+        self.starting = True
+        while self.pipelined and self._may_start(self.pipelined[0]):
+            self._start(self.pipelined.popleft())
+        self.starting = False
+
+    def _may_start(self, request):
+        if not self.exchanges:
+            return True
+        may_overlap = self.server.dispatcher.may_overlap
+        return (
+            len(self.exchanges) < MAX_OVERLAPPING_REQUESTS
+            and may_overlap(self.exchanges[-1].request)
+            and may_overlap(request)
+        )
+
+    def _start(self, request):
+        exchange = CallerExchange(request)
+        self.exchanges.append(exchange)
 
         def respond(raw, keep_alive):
-            nonlocal answered
-            answered = True
-            self._on_answer(raw, keep_alive)
+            exchange.answer, exchange.keep_alive = raw, keep_alive
+            self._send_answers()
 
         call = self.server.dispatcher.start(request, respond)
-        if not answered:
-            self.call = call
+        if exchange.answer is None:
+            exchange.call = call
 
-    def _on_answer(self, raw, keep_alive):
-        self.call = None
+    def _send_answers(self):
+        """Send the answers that no earlier request is without."""
         if self.transport.is_closing():
             return
-        self.transport.write(raw)
-        if not keep_alive:
-            self.closing = True
-            self.transport.close()
-        elif self.pipelined:
+        while self.exchanges and self.exchanges[0].answer is not None:
+            exchange = self.exchanges.popleft()
+            self.transport.write(exchange.answer)
+            if not exchange.keep_alive:
+                self.closing = True
+                self._cancel_all()
+                self.transport.close()
+                return
+        if len(self.pipelined) < MAX_PIPELINED_REQUESTS:
             self.transport.resume_reading()
-            self._serve(self.pipelined.popleft())
+        self._start_next()
 
     def give_up(self):
         """Refuse a request that the budget has no room for."""
@@ -204,7 +257,7 @@
         """Refuse a request that can't be served, and close the connection.
 
         An error answer is sent only if no call is in flight, since it would
-        be taken for the answer to that call.
+        be taken for the answer to that one.
         """
         if self.closing:
             return
@@ -213,7 +266,7 @@
         self.request = HttpRequest('', '')
         self.body = BodyBuffer()
         self.server.dispatcher.counts[f'refused_{kind.value}'] += 1
-        if self.call is None:
+        if not self.exchanges:
             raw = build_error(kind, detail, None, False, retry_after)
             self.transport.write(raw)
             self.transport.close()
@@ -227,7 +280,7 @@
         limits = self.server.limits
         if reading and idle_seconds > limits.header_timeout_seconds:
             self._refuse(ErrorKind.MALFORMED_REQUEST, 'request too slow')
-        elif self.call is None and idle_seconds > (
+        elif not self.exchanges and idle_seconds > (
             IDLE_TIMEOUT_FACTOR * limits.idle_timeout_seconds
         ):
             self.transport.close()
@@ -235,14 +288,14 @@
     @property
     def busy(self):
         """Return whether a request is being read, queued or in flight."""
-        return bool(self.call or self.pipelined or self.request)
+        return bool(self.exchanges or self.pipelined or self.request)
 
 
 class CallServer:
     """Accepts callers' connections until it is drained.
 
-    :param dispatcher: starts and cancels calls, such as a Dispatcher or
-        Sender.
+    :param dispatcher: starts and cancels calls and tells which may overlap,
+        such as a Dispatcher or Sender.
     :param clock: a function that returns monotonic seconds.
     :param max_connections: connections that are served at once.
     :param budget: the ByteBudget of the process.
--- a/poplarrack/dispatchers.py
+++ b/poplarrack/dispatchers.py
@@ -208,6 +208,11 @@
         self._attempt(call)
         return call
 
+    def may_overlap(self, request):
+        """Return whether a call may run beside others of its connection."""
+        route = self.table.router.match(request.method, request.target)
+        return route is not None and route.repeatable
+
     def _timeout_seconds(self, call, route):
         requested = call.request.header(DEADLINE_HEADER)
         route_limit_ms = int(route.timeout_seconds * 1000)
--- a/poplarrack/http_messages.py
+++ b/poplarrack/http_messages.py
@@ -42,13 +42,20 @@
 
 @dataclass(slots=True)
 class HttpRequest:
-    """A complete request; its header names are in lower case."""
+    """A complete request; its header names are in lower case.
+
+    ``arrived_at`` is when it was complete, on the clock of the server, 0 if
+    that is not known. ``is_pipelined`` says that its connection carried other
+    requests at the same time.
+    """
 
     method: str
     target: str
     headers: list[tuple[bytes, bytes]] = field(default_factory=list)
     body: bytes = b''
     keep_alive: bool = True
+    arrived_at: float = 0.0
+    is_pipelined: bool = False
 
     def header(self, name):
         """Return the first header of a name, or None."""
--- a/poplarrack/senders.py
+++ b/poplarrack/senders.py
@@ -109,12 +109,14 @@
     def start(self, request, respond):
         """Start a call.
 
+        Its time runs from its arrival, also if it waited behind others.
+
         :param request: the caller's HttpRequest.
         :param respond: called once with the answer's bytes and whether the
             connection stays open.
         :returns: the Call, to pass to ``cancel``.
         """
-        now = self.clock()
+        now = request.arrived_at or self.clock()
         call = Call(request, respond, now)
         call.request_id = request.header(self.header_names.request_id) or b''
         self.calls.add(call)
@@ -126,11 +128,19 @@
         )
         return call
 
-    def _route(self, call, now):
-        request = call.request
+    def may_overlap(self, request):
+        """Return whether a request may run beside others of its connection."""
+        route = self._match(request)
+        return route is not None and route.repeatable
+
+    def _match(self, request):
         host = (request.header(b'host') or b'').decode('latin-1').lower()
         host = host.partition(':')[0]
-        route = self.table.router.match(request.method, request.target, host)
+        return self.table.router.match(request.method, request.target, host)
+
+    def _route(self, call, now):
+        request = call.request
+        route = self._match(request)
         if route is None:
             if self.table.revision:
                 self._refuse(call, ErrorKind.NO_ROUTE, request.target)
@@ -457,8 +467,9 @@
         keep_alive = call.request.keep_alive and not self.draining
         retry_after = None
         if ANSWERS[kind].http_status == 503:
-            # Callers retry on a new connection; this one would stay idle.
-            keep_alive = False
+            # Callers retry on a new connection; this one would stay idle,
+            # unless it carries other requests.
+            keep_alive = keep_alive and call.request.is_pipelined
             retry_after = RETRY_AFTER_SECONDS * (1 + self.random.random())
         raw = build_error(
             kind, detail, call.request_id, keep_alive, retry_after
--- a/poplarrack/sidecar_servers.py
+++ b/poplarrack/sidecar_servers.py
@@ -91,6 +91,10 @@
         self._respond(page, request, respond)
         return None
 
+    def may_overlap(self, request):
+        """Return False: the endpoint's messages are handled in their order."""
+        return False
+
     def cancel(self, task):
         """Let a page be built to its end, though its caller is gone."""
 
--- a/poplarrack/stand_ins/backends.py
+++ b/poplarrack/stand_ins/backends.py
@@ -96,6 +96,10 @@
             self._refuse(call)
         return call
 
+    def may_overlap(self, request):
+        """Return False: a connection carries one call at a time."""
+        return False
+
     def cancel(self, call):
         """Stop a call whose caller has gone."""
         self.counts['cancelled'] += 1
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -1,10 +1,14 @@
 """Test how the call server manages connections of callers."""
 
 import asyncio
+from contextlib import contextmanager
 
+from poplarrack.callers import CallerConnection
 from poplarrack.callers import CallServer
+from poplarrack.callers import MAX_OVERLAPPING_REQUESTS
 from poplarrack.http_messages import build_answer
 from tests.support import build_load_tests
+from tests.support import fixture
 
 load_tests = build_load_tests(__name__)
 
@@ -51,3 +55,127 @@
         server.socket.close()
 
     asyncio.run(exceed_connections())
+
+
+class HeldDispatcher:
+    """A dispatcher that answers when the test says so."""
+
+    def __init__(self):
+        self.counts = {}
+        self.responses = {}
+        self.cancelled = []
+
+    def start(self, request, respond):
+        self.responses[request.target] = respond
+        return request.target
+
+    def may_overlap(self, request):
+        return request.method == 'GET'
+
+    def cancel(self, call):
+        self.cancelled.append(call)
+
+    def answer(self, target, keep_alive=True):
+        body = target.encode()
+        respond = self.responses.pop(target)
+        respond(build_answer(200, [], body, keep_alive), keep_alive)
+
+
+class RecordingTransport:
+    """A transport that keeps what is written."""
+
+    def __init__(self):
+        self.written = b''
+        self.closing = False
+
+    def write(self, data):
+        self.written += data
+
+    def close(self):
+        self.closing = True
+
+    def is_closing(self):
+        return self.closing
+
+    def pause_reading(self):
+        pass
+
+    def resume_reading(self):
+        pass
+
+
+class Caller:
+    """A connection of a caller to a server whose answers the test gives."""
+
+    def __init__(self):
+        self.dispatcher = HeldDispatcher()
+        server = CallServer(self.dispatcher, ManualClock())
+        self.connection = CallerConnection(server)
+        self.transport = RecordingTransport()
+        self.connection.connection_made(self.transport)
+
+    def send(self, *requests):
+        for method, target in requests:
+            head = f'{method} {target} HTTP/1.1\r\nhost: a\r\n'
+            if method == 'POST':
+                head += 'content-length: 0\r\n'
+            self.connection.data_received(f'{head}\r\n'.encode())
+
+    @property
+    def started(self):
+        return list(self.dispatcher.responses)
+
+    @property
+    def bodies(self):
+        return self.transport.written.decode().split('\r\n\r\n')[1:]
+
+
+@fixture
+@contextmanager
+def caller():
+    yield Caller()
+
+
+# Lookups that were sent ahead ran one after another: 16 of 100 ms took 1.6 s.
+def test_repeatable_requests_sent_ahead_run_at_once(caller):
+    targets = [f'/{number}' for number in range(MAX_OVERLAPPING_REQUESTS + 2)]
+    caller.send(*(('GET', target) for target in targets))
+    assert caller.started == targets[:MAX_OVERLAPPING_REQUESTS]
+    caller.dispatcher.answer('/0')
+    assert caller.started == targets[1 : MAX_OVERLAPPING_REQUESTS + 1]
+
+
+def test_answers_keep_the_order_of_their_requests(caller):
+    caller.send(('GET', '/a'), ('GET', '/b'), ('GET', '/c'))
+    caller.dispatcher.answer('/c')
+    caller.dispatcher.answer('/b')
+    assert not caller.transport.written
+    caller.dispatcher.answer('/a')
+    written = caller.transport.written.decode()
+    assert written.index('/a') < written.index('/b') < written.index('/c')
+
+
+def test_a_request_that_is_not_repeatable_runs_alone(caller):
+    caller.send(('GET', '/a'), ('POST', '/b'), ('GET', '/c'), ('GET', '/d'))
+    assert caller.started == ['/a']
+    caller.dispatcher.answer('/a')
+    assert caller.started == ['/b']
+    caller.dispatcher.answer('/b')
+    assert caller.started == ['/c', '/d']
+
+
+def test_nothing_runs_on_behind_an_answer_that_closes(caller):
+    caller.send(('GET', '/a'), ('GET', '/b'), ('GET', '/c'), ('POST', '/d'))
+    caller.dispatcher.answer('/c')
+    caller.dispatcher.answer('/a', keep_alive=False)
+    assert caller.transport.closing
+    assert caller.dispatcher.cancelled == ['/b']
+    assert '/d' not in caller.started
+    assert b'/c' not in caller.transport.written
+
+
+def test_a_caller_that_leaves_cancels_all_of_its_requests(caller):
+    caller.send(('GET', '/a'), ('GET', '/b'), ('GET', '/c'))
+    caller.dispatcher.answer('/b')
+    caller.connection.connection_lost(None)
+    assert caller.dispatcher.cancelled == ['/a', '/c']
