Agree on what homes, organisations and bodies share

Cause: nothing reads the regions of routes, the organisations with their keys and limits, the limit of cold endpoints or an evacuation, and the parts that will need the same fields of offers, load reports and the configuration.

Change: kinds of settings "organisations" and "evacuations", fields "regions", "public" and "cold_calls_per_second", their translation on the platform, and fields at the end of offers and load reports. Nothing acts on them yet. A newer field at its default is not encoded, so that both builds take each other's settings. Keys are kept as digests.

--- a/poplarrack/carried_calls.py
+++ b/poplarrack/carried_calls.py
@@ -7,6 +7,7 @@
 from poplarrack.destination_states import DestinationState
 from poplarrack.exchanges import Delivery
 from poplarrack.http_messages import HttpRequest
+from poplarrack.resources import Organisation
 from poplarrack.resources import Route
 
 logger = logging.getLogger(__name__)
@@ -22,7 +23,8 @@
     the share in thousandths by which the version was chosen: that of the move
     or, if all calls went to one version, 0 or FULL_SHARE_STAGE.
     ``inherited_repeat`` is the probability that a repeated run made the call,
-    if the local endpoint did.
+    if the local endpoint did. ``organisation`` is that of the caller's key,
+    ``rank`` orders the call where it waits; 0 is served first.
     """
 
     request: HttpRequest
@@ -38,6 +40,8 @@
     offers: int = 0
     arrivals: int = 0
     inherited_repeat: float = 0.0
+    organisation: Organisation | None = None
+    rank: int = 0
     tried_instances: set = field(default_factory=set)
     busy_instances: set = field(default_factory=set)
     has_queued: bool = False
--- a/poplarrack/configurations.py
+++ b/poplarrack/configurations.py
@@ -16,6 +16,8 @@
 from poplarrack.resources import decode_resource
 from poplarrack.resources import MAX_CACHED_RESOURCES
 from poplarrack.resources import Move
+from poplarrack.resources import Organisation
+from poplarrack.resources import RESOURCE_TYPES
 from poplarrack.resources import Route
 from poplarrack.resources import Service
 from poplarrack.resources import split_path
@@ -55,7 +57,8 @@
 
     ``routes`` are sorted by the length of their prefixes, longest first.
     ``services``, ``moves`` and ``move_paths`` are keyed by the name of the
-    service.
+    service, ``organisations`` by their own. ``evacuated_zones`` are the zones
+    whose backend servers get no calls.
     """
 
     snapshot: Snapshot = field(default_factory=Snapshot)
@@ -66,6 +69,8 @@
     caller_limits: CallerLimits = field(
         default_factory=lambda: CallerLimits('callers')
     )
+    organisations: Mapping[str, Organisation] = field(default_factory=dict)
+    evacuated_zones: frozenset[str] = frozenset()
 
     @cached_property
     def router(self):
@@ -183,8 +188,8 @@
 
     A name of a kind that a second team uses is appended to ``faults``.
     """
-    services, moves, move_paths, routes = {}, {}, {}, []
-    limits = CallerLimits('callers')
+    by_kind = {kind: {} for kind in RESOURCE_TYPES}
+    move_paths = {}
     owners = {}
     for item in sorted(checked, key=attrgetter('path')):
         kind, name, resource = item.kind, item.name, item.resource
@@ -193,18 +198,24 @@
             faults.append(
                 f'{item.path}: {kind}/{name} already belongs to team {owner!r}'
             )
-        elif kind == 'services':
-            services[name] = resource
-        elif kind == 'moves':
-            moves[name] = resource
+            continue
+        by_kind[kind][name] = resource
+        if kind == 'moves':
             move_paths[name] = item.path
-        elif kind == 'limits':
-            limits = resource
-        else:
-            routes.append(resource)
-    routes.sort(key=lambda route: (-len(route.prefix), route.name))
+    routes = sorted(
+        by_kind['routes'].values(),
+        key=lambda route: (-len(route.prefix), route.name),
+    )
+    limits = by_kind['limits'].values()
     return Configuration(
-        snapshot, services, tuple(routes), moves, move_paths, limits
+        snapshot,
+        by_kind['services'],
+        tuple(routes),
+        by_kind['moves'],
+        move_paths,
+        next(reversed(limits), CallerLimits('callers')),
+        by_kind['organisations'],
+        frozenset(by_kind['evacuations']),
     )
 
 
@@ -254,6 +265,27 @@
             f'service {service.name}: warm_up_seconds must be from 0 to '
             f'{MAX_WARM_UP_SECONDS}, got {service.warm_up_seconds}'
         )
+    if not 0 <= service.cold_calls_per_second <= MAX_LIMIT:
+        yield (
+            f'service {service.name}: cold_calls_per_second must be from 0 to '
+            f'{MAX_LIMIT}, got {service.cold_calls_per_second}'
+        )
+
+
+@finds_faults('organisations')
+def _organisation_faults(organisation):
+    for field_name in ('calls_per_second', 'burst'):
+        number = getattr(organisation, field_name)
+        if not 0 <= number <= MAX_LIMIT:
+            yield (
+                f'organisation {organisation.name}: {field_name} must be from '
+                f'0 to {MAX_LIMIT}, got {number}'
+            )
+
+
+@finds_faults('evacuations')
+def _evacuation_faults(evacuation):
+    return ()
 
 
 @finds_faults('limits')
--- a/poplarrack/destination_states.py
+++ b/poplarrack/destination_states.py
@@ -66,6 +66,8 @@
     peer_address: str
     endpoint: Endpoint
     tier: Tier
+    region: str = ''
+    zone: str = ''
 
 
 class DestinationState:
--- a/poplarrack/exchanges.py
+++ b/poplarrack/exchanges.py
@@ -33,7 +33,8 @@
     """The load of an endpoint of the zone, as some node last heard of it.
 
     ``running`` includes the requests that wait; the other fields are those of
-    Occupancy. ``age_ms`` is the time since the endpoint's node measured it.
+    Occupancy. ``age_ms`` is the time since the endpoint's node measured it,
+    and ``cold_ms`` was left then.
     """
 
     instance_id: str
@@ -42,6 +43,8 @@
     service_ms: float
     age_ms: int
     failure_rate: float = 0.0
+    room: float = 0.0
+    cold_ms: int = 0
 
 
 class RoutedRequest(Struct, frozen=True, array_like=True):
@@ -54,6 +57,8 @@
     highest) and ``instance_id`` the endpoint that it is meant for.
     ``is_repeat`` says that it may have reached another endpoint before.
     ``loads`` tells a node of the same zone of endpoints there.
+    ``organisation`` is the name of the caller's, if its key was checked, and
+    ``route`` the name of the route.
     """
 
     request_id: bytes
@@ -72,6 +77,8 @@
     target_left_ms: int = 0
     is_repeat: bool = False
     loads: tuple[EndpointLoad, ...] = ()
+    organisation: str = ''
+    route: str = ''
 
 
 class Occupancy(Struct, frozen=True, array_like=True):
@@ -79,7 +86,9 @@
 
     ``wait_ms`` is how long a request of the lowest rank would wait now,
     ``service_ms`` the mean service time, ``failure_rate`` the recent fraction
-    of its requests that failed.
+    of its requests that failed. ``room`` is how many requests it is found to
+    run well at once, 0 if that is not known. ``cold_ms`` is how much longer
+    its slow start lasts.
     """
 
     running: int = 0
@@ -88,6 +97,8 @@
     wait_ms: int = 0
     service_ms: float = 0.0
     failure_rate: float = 0.0
+    room: float = 0.0
+    cold_ms: int = 0
 
 
 class Delivery(Struct, frozen=True, array_like=True):
--- a/poplarrack/offers.py
+++ b/poplarrack/offers.py
@@ -42,10 +42,12 @@
         caller_service,
         max(1, int((call.deadline - now) * 1000)),
         int(placement.max_wait_seconds * 1000),
-        route.queue_rank,
+        call.rank,
         route.repeatable,
         placement.spare_slot_fraction,
         max(0, int((call.target_at - now) * 1000)),
         call.arrivals > 0,
         loads,
+        call.organisation.name if call.organisation else '',
+        route.name,
     )
--- a/poplarrack/platform/configurations.py
+++ b/poplarrack/platform/configurations.py
@@ -23,9 +23,12 @@
 from poplarrack.platforms import CONFIGURATION_PREFIX
 from poplarrack.resources import CallerLimits
 from poplarrack.resources import decode_resource
+from poplarrack.resources import digest_key
 from poplarrack.resources import encode_resource
+from poplarrack.resources import Evacuation
 from poplarrack.resources import Move
 from poplarrack.resources import MoveState
+from poplarrack.resources import Organisation
 from poplarrack.resources import Route
 from poplarrack.resources import Service
 from poplarrack.resources import WeightedService
@@ -39,10 +42,14 @@
 WATCHED_PREFIX = 'o'
 CONFIGURATION_KEY = 'op/config'
 ORDER_PREFIX = 'op/rollout/'
+EVACUATION_PREFIX = 'op/evacuate/'
 RECORD_PREFIX = 'own/moves/'
 STATUS_PREFIX = 'status/rollout/'
 MOVES_PREFIX = f'{CONFIGURATION_PREFIX}{TEAM}/moves/'
+EVACUATIONS_PREFIX = f'{CONFIGURATION_PREFIX}{TEAM}/evacuations/'
 MOVE_POLICY = 'replace_at_end'
+# A 'download' is a route with large answers.
+REPEATABLE_ROUTE_TYPES = frozenset(('safe', 'download'))
 
 # Raised where a decoded value has another shape than expected.
 UNEXPECTED_SHAPE = (
@@ -118,6 +125,9 @@
                 move = self._translate_move(service, item, record)
                 if move is not None:
                     translated[move.key] = move
+            elif key.startswith(EVACUATION_PREFIX):
+                evacuation = _translate_evacuation(key)
+                translated[evacuation.key] = evacuation
         if translated:
             head = max(item.mod_revision for item in self.items.values())
             translated[HEAD_KEY] = KeyValue(HEAD_KEY, b'', head, head)
@@ -213,7 +223,14 @@
     }
     for name, service in raw['services'].items():
         resources[f'services/{name}'] = Service(
-            name, '', max_connections=service['max_connections']
+            name,
+            '',
+            max_connections=service['max_connections'],
+            cold_calls_per_second=service.get('cold_per_s', 0.0),
+        )
+    for name, organisation in (raw.get('tenants') or {}).items():
+        resources[f'organisations/{name}'] = _translate_organisation(
+            name, organisation
         )
     limits = raw.get('limits')
     if limits:
@@ -233,6 +250,32 @@
     return {key: KeyValue(key, value, 0, 0) for key, value in keys}
 
 
+def _translate_evacuation(key):
+    """Return the evacuation of the zone that a key names."""
+    zone = key.removeprefix(EVACUATION_PREFIX)
+    value = encode_resource(Evacuation(zone))
+    return KeyValue(EVACUATIONS_PREFIX + zone, value, 0, 0)
+
+
+def _translate_organisation(name, raw):
+    return Organisation(
+        name,
+        tuple(digest_key(key.encode()) for key in raw['api_keys']),
+        raw.get('priority'),
+        raw.get('rate_per_s') or 0.0,
+        raw.get('burst') or 0.0,
+        _translate_regions(raw),
+    )
+
+
+def _translate_regions(raw):
+    """Return where a route or an organisation may be served; None: anywhere.
+
+    The platform writes an empty list where there is no restriction.
+    """
+    return tuple(raw.get('allowed_regions') or ()) or None
+
+
 def _translate_route(name, raw):
     backends = tuple(
         WeightedService(part['service'], part['weight'])
@@ -242,13 +285,15 @@
         name,
         raw['prefix'],
         raw.get('service') or backends[0].service,
-        repeatable=raw['route_type'] == 'safe',
+        repeatable=raw['route_type'] in REPEATABLE_ROUTE_TYPES,
         timeout_seconds=parse_duration(raw['timeout']),
         host=raw['host'].lower(),
         backends=backends,
         max_attempts=raw['max_attempts'],
         target_latency_seconds=parse_duration(raw['target_latency']),
         rank=raw['priority'],
+        regions=_translate_regions(raw),
+        public=bool(raw.get('public', False)),
     )
 
 
--- a/poplarrack/resources.py
+++ b/poplarrack/resources.py
@@ -7,11 +7,14 @@
 
 from dataclasses import dataclass
 from dataclasses import field
+from dataclasses import fields
 from enum import Enum
 from functools import lru_cache
+from hashlib import blake2b
 
 from msgspec import convert
 from msgspec import MsgspecError
+from msgspec import to_builtins
 from msgspec.json import encode
 
 from poplarrack.errors import ErrorKind
@@ -27,6 +30,19 @@
 
 RESOURCE_TYPES = {}
 
+# Bytes of the digest of a key, so that none can be found from it.
+KEY_DIGEST_BYTES = 16
+# Marks a field that earlier builds reject.
+NEWER = 'newer'
+
+
+def newer_field(default):
+    """Return a field that is left out of the encoded value by default.
+
+    Earlier builds, which don't know it, then take the value.
+    """
+    return field(default=default, metadata={NEWER: True})
+
 
 def resource_kind(name):
     """Register a data class as the type of a kind's values."""
@@ -73,7 +89,8 @@
     ``version`` accepts any version of the backend servers. ``slots`` is
     the number of calls that a backend server runs at once,
     ``max_connections`` the greatest number of connections to it, and
-    ``warm_up_seconds`` the duration of its slow start.
+    ``warm_up_seconds`` the duration of its slow start. In it, a backend
+    server gets at most ``cold_calls_per_second``; 0 stands for no limit.
     """
 
     name: str
@@ -82,6 +99,7 @@
     slots: int = 10
     max_connections: int = 110
     warm_up_seconds: float = 5.0
+    cold_calls_per_second: float = newer_field(0.0)
 
     @property
     def needed_services(self):
@@ -108,7 +126,9 @@
     the number of backend servers that a call is sent to.
     ``target_latency_seconds`` is the time within which an answer is
     expected; 0 stands for the timeout. ``rank`` orders queued calls, with
-    0 first, and takes precedence over ``priority``.
+    0 first, and takes precedence over ``priority``. With ``regions``, calls
+    are served only there; None stands for anywhere. A ``public`` route asks
+    for no key of an organisation.
     """
 
     name: str
@@ -123,6 +143,8 @@
     max_attempts: int = 3
     target_latency_seconds: float = 0.0
     rank: int | None = None
+    regions: tuple[str, ...] | None = newer_field(None)
+    public: bool = newer_field(False)
 
     @property
     def weighted_services(self):
@@ -144,6 +166,54 @@
         return PRIORITY_RANKS[self.priority]
 
 
+@resource_kind('organisations')
+@dataclass(frozen=True)
+class Organisation:
+    """A customer whose callers show one of its keys.
+
+    ``key_digests`` are those of ``digest_key``, since keys are secret. Over
+    all nodes its calls are limited to ``calls_per_second`` and a burst of
+    ``burst``; 0 stands for no limit. ``rank`` takes precedence over that of
+    a route. ``regions`` are as in a Route, and bind together with them.
+    """
+
+    name: str
+    key_digests: tuple[str, ...] = ()
+    rank: int | None = None
+    calls_per_second: float = 0.0
+    burst: float = 0.0
+    regions: tuple[str, ...] | None = None
+
+    @property
+    def needed_services(self):
+        """Return no name: an organisation may call all services."""
+        return ()
+
+
+def digest_key(key):
+    """Return the digest by which an organisation's key is known.
+
+    :param key: the key as bytes.
+    """
+    return blake2b(key, digest_size=KEY_DIGEST_BYTES).hexdigest()
+
+
+@resource_kind('evacuations')
+@dataclass(frozen=True)
+class Evacuation:
+    """An order to send nothing to the backend servers of a zone.
+
+    ``name`` is the zone's. It holds until the setting is removed.
+    """
+
+    name: str
+
+    @property
+    def needed_services(self):
+        """Return no name: an evacuation applies to all services."""
+        return ()
+
+
 @resource_kind('limits')
 @dataclass(frozen=True)
 class CallerLimits:
@@ -287,4 +357,23 @@
 
 def encode_resource(resource):
     """Return a resource as JSON bytes."""
-    return encode(resource)
+    left_out = _newer_defaults(type(resource))
+    if not left_out:
+        return encode(resource)
+    return encode(
+        {
+            name: value
+            for name, value in to_builtins(resource).items()
+            if name not in left_out or value != left_out[name]
+        }
+    )
+
+
+@lru_cache
+def _newer_defaults(resource_type):
+    """Return the defaults of the fields that earlier builds reject."""
+    return {
+        item.name: item.default
+        for item in fields(resource_type)
+        if NEWER in item.metadata
+    }
--- a/poplarrack/routing_tables.py
+++ b/poplarrack/routing_tables.py
@@ -29,7 +29,9 @@
     are lists by service. ``moves`` has the VersionSplit of each move by
     service, also of moves that ended. ``node_count`` is the number of nodes
     that may be in the mesh. ``by_node`` has the member record and the
-    Destination of each node with an endpoint that serves.
+    Destination of each node with an endpoint that serves. ``services`` and
+    ``organisations`` are the configuration's, by name; ``evacuated_zones``
+    are the zones whose endpoints get no calls.
     """
 
     revision: int = 0
@@ -41,6 +43,9 @@
     )
     node_count: int = 1
     by_node: dict = field(default_factory=dict)
+    services: dict = field(default_factory=dict)
+    organisations: dict = field(default_factory=dict)
+    evacuated_zones: frozenset[str] = frozenset()
 
 
 def derive_routing_table(locality, knowledge, now, previous=RoutingTable()):
@@ -73,6 +78,9 @@
         configuration.caller_limits,
         _count_nodes(members),
         by_node,
+        configuration.services,
+        configuration.organisations,
+        configuration.evacuated_zones,
     )
 
 
@@ -101,6 +109,8 @@
                 member.peer_address,
                 endpoint,
                 _tier_of(locality, member),
+                member.region,
+                member.zone,
             )
             known = (member, destination)
         by_node[member.node_id] = known
--- a/poplarrack/senders.py
+++ b/poplarrack/senders.py
@@ -148,6 +148,7 @@
                 self._refuse(call, ErrorKind.NO_ENDPOINT, 'no configuration')
             return False
         call.route = route
+        call.rank = route.queue_rank
         call.service = self.splitter.choose_service(route)
         requested_ms = _parse_milliseconds(
             request.header(self.header_names.deadline_ms)
