Filter all candidates by homes and evacuations

Cause: nothing read the regions of routes and organisations, nor the evacuated zones. Change: one filter that first attempts, queues, trials and repeats take their endpoints from; the receiving node refuses by it, too, also what waits in its queue. Without an endpoint left, a call is refused as not run, with the reason.

--- a/poplarrack/placements.py
+++ b/poplarrack/placements.py
@@ -93,6 +93,8 @@
             for tiers in TIER_GROUPS
         )
         self.splits = {}
+        # Those that pass a filter of ``candidates``, by filter.
+        self.filtered = {}
 
     def __iter__(self):
         return iter(self.states)
--- a/poplarrack/receivers.py
+++ b/poplarrack/receivers.py
@@ -14,6 +14,7 @@
 
 from poplarrack.admissions import Admission
 from poplarrack.byte_budgets import ByteBudget
+from poplarrack.doors import Door
 from poplarrack.endpoint_health import FailureRate
 from poplarrack.exchanges import Delivery
 from poplarrack.exchanges import Occupancy
@@ -108,6 +109,8 @@
         self.failure_rate = FailureRate()
         self.unreachable_until = 0.0
         self.refuses_new_requests = False
+        # Replaced with each new configuration.
+        self.door = Door()
         self.counts = Counter()
         self.received_requests = set()
         # Set where the node also sends requests: its LoadReports.
@@ -196,10 +199,17 @@
             return 'other instance'
         if endpoint.state is not EndpointState.SERVING:
             return 'draining'
+        return self._state_reason(request, now)
+
+    def _state_reason(self, request, now):
+        """Return why the present state admits no request, if it does not."""
         if self.refuses_new_requests:
             return 'stopping'
         if now < self.unreachable_until:
             return 'endpoint unreachable'
+        excluded = self.door.find_refusal(request)
+        if excluded:
+            return excluded
         max_wait_seconds = request.max_wait_ms / 1000
         if not self.admission.admits(
             request.rank, max_wait_seconds, request.spare_slot_fraction
@@ -348,6 +358,11 @@
                 self._reply_not_run(late.received, 'too late to run')
             if item is None:
                 return
+            # The configuration may have changed while it waited.
+            excluded = self.door.find_refusal(item.received.request)
+            if excluded:
+                self._reply_not_run(item.received, excluded)
+                continue
             self._run(item.received, now)
 
     def _reply_not_run(self, received, reason):
--- a/poplarrack/routers.py
+++ b/poplarrack/routers.py
@@ -1,5 +1,7 @@
 """Match a call's host, method and path to a route."""
 
+from functools import cached_property
+
 from poplarrack.resources import Route
 
 
@@ -25,6 +27,11 @@
             else:
                 self.without_segment.append(route)
 
+    @cached_property
+    def by_name(self):
+        """Return the routes by their names."""
+        return {route.name: route for route in self.routes}
+
     def match(self, method, target, host='') -> Route | None:
         """Return the first route that matches a call, or None.
 
--- a/poplarrack/senders.py
+++ b/poplarrack/senders.py
@@ -9,6 +9,9 @@
 import asyncio
 from collections import Counter
 
+from poplarrack.candidates import common_regions
+from poplarrack.candidates import explain_exclusion
+from poplarrack.candidates import filter_group
 from poplarrack.carried_calls import Call
 from poplarrack.carried_calls import log_ended
 from poplarrack.carried_calls import log_internal_error
@@ -17,6 +20,7 @@
 from poplarrack.destination_states import Tier
 from poplarrack.destinations import AVOIDANCE_SECONDS
 from poplarrack.destinations import DestinationTable
+from poplarrack.doors import derive_door
 from poplarrack.errors import ANSWERS
 from poplarrack.errors import ErrorKind
 from poplarrack.errors import resolve_error_kind
@@ -105,6 +109,7 @@
                 budget.keep_only(names)
             self.run_times.keep_only(names)
         self.table = table
+        self.receiver.door = derive_door(self.settings, table)
 
     def start(self, request, respond):
         """Start a call.
@@ -279,12 +284,33 @@
         )
 
     def _candidates(self, call):
-        group = self.destinations.for_service(call.service)
+        """Return the DestinationGroup of those that a call may be sent to.
+
+        Each choice for each attempt is made from these.
+        """
+        group = filter_group(
+            self.destinations.for_service(call.service),
+            self._regions_of(call),
+            self.table.evacuated_zones,
+        )
         split = self.table.moves.get(call.service)
         if split is None:
             return group
         return self.splitter.choose_version(call, group, split)
 
+    def _regions_of(self, call):
+        """Return the regions that a call may be served in, None: anywhere.
+
+        Those of its start bind, and those that the configuration has now.
+        """
+        route, organisation = call.route, call.organisation
+        now = self.table.router.by_name.get(route.name, route)
+        regions = common_regions(route.regions, now.regions)
+        if organisation is None:
+            return regions
+        now = self.table.organisations.get(organisation.name, organisation)
+        return common_regions(regions, organisation.regions, now.regions)
+
     def _record_own_load(self, service, now):
         """Record the load of the local endpoint, which is known exactly."""
         endpoint = self.receiver.endpoint
@@ -450,9 +476,17 @@
         self._refuse(call, kind, 'time is over')
 
     def _refuse_unplaced(self, call):
+        group = self.destinations.for_service(call.service)
+        excluded = explain_exclusion(
+            group, self._regions_of(call), self.table.evacuated_zones
+        )
         if call.last_failure is not None:
             self._respond(call, call.last_failure, self.clock())
-        elif self.destinations.for_service(call.service):
+        elif excluded:
+            self.counts[f'excluded {excluded}'] += 1
+            detail = f'{call.service}: {excluded}'
+            self._refuse(call, ErrorKind.NO_ENDPOINT, detail)
+        elif group:
             self._refuse(call, ErrorKind.OVERLOADED, call.service)
         else:
             self._refuse(call, ErrorKind.NO_ENDPOINT, call.service)
