Hold the rate of cold endpoints at their nodes

Cause: a cold endpoint was offered as much as its slots took. Change: the receiving node admits no more than the cold rate in any second, counts what it sent while the endpoint was warm, allows nothing of a second that it does not know, and takes the endpoint for cold from a failed connection or an evacuation until it tells again. Senders count on the rate alone, and callers that are refused come back spread.

--- a/poplarrack/carried_calls.py
+++ b/poplarrack/carried_calls.py
@@ -25,6 +25,7 @@
     ``inherited_repeat`` is the probability that a repeated run made the call,
     if the local endpoint did. ``organisation`` is that of the caller's key,
     ``rank`` orders the call where it waits; 0 is served first.
+    ``cold_seconds`` is how much longer endpoints that refused it are cold.
     """
 
     request: HttpRequest
@@ -45,6 +46,7 @@
     tried_instances: set = field(default_factory=set)
     busy_instances: set = field(default_factory=set)
     has_queued: bool = False
+    cold_seconds: float = 0.0
     may_have_run: bool = False
     last_state: DestinationState | None = None
     last_failure: Delivery | None = None
--- a/poplarrack/destination_states.py
+++ b/poplarrack/destination_states.py
@@ -99,6 +99,9 @@
         self.ejections = 0
         self.ejected_until = 0.0
         self.away_until = 0.0
+        # While it is cold, it gets this many requests a second; 0: no limit.
+        self.cold_calls_per_second = 0.0
+        self.cold_until = 0.0
 
     def record_occupancy(self, occupancy, now):
         """Record the occupancy that the endpoint's node reported."""
@@ -109,6 +112,7 @@
             occupancy.failure_rate,
             now,
         )
+        self.record_cold(occupancy.cold_ms, now)
 
     def record_load(self, running, wait_ms, service_ms, failure_rate, at):
         """Record a load that the endpoint's node reported.
@@ -129,6 +133,10 @@
             bounded - self.usual_running
         )
 
+    def record_cold(self, cold_ms, at):
+        """Record how much longer the endpoint was cold at a time."""
+        self.cold_until = at + cold_ms / 1000
+
     def record_answer(self, failed):
         """Update the failure statistics after an attempt.
 
@@ -157,11 +165,12 @@
     def usable_slots(self, now):
         """Return the slots to count on, a fraction during slow start."""
         slots = self.destination.endpoint.slots
-        return (
-            slots
-            if now >= self.slow_start_until
-            else max(1.0, slots * SLOW_START_FRACTION)
-        )
+        if now < self.slow_start_until:
+            slots = max(1.0, slots * SLOW_START_FRACTION)
+        if now < self.cold_until and self.cold_calls_per_second:
+            busy = self.cold_calls_per_second * self.service_seconds
+            slots = min(slots, max(1.0, busy))
+        return slots
 
     def expected_wait(self, now):
         """Return the seconds that a request would wait for a slot."""
--- a/poplarrack/destinations.py
+++ b/poplarrack/destinations.py
@@ -29,8 +29,11 @@
         self.states_by_instance = {}
         self.is_initial = True
 
-    def set_destinations(self, destinations_by_service):
-        """Replace the set of endpoints; those that stay keep their state."""
+    def set_destinations(self, destinations_by_service, services=None):
+        """Replace the set of endpoints; those that stay keep their state.
+
+        :param services: the configuration's Services by name.
+        """
         now = self.clock()
         states, groups = {}, {}
         for service, destinations in destinations_by_service.items():
@@ -39,6 +42,11 @@
                 for destination in destinations
             ]
             groups[service] = DestinationGroup(group)
+            known = (services or {}).get(service)
+            for state in group:
+                state.cold_calls_per_second = (
+                    known.cold_calls_per_second if known else 0.0
+                )
             states.update(
                 (_key_of(state.destination), state) for state in group
             )
@@ -121,6 +129,7 @@
                 'failure_rate': round(state.failure_rate, 4),
                 'ejected_until': state.ejected_until,
                 'away_until': state.away_until,
+                'cold_until': state.cold_until,
             }
             for state in self.states.values()
         }
--- a/poplarrack/heartbeats.py
+++ b/poplarrack/heartbeats.py
@@ -68,7 +68,8 @@
     Heartbeats that were sent before the last departure but arrive after it
     are ignored, also by a process that started in between; ``is_recalled``
     says that an earlier process acknowledged it. ``heard_at`` is when the
-    endpoint's last heartbeat arrived, in seconds since the epoch.
+    endpoint's last heartbeat arrived, ``cold_until`` when its slow start ends
+    by that, both in seconds since the epoch.
     """
 
     endpoint: Endpoint | None = None
@@ -76,6 +77,7 @@
     departure: Departure | None = None
     heard_at: float = 0.0
     is_recalled: bool = False
+    cold_until: float = 0.0
 
 
 def apply_heartbeat(record, heartbeat, service, now, ttl_seconds):
@@ -118,7 +120,11 @@
         heartbeat.born,
     )
     record = replace(
-        record, endpoint=endpoint, sequence=heartbeat.sequence, heard_at=now
+        record,
+        endpoint=endpoint,
+        sequence=heartbeat.sequence,
+        heard_at=now,
+        cold_until=now + heartbeat.cold_seconds,
     )
     start = (heartbeat.instance_id, heartbeat.born)
     if not heartbeat.draining or (
--- a/poplarrack/local_endpoints.py
+++ b/poplarrack/local_endpoints.py
@@ -165,7 +165,7 @@
         self.record = record
         if record.departure is not None:
             self.node.record_departure(record.departure)
-        self.server.receiver.set_endpoint(record.endpoint)
+        self.server.receiver.set_endpoint(record.endpoint, record.cold_until)
         if record.endpoint is not None:
             self.node.announce(record.endpoint)
         elif previous.endpoint is not None:
--- a/poplarrack/receivers.py
+++ b/poplarrack/receivers.py
@@ -14,6 +14,7 @@
 
 from poplarrack.admissions import Admission
 from poplarrack.byte_budgets import ByteBudget
+from poplarrack.cold_gates import ColdGate
 from poplarrack.doors import Door
 from poplarrack.endpoint_health import FailureRate
 from poplarrack.exchanges import Delivery
@@ -37,6 +38,8 @@
 # How long before the caller's deadline the endpoint's answer is no longer
 # awaited, so that the outcome reaches the caller in time.
 ANSWER_MARGIN_SECONDS = 0.005
+# Bound of the wait for a cold endpoint that is told to senders.
+MAX_TOLD_WAIT_SECONDS = 60.0
 # Outcomes that count as failures of the endpoint.
 FAILED_OUTCOMES = (Outcome.LOST, Outcome.TIMED_OUT, Outcome.TOO_LARGE)
 
@@ -111,21 +114,28 @@
         self.refuses_new_requests = False
         # Replaced with each new configuration.
         self.door = Door()
+        self.cold_gate = ColdGate(clock())
         self.counts = Counter()
         self.received_requests = set()
         # Set where the node also sends requests: its LoadReports.
         self.load_reports = None
         self.running_repeats = RunningRepeats()
 
-    def set_endpoint(self, endpoint):
+    def set_endpoint(self, endpoint, cold_until=0.0):
         """Set the local endpoint, or None when there is none.
 
         Another instance, or another start of the same one, gets a connection
         pool and an admission queue of its own; requests that wait for the
         previous one are answered with NOT_RUN.
+
+        :param cold_until: when its slow start ends, as it just told.
         """
         previous = self.endpoint
         self.endpoint = endpoint
+        self.cold_gate.hear(cold_until)
+        if self.door.is_evacuated:
+            # It may become cold before it gets requests again.
+            self.cold_gate.doubt()
         if endpoint is None:
             self.refuse_waiting('no endpoint')
             return
@@ -151,15 +161,38 @@
         """Return the Occupancy of the endpoint."""
         admission = self.admission
         wait = admission.expected_wait(len(admission.queue))
+        now = self.clock()
+        wait = max(wait, min(self._cold_wait(now), MAX_TOLD_WAIT_SECONDS))
         return Occupancy(
             admission.running,
             len(admission.queue),
             admission.slots,
             int(wait * 1000),
             round(admission.service_seconds * 1000, 1),
-            round(self.failure_rate.at(self.clock()), 2),
+            round(self.failure_rate.at(now), 2),
+            cold_ms=self._cold_ms(now),
         )
 
+    def _cold_rate(self):
+        if self.endpoint is None:
+            return 0.0
+        return self.door.cold_rate(self.endpoint.service)
+
+    def _cold_wait(self, now, ahead=0):
+        """Return the seconds until the cold endpoint may get a request.
+
+        :param ahead: requests that wait before it.
+        """
+        if not self.cold_gate.is_cold(now):
+            return 0.0
+        return self.cold_gate.wait(self._cold_rate(), now, ahead)
+
+    def _cold_ms(self, now):
+        if not self.cold_gate.is_cold(now) or not self._cold_rate():
+            return 0
+        # One that may be cold tells soon.
+        return max(1, int(self.cold_gate.cold_seconds(now) * 1000))
+
     @property
     def in_flight(self):
         """Return the number of requests that are queued or running."""
@@ -210,6 +243,8 @@
         excluded = self.door.find_refusal(request)
         if excluded:
             return excluded
+        if self._cold_wait(now, len(self.admission.queue)) > 0:
+            return 'cold'
         max_wait_seconds = request.max_wait_ms / 1000
         if not self.admission.admits(
             request.rank, max_wait_seconds, request.spare_slot_fraction
@@ -250,6 +285,7 @@
         admission = self.admission
         admission.running += 1
         received.sent_at = now
+        self.cold_gate.record(now)
         self.counts['sent'] += 1
         self.counts['sent_repeats'] += request.is_repeat
         self.running_repeats.add(request)
@@ -299,6 +335,8 @@
             self._on_answer(received, admission, answer, now)
         elif outcome is Outcome.NEVER_SENT:
             self.unreachable_until = now + UNREACHABLE_BACKOFF_SECONDS
+            # It may be starting again.
+            self.cold_gate.doubt()
             self._reply_not_run(received, 'endpoint unreachable')
         elif outcome is Outcome.TIMED_OUT:
             self._reply_unanswered(received, Verdict.TIMED_OUT, 'time is over')
@@ -360,6 +398,9 @@
                 return
             # The configuration may have changed while it waited.
             excluded = self.door.find_refusal(item.received.request)
+            if not excluded and self._cold_wait(now) > 0:
+                # Warm endpoints may serve it sooner.
+                excluded = 'cold'
             if excluded:
                 self._reply_not_run(item.received, excluded)
                 continue
--- a/poplarrack/senders.py
+++ b/poplarrack/senders.py
@@ -49,6 +49,8 @@
 # Minimum Retry-After of answers with status 503, which ask for up to twice as
 # much at random. A shorter wait does not help against overload.
 RETRY_AFTER_SECONDS = 0.15
+# Part of their time left that callers wait for a Retry-After.
+CALLERS_PATIENCE_FRACTION = 1 / 3
 # A deadline header with more digits is ignored as invalid.
 MAX_DEADLINE_DIGITS = 9
 # Part of its route's timeout that a call must have left for a trial.
@@ -101,7 +103,7 @@
 
     def set_table(self, table):
         """Apply a new table; endpoints that stay keep their state."""
-        self.destinations.set_destinations(table.destinations)
+        self.destinations.set_destinations(table.destinations, table.services)
         self.load_reports.keep_only(self.destinations.states.values())
         if table.revision != self.table.revision:
             names = {route.name for route in table.router.routes}
@@ -385,6 +387,9 @@
         else:
             call.tried_instances.add(instance)
             state.away_until = now + AVOIDANCE_SECONDS
+        if delivery.reason == 'cold' and delivery.occupancy is not None:
+            cold_seconds = delivery.occupancy.cold_ms / 1000
+            call.cold_seconds = max(call.cold_seconds, cold_seconds)
         self.counts[f'offer {delivery.reason}'] += 1
 
     def _on_refused(self, call, state, delivery, sent_at, now):
@@ -505,12 +510,28 @@
             # Callers retry on a new connection; this one would stay idle,
             # unless it carries other requests.
             keep_alive = keep_alive and call.request.is_pipelined
-            retry_after = RETRY_AFTER_SECONDS * (1 + self.random.random())
+            retry_after = self._retry_after(call, now)
         raw = build_error(
             kind, detail, call.request_id, keep_alive, retry_after
         )
         call.respond(raw, keep_alive)
 
+    def _retry_after(self, call, now):
+        """Return the seconds after which a refused call may come back.
+
+        Calls that met cold endpoints come back spread over the warming, as
+        far as callers would wait.
+        """
+        spread_seconds = max(
+            RETRY_AFTER_SECONDS,
+            min(
+                call.cold_seconds,
+                (call.deadline - now) * CALLERS_PATIENCE_FRACTION
+                - RETRY_AFTER_SECONDS,
+            ),
+        )
+        return RETRY_AFTER_SECONDS + spread_seconds * self.random.random()
+
     def _respond(self, call, delivery, now):
         if call.ended:
             return
