Evacuate zones and refuse homes that can't be read

Cause: evacuations reached the configuration but no decision; one odd list of regions or rate rejected the whole configuration, and an odd key under op/evacuate/ each later version. Change: the own mesh leaves out the servers of evacuated zones and holds routes' regions, too. poplarrack-ctl has evacuate and restore; status, dump, metrics and the log show which zones are evacuated. What can't be read is named and skipped: such a route is served nowhere.

--- a/poplarrack/balancers.py
+++ b/poplarrack/balancers.py
@@ -53,8 +53,9 @@
     Latency and failure rate are exponentially weighted moving averages.
     """
 
-    def __init__(self, endpoint, tier, warm_up_seconds):
+    def __init__(self, endpoint, tier, warm_up_seconds, region=''):
         self.endpoint = endpoint
+        self.region = region
         self.tier = tier
         self.warm_up_seconds = warm_up_seconds
         self.in_flight = 0
@@ -149,10 +150,11 @@
 
 @dataclass(frozen=True)
 class Candidate:
-    """A backend server that a node may use, and its locality tier."""
+    """A backend server that a node may use, its locality tier and region."""
 
     endpoint: Endpoint
     tier: int
+    region: str = ''
 
 
 @dataclass(frozen=True)
@@ -178,21 +180,28 @@
     return min(servers, int(room / max(1, callers)))
 
 
-def derive_candidates(locality, members, callers_of):
+def derive_candidates(
+    locality, members, callers_of, evacuated_zones=frozenset()
+):
     """Derive the servers that a node may use, by service and version.
 
     :param locality: the Locality of the node.
     :param members: an iterable of Member.
     :param callers_of: a function from service to CallerCounts.
+    :param evacuated_zones: the zones whose servers get no calls.
     :returns: a mapping of (service, version) to a tuple of Candidates.
     """
     groups = {}
     for member in members:
         endpoint = member.endpoint
         usable = member.present and endpoint is not None
+        if member.zone in evacuated_zones:
+            continue
         if usable and endpoint.state is EndpointState.SERVING:
             key = (endpoint.service, endpoint.version)
-            candidate = Candidate(endpoint, locality.tier(member))
+            candidate = Candidate(
+                endpoint, locality.tier(member), member.region
+            )
             groups.setdefault(key, []).append(candidate)
     return {
         key: _subset(locality.node_id, group, callers_of(key[0]))
--- a/poplarrack/call_tables.py
+++ b/poplarrack/call_tables.py
@@ -71,7 +71,12 @@
         configuration.router,
         {name: service.version for name, service in services.items()},
         moves,
-        derive_candidates(locality, members, callers.__getitem__),
+        derive_candidates(
+            locality,
+            members,
+            callers.__getitem__,
+            configuration.evacuated_zones,
+        ),
         {name: service.warm_up_seconds for name, service in services.items()},
         configuration.revision,
     )
--- a/poplarrack/commands.py
+++ b/poplarrack/commands.py
@@ -18,6 +18,8 @@
 from poplarrack.reports import describe_history
 from poplarrack.reports import describe_status
 from poplarrack.reports import Status
+from poplarrack.resources import encode_resource
+from poplarrack.resources import Evacuation
 from poplarrack.resources import MoveState
 
 POLL_SECONDS = 0.25
@@ -101,6 +103,55 @@
             {'path': path, 'revision': revision}, f'{path}: removed'
         )
 
+    @SetParseFn(str, 'zone')
+    def evacuate(self, zone):
+        """Send nothing more to the backend servers of a zone."""
+        session = self._session
+        known = self._find_evacuation(zone)
+        if known is not None:
+            session.print_result(
+                {'path': known.path, 'revision': known.revision},
+                f'{zone}: evacuated already, revision {known.revision}',
+            )
+            return
+        path = f'{session.settings.team}/evacuations/{zone}'
+        value = encode_resource(Evacuation(zone, time.time()))
+        revision = session.editor.write(Edit({path: value}))
+        zones = {item.zone for item in session.editor.read_zone_summaries()}
+        unknown = '' if zone in zones else ' (no node is in it)'
+        session.print_result(
+            {'path': path, 'revision': revision},
+            f'{zone}: evacuated, revision {revision}{unknown}',
+        )
+
+    @SetParseFn(str, 'zone')
+    def restore(self, zone):
+        """Take back the evacuation of a zone."""
+        session = self._session
+        known = self._find_evacuation(zone)
+        if known is None:
+            raise PoplarrackError(
+                ErrorKind.NOT_FOUND, f'zone {zone} is not evacuated'
+            )
+        revision = session.editor.write(Edit({known.path: None}))
+        session.print_result(
+            {'path': known.path, 'revision': revision},
+            f'{zone}: restored, revision {revision}',
+        )
+
+    def _find_evacuation(self, zone):
+        """Return the Entry of a zone's evacuation, of any team, or None."""
+        entries = self._session.editor.read().snapshot.entries
+        suffix = f'/evacuations/{zone}'
+        return next(
+            (
+                entry
+                for path, entry in entries.items()
+                if path.endswith(suffix)
+            ),
+            None,
+        )
+
     def history(self, path, most=20):
         """Show earlier values of a setting, latest first.
 
--- a/poplarrack/configurations.py
+++ b/poplarrack/configurations.py
@@ -14,6 +14,7 @@
 from poplarrack.move_policies import POLICIES
 from poplarrack.resources import CallerLimits
 from poplarrack.resources import decode_resource
+from poplarrack.resources import Evacuation
 from poplarrack.resources import MAX_CACHED_RESOURCES
 from poplarrack.resources import Move
 from poplarrack.resources import Organisation
@@ -57,8 +58,7 @@
 
     ``routes`` are sorted by the length of their prefixes, longest first.
     ``services``, ``moves`` and ``move_paths`` are keyed by the name of the
-    service, ``organisations`` by their own. ``evacuated_zones`` are the zones
-    whose backend servers get no calls.
+    service, ``organisations`` by their own, ``evacuations`` by the zone.
     """
 
     snapshot: Snapshot = field(default_factory=Snapshot)
@@ -70,7 +70,12 @@
         default_factory=lambda: CallerLimits('callers')
     )
     organisations: Mapping[str, Organisation] = field(default_factory=dict)
-    evacuated_zones: frozenset[str] = frozenset()
+    evacuations: Mapping[str, Evacuation] = field(default_factory=dict)
+
+    @cached_property
+    def evacuated_zones(self):
+        """Return the zones whose backend servers get no calls."""
+        return frozenset(self.evacuations)
 
     @cached_property
     def router(self):
@@ -215,7 +220,7 @@
         move_paths,
         next(reversed(limits), CallerLimits('callers')),
         by_kind['organisations'],
-        frozenset(by_kind['evacuations']),
+        by_kind['evacuations'],
     )
 
 
@@ -285,7 +290,8 @@
 
 @finds_faults('evacuations')
 def _evacuation_faults(evacuation):
-    return ()
+    if not 0 <= evacuation.since <= MAX_TIME_SECONDS:
+        yield f'evacuation {evacuation.name}: its time is out of range'
 
 
 @finds_faults('limits')
--- a/poplarrack/dispatchers.py
+++ b/poplarrack/dispatchers.py
@@ -175,9 +175,10 @@
         if unchanged:
             known.endpoint = endpoint
             known.tier = candidate.tier
+            known.region = candidate.region
             return known
         warm_up = table.warm_up_seconds.get(service, 0.0)
-        return ServerLoad(endpoint, candidate.tier, warm_up)
+        return ServerLoad(endpoint, candidate.tier, warm_up, candidate.region)
 
     def start(self, request, respond):
         """Start a call.
@@ -224,9 +225,16 @@
             self._refuse(call, ErrorKind.OVERLOADED, 'deadline in queue')
             return
         service = call.route.service
-        loads = self._eligible_loads(call, service)
+        regions = call.route.regions
+        of_version = self._eligible_loads(call, service) or ()
+        loads = [
+            load
+            for load in of_version
+            if regions is None or load.region in regions
+        ]
         if not loads:
-            self._refuse(call, ErrorKind.NO_ENDPOINT, service)
+            detail = f'{service}: home' if of_version else service
+            self._refuse(call, ErrorKind.NO_ENDPOINT, detail)
             return
         load = choose_server(loads, self.pick, now, self.random, call.tried)
         if load is None:
--- a/poplarrack/dumps.py
+++ b/poplarrack/dumps.py
@@ -55,6 +55,7 @@
         'settings': len(configuration.snapshot.entries),
         'rejected': to_builtins(knowledge.rejection),
         'services': to_builtins(configuration.services),
+        'evacuated_zones': sorted(configuration.evacuated_zones),
         'routes': to_builtins(configuration.routes),
     }
 
--- a/poplarrack/metrics.py
+++ b/poplarrack/metrics.py
@@ -63,6 +63,9 @@
             'is_fetcher': int(facts.topology.is_fetcher),
             'is_worker': int(facts.topology.is_worker),
             'platform_watching': int(facts.platform.watching),
+            'evacuated_zones': len(
+                facts.knowledge.configuration.evacuated_zones
+            ),
             'rejected_entries': len(self.server.platform.rejected_entries),
         }
         for name, value in gauges.items():
--- a/poplarrack/nodes.py
+++ b/poplarrack/nodes.py
@@ -459,6 +459,7 @@
         if knowledge.configuration is not before.configuration:
             revision = knowledge.configuration.revision
             logger.info('version_applied', extra={'revision': revision})
+            _log_evacuations(before.configuration, knowledge.configuration)
 
     def _schedule_rebuild(self):
         """Batch member changes: many come at once, and a rebuild is costly."""
@@ -558,6 +559,13 @@
         return lifecycle.joined and revision > 0 and not lifecycle.draining
 
 
+def _log_evacuations(before, after):
+    """Log a change of which zones are evacuated."""
+    if before.evacuated_zones != after.evacuated_zones:
+        zones = sorted(after.evacuated_zones)
+        logger.warning('evacuated_zones_changed', extra={'zones': zones})
+
+
 def _decide_safely(name, decide, facts, now):
     """Return a controller's decisions; none if it has a defect.
 
--- a/poplarrack/platform/configurations.py
+++ b/poplarrack/platform/configurations.py
@@ -13,6 +13,7 @@
 from msgspec.json import encode
 
 from poplarrack.configurations import load_configuration
+from poplarrack.configurations import MAX_LIMIT
 from poplarrack.configurations import move_faults
 from poplarrack.errors import ErrorKind
 from poplarrack.errors import PoplarrackError
@@ -60,6 +61,8 @@
     ValueError,
 )
 MAX_DETAIL_CHARACTERS = 500
+# Requests a second to cold endpoints of a service whose figure can't be read.
+LEAST_COLD_RATE = 1.0
 
 STATUS_OF_STATE = {
     MoveState.COMPLETED: 'completed',
@@ -72,7 +75,8 @@
     """The store's items and what they mean in poplarrack's resources.
 
     ``translated`` has poplarrack's KeyValues by key. ``rejected`` has the
-    revision and the fault of each item that was left out, by key.
+    revision and the fault of each item that was left out, by key, and of each
+    part of the configuration that could not be read, by key and path.
     ``configuration`` is the store's item that ``resources`` and ``services``
     were last derived from, whether or not it could be used.
     """
@@ -126,8 +130,7 @@
                 if move is not None:
                     translated[move.key] = move
             elif key.startswith(EVACUATION_PREFIX):
-                evacuation = _translate_evacuation(key)
-                translated[evacuation.key] = evacuation
+                translated.update(self._translate_evacuation(item))
         if translated:
             head = max(item.mod_revision for item in self.items.values())
             translated[HEAD_KEY] = KeyValue(HEAD_KEY, b'', head, head)
@@ -144,11 +147,15 @@
         self.resources = previous.resources
         self.services = previous.services
         if item == previous.configuration:
-            if item.key in previous.rejected:
-                self.rejected[item.key] = previous.rejected[item.key]
+            self.rejected.update(
+                (key, fault)
+                for key, fault in previous.rejected.items()
+                if key.startswith(item.key)
+            )
             return
+        faults = {}
         try:
-            resources = _translate_configuration(item)
+            resources = _translate_configuration(item, faults)
             snapshot = snapshot_from_items(resources.values())
             configuration = load_configuration(snapshot)
         except PoplarrackError as error:
@@ -156,21 +163,42 @@
         else:
             self.resources = resources
             self.services = frozenset(configuration.services)
+            for path, fault in faults.items():
+                self._reject(item, fault, path)
+
+    def _reject(self, item, detail, path=''):
+        """Record an item that can't be used; log it once.
 
-    def _reject(self, item, detail):
-        """Record an item that can't be used; log it once."""
+        :param path: of the part of it that can't, if the rest can be.
+        """
+        key = f'{item.key} {path}' if path else item.key
         fault = (item.mod_revision, detail[:MAX_DETAIL_CHARACTERS])
-        self.rejected[item.key] = fault
-        if self.previous.rejected.get(item.key) != fault:
+        self.rejected[key] = fault
+        if self.previous.rejected.get(key) != fault:
             logger.error(
                 'entry_rejected',
                 extra={
-                    'key': item.key,
+                    'key': key,
                     'revision': fault[0],
                     'detail': fault[1],
                 },
             )
 
+    def _translate_evacuation(self, item):
+        """Return the KeyValue of an evacuation by key, none without a zone.
+
+        Whatever its value is, the key orders it.
+        """
+        zone = item.key.removeprefix(EVACUATION_PREFIX)
+        value = encode_resource(Evacuation(zone))
+        try:
+            decode_resource(f'{TEAM}/evacuations/{zone}', value)
+        except PoplarrackError as error:
+            self._reject(item, error.detail)
+            return {}
+        key = EVACUATIONS_PREFIX + zone
+        return {key: KeyValue(key, value, 0, 0)}
+
     def _translate_move(self, service, order, record):
         """Return the move of an order, or None if it can't be used.
 
@@ -206,19 +234,23 @@
             )
 
 
-def _translate_configuration(item):
+def _translate_configuration(item, faults):
     raw = decode_json(item.value, ErrorKind.INVALID_CONFIGURATION, item.key)
     try:
-        return _translate_resources(raw)
+        return _translate_resources(raw, faults)
     except UNEXPECTED_SHAPE as error:
         raise PoplarrackError(
             ErrorKind.INVALID_CONFIGURATION, f'{item.key}: {error!r}'
         ) from error
 
 
-def _translate_resources(raw):
+def _translate_resources(raw, faults):
+    """Return the KeyValues of a configuration.
+
+    :param faults: gets the fault of each part that could not be read, by path.
+    """
     resources = {
-        f'routes/{name}': _translate_route(name, route)
+        f'routes/{name}': _translate_route(name, route, faults)
         for name, route in raw['routes'].items()
     }
     for name, service in raw['services'].items():
@@ -226,11 +258,11 @@
             name,
             '',
             max_connections=service['max_connections'],
-            cold_calls_per_second=service.get('cold_per_s', 0.0),
+            cold_calls_per_second=_read_cold_rate(name, service, faults),
         )
     for name, organisation in (raw.get('tenants') or {}).items():
         resources[f'organisations/{name}'] = _translate_organisation(
-            name, organisation
+            name, organisation, faults
         )
     limits = raw.get('limits')
     if limits:
@@ -250,33 +282,48 @@
     return {key: KeyValue(key, value, 0, 0) for key, value in keys}
 
 
-def _translate_evacuation(key):
-    """Return the evacuation of the zone that a key names."""
-    zone = key.removeprefix(EVACUATION_PREFIX)
-    value = encode_resource(Evacuation(zone))
-    return KeyValue(EVACUATIONS_PREFIX + zone, value, 0, 0)
-
-
-def _translate_organisation(name, raw):
+def _translate_organisation(name, raw, faults):
     return Organisation(
         name,
         tuple(digest_key(key.encode()) for key in raw['api_keys']),
         raw.get('priority'),
         raw.get('rate_per_s') or 0.0,
         raw.get('burst') or 0.0,
-        _translate_regions(raw),
+        _translate_regions(f'organisations/{name}', raw, faults),
     )
 
 
-def _translate_regions(raw):
+def _translate_regions(path, raw, faults):
     """Return where a route or an organisation may be served; None: anywhere.
 
-    The platform writes an empty list where there is no restriction.
+    The platform writes an empty list where there is no restriction. What
+    can't be read may be served nowhere: its data might leave its homes.
     """
-    return tuple(raw.get('allowed_regions') or ()) or None
+    regions = raw.get('allowed_regions')
+    if regions is None or regions == []:
+        return None
+    is_readable = isinstance(regions, list) and all(
+        isinstance(region, str) and region for region in regions
+    )
+    if is_readable:
+        return tuple(regions)
+    faults[path] = f'allowed_regions can not be read: {regions!r:.80}'
+    return ()
+
+
+def _read_cold_rate(name, raw, faults):
+    """Return a service's cold rate, the least one if it can't be read."""
+    rate = raw.get('cold_per_s')
+    if rate is None:
+        return 0.0
+    is_number = isinstance(rate, (int, float)) and not isinstance(rate, bool)
+    if is_number and 0 <= rate <= MAX_LIMIT:
+        return float(rate)
+    faults[f'services/{name}'] = f'cold_per_s can not be read: {rate!r:.80}'
+    return LEAST_COLD_RATE
 
 
-def _translate_route(name, raw):
+def _translate_route(name, raw, faults):
     backends = tuple(
         WeightedService(part['service'], part['weight'])
         for part in raw.get('backends') or ()
@@ -292,7 +339,7 @@
         max_attempts=raw['max_attempts'],
         target_latency_seconds=parse_duration(raw['target_latency']),
         rank=raw['priority'],
-        regions=_translate_regions(raw),
+        regions=_translate_regions(f'routes/{name}', raw, faults),
         public=bool(raw.get('public', False)),
     )
 
--- a/poplarrack/reports.py
+++ b/poplarrack/reports.py
@@ -2,9 +2,11 @@
 
 from dataclasses import dataclass
 from datetime import datetime
+from functools import cached_property
 
 from msgspec import to_builtins
 
+from poplarrack.configurations import Configuration
 from poplarrack.configurations import load_configuration
 from poplarrack.errors import PoplarrackError
 from poplarrack.evidence import format_factor
@@ -23,13 +25,23 @@
     snapshot: Snapshot
     now: float
 
-    @property
-    def moves(self):
-        """Return the moves by service; none if the settings are invalid."""
+    @cached_property
+    def configuration(self):
+        """Return the Configuration, an empty one if it is invalid."""
         try:
-            return load_configuration(self.snapshot).moves
+            return load_configuration(self.snapshot)
         except PoplarrackError:
-            return {}
+            return Configuration()
+
+    @property
+    def moves(self):
+        """Return the moves by service."""
+        return self.configuration.moves
+
+    @property
+    def evacuations(self):
+        """Return the evacuations by zone."""
+        return self.configuration.evacuations
 
     def as_builtins(self):
         """Return the status as JSON values."""
@@ -37,6 +49,7 @@
             'revision': self.snapshot.revision,
             'zones': to_builtins(self.zones),
             'moves': to_builtins(self.moves),
+            'evacuations': to_builtins(dict(self.evacuations)),
         }
 
 
@@ -59,6 +72,8 @@
     lines += _align_columns(rows)
     for zone in status.zones:
         lines += _zone_problem_lines(zone)
+    for evacuation in status.evacuations.values():
+        lines.append(_evacuation_line(evacuation))
     lines.append('')
     moves = status.moves
     lines += [_move_line(move, status.now) for move in moves.values()]
@@ -103,6 +118,13 @@
     ]
 
 
+def _evacuation_line(evacuation):
+    since = ''
+    if evacuation.since:
+        since = f' since {describe_time(evacuation.since)}'
+    return f'  {evacuation.name} is evacuated{since}'
+
+
 def _move_line(move, now):
     return (
         f'{move.service}: {move.from_version} -> {move.to_version} '
--- a/poplarrack/resources.py
+++ b/poplarrack/resources.py
@@ -203,10 +203,12 @@
 class Evacuation:
     """An order to send nothing to the backend servers of a zone.
 
-    ``name`` is the zone's. It holds until the setting is removed.
+    ``name`` is the zone's. It holds until the setting is removed. ``since`` is
+    when it was ordered, in seconds since the epoch, or 0 if not known.
     """
 
     name: str
+    since: float = 0.0
 
     @property
     def needed_services(self):
