--- a/poplarrack/senders.py
+++ b/poplarrack/senders.py
@@ -9,6 +9,9 @@
 import asyncio
 from collections import Counter
 
+from poplarrack.candidates import common_regions
+from poplarrack.candidates import explain_exclusion
+from poplarrack.candidates import filter_group
 from poplarrack.carried_calls import Call
 from poplarrack.carried_calls import log_ended
 from poplarrack.carried_calls import log_internal_error
@@ -17,6 +20,7 @@
 from poplarrack.destination_states import Tier
 from poplarrack.destinations import AVOIDANCE_SECONDS
 from poplarrack.destinations import DestinationTable
+from poplarrack.doors import derive_door
 from poplarrack.errors import ANSWERS
 from poplarrack.errors import ErrorKind
 from poplarrack.errors import resolve_error_kind
@@ -45,6 +49,8 @@
 # Minimum Retry-After of answers with status 503, which ask for up to twice as
 # much at random. A shorter wait does not help against overload.
 RETRY_AFTER_SECONDS = 0.15
+# Part of their time left that callers wait for a Retry-After.
+CALLERS_PATIENCE_FRACTION = 1 / 3
 # A deadline header with more digits is ignored as invalid.
 MAX_DEADLINE_DIGITS = 9
 # Part of its route's timeout that a call must have left for a trial.
@@ -97,7 +103,7 @@
 
     def set_table(self, table):
         """Apply a new table; endpoints that stay keep their state."""
-        self.destinations.set_destinations(table.destinations)
+        self.destinations.set_destinations(table.destinations, table.services)
         self.load_reports.keep_only(self.destinations.states.values())
         if table.revision != self.table.revision:
             names = {route.name for route in table.router.routes}
@@ -105,6 +111,7 @@
                 budget.keep_only(names)
             self.run_times.keep_only(names)
         self.table = table
+        self.receiver.door = derive_door(self.settings, table)
 
     def start(self, request, respond):
         """Start a call.
@@ -279,12 +286,33 @@
         )
 
     def _candidates(self, call):
-        group = self.destinations.for_service(call.service)
+        """Return the DestinationGroup of those that a call may be sent to.
+
+        Each choice for each attempt is made from these.
+        """
+        group = filter_group(
+            self.destinations.for_service(call.service),
+            self._regions_of(call),
+            self.table.evacuated_zones,
+        )
         split = self.table.moves.get(call.service)
         if split is None:
             return group
         return self.splitter.choose_version(call, group, split)
 
+    def _regions_of(self, call):
+        """Return the regions that a call may be served in, None: anywhere.
+
+        Those of its start bind, and those that the configuration has now.
+        """
+        route, organisation = call.route, call.organisation
+        now = self.table.router.by_name.get(route.name, route)
+        regions = common_regions(route.regions, now.regions)
+        if organisation is None:
+            return regions
+        now = self.table.organisations.get(organisation.name, organisation)
+        return common_regions(regions, organisation.regions, now.regions)
+
     def _record_own_load(self, service, now):
         """Record the load of the local endpoint, which is known exactly."""
         endpoint = self.receiver.endpoint
@@ -359,6 +387,9 @@
         else:
             call.tried_instances.add(instance)
             state.away_until = now + AVOIDANCE_SECONDS
+        if delivery.reason == 'cold' and delivery.occupancy is not None:
+            cold_seconds = delivery.occupancy.cold_ms / 1000
+            call.cold_seconds = max(call.cold_seconds, cold_seconds)
         self.counts[f'offer {delivery.reason}'] += 1
 
     def _on_refused(self, call, state, delivery, sent_at, now):
@@ -450,9 +481,17 @@
         self._refuse(call, kind, 'time is over')
 
     def _refuse_unplaced(self, call):
+        group = self.destinations.for_service(call.service)
+        excluded = explain_exclusion(
+            group, self._regions_of(call), self.table.evacuated_zones
+        )
         if call.last_failure is not None:
             self._respond(call, call.last_failure, self.clock())
-        elif self.destinations.for_service(call.service):
+        elif excluded:
+            self.counts[f'excluded {excluded}'] += 1
+            detail = f'{call.service}: {excluded}'
+            self._refuse(call, ErrorKind.NO_ENDPOINT, detail)
+        elif group:
             self._refuse(call, ErrorKind.OVERLOADED, call.service)
         else:
             self._refuse(call, ErrorKind.NO_ENDPOINT, call.service)
@@ -471,12 +510,28 @@
             # Callers retry on a new connection; this one would stay idle,
             # unless it carries other requests.
             keep_alive = keep_alive and call.request.is_pipelined
-            retry_after = RETRY_AFTER_SECONDS * (1 + self.random.random())
+            retry_after = self._retry_after(call, now)
         raw = build_error(
             kind, detail, call.request_id, keep_alive, retry_after
         )
         call.respond(raw, keep_alive)
 
+    def _retry_after(self, call, now):
+        """Return the seconds after which a refused call may come back.
+
+        Calls that met cold endpoints come back spread over the warming, as
+        far as callers would wait.
+        """
+        spread_seconds = max(
+            RETRY_AFTER_SECONDS,
+            min(
+                call.cold_seconds,
+                (call.deadline - now) * CALLERS_PATIENCE_FRACTION
+                - RETRY_AFTER_SECONDS,
+            ),
+        )
+        return RETRY_AFTER_SECONDS + spread_seconds * self.random.random()
+
     def _respond(self, call, delivery, now):
         if call.ended:
             return
