Find organisations by their callers' keys

Change: the node that a caller connects to finds the organisation by the digest of the key and refuses a call without a known one with 401, unless its route is public. Credentials and the header of the organisation's name are dropped whatever was sent, and the receiving node sets the name. A key that two organisations hold names none. An organisation's rank goes before its route's. "stale_keys" tells what a node that is out of touch does with keys. It acts only where a configuration holds organisations.

--- a/poplarrack/errors.py
+++ b/poplarrack/errors.py
@@ -38,6 +38,7 @@
     ANSWER_TOO_LARGE = 'answer_too_large'
     DEADLINE_EXCEEDED = 'deadline_exceeded'
     MALFORMED_REQUEST = 'malformed_request'
+    UNAUTHENTICATED = 'unauthenticated'
     MOVE_WITHDRAWN = 'move_withdrawn'
     TIMED_OUT = 'timed_out'
     INTERNAL = 'internal'
@@ -114,6 +115,9 @@
     ErrorKind.MALFORMED_REQUEST: ErrorAnswer(
         'PR209', 400, 'INVALID_ARGUMENT', 39, _NO
     ),
+    ErrorKind.UNAUTHENTICATED: ErrorAnswer(
+        'PR210', 401, 'UNAUTHENTICATED', 42, _NO
+    ),
     ErrorKind.MOVE_WITHDRAWN: ErrorAnswer(
         'PR300', 409, 'FAILED_PRECONDITION', 40, _NO
     ),
--- a/poplarrack/header_names.py
+++ b/poplarrack/header_names.py
@@ -21,7 +21,9 @@
     ``caller_service`` the service that sent it. ``not_run`` marks the answer
     to a request that an endpoint did not run, as do the status codes in
     ``not_run_statuses``. ``origin_stamp`` is on each answer that an endpoint
-    made itself. Headers whose name is empty by default are optional.
+    made itself. ``credentials`` holds a caller's key, ``organisation`` the
+    name of the organisation that holds it. Headers whose name is empty by
+    default are optional.
     """
 
     request_id: bytes = CALL_HEADER
@@ -30,6 +32,8 @@
     instance: bytes = b''
     caller_service: bytes = b''
     origin_stamp: bytes = b''
+    credentials: bytes = b'authorization'
+    organisation: bytes = b''
     not_run_statuses: frozenset[int] = frozenset()
 
     @property
@@ -37,3 +41,9 @@
         """Return the headers whose values from a caller are discarded."""
         names = (self.deadline_ms, self.instance, self.caller_service)
         return frozenset(name for name in names if name)
+
+    @property
+    def of_organisations(self):
+        """Return what is discarded as well in a mesh of organisations."""
+        names = (self.credentials, self.organisation)
+        return frozenset(name for name in names if name)
--- a/poplarrack/http_messages.py
+++ b/poplarrack/http_messages.py
@@ -178,6 +178,8 @@
     ]
     if answer.ran is Ran.NO and call_id:
         headers.append((NOT_RUN_HEADER, call_id))
+    if answer.http_status == 401:
+        headers.append((b'www-authenticate', b'Bearer'))
     if retry_after is not None:
         headers.append((b'retry-after', b'%.2f' % retry_after))
     return build_answer(answer.http_status, headers, body, keep_alive)
--- a/poplarrack/offers.py
+++ b/poplarrack/offers.py
@@ -6,7 +6,13 @@
 
 
 def build_routed_request(
-    call, placement, header_names, caller_service, now, loads=()
+    call,
+    placement,
+    header_names,
+    caller_service,
+    now,
+    loads=(),
+    has_organisations=False,
 ):
     """Build the offer of a call.
 
@@ -19,11 +25,14 @@
     :param caller_service: the service on the machine of the sending node.
     :param now: seconds on the clock of the call's deadline.
     :param loads: the EndpointLoads to pass on to the other node.
+    :param has_organisations: whether callers show keys, which are left out.
     :returns: a RoutedRequest.
     """
     request, route = call.request, call.route
     connection_headers = connection_options(request.headers)
     overwritten = header_names.overwritten
+    if has_organisations:
+        overwritten |= header_names.of_organisations
     headers = [
         (name, value)
         for name, value in request.headers
--- /dev/null
+++ b/poplarrack/organisations.py
@@ -0,0 +1,96 @@
+"""Find the organisation of a caller by the key that it shows."""
+
+from dataclasses import dataclass
+from dataclasses import field
+from enum import Enum
+
+from poplarrack.resources import digest_key
+from poplarrack.resources import Organisation
+
+SCHEME = b'bearer'
+# Longer keys are unknown, so that none has to be digested.
+MAX_KEY_BYTES = 1_024
+
+
+class StaleKeys(Enum):
+    """What a node does with keys while it may have missed a revocation.
+
+    LAST_KNOWN: it takes those of the last version that it knows.
+    REFUSED: it refuses all calls that need a key until it is in touch again.
+    """
+
+    LAST_KNOWN = 'last_known'
+    REFUSED = 'refused'
+
+
+@dataclass(frozen=True)
+class KeyIndex:
+    """The organisations of a configuration by the digests of their keys.
+
+    A digest that several organisations hold is in ``shared`` with their
+    names. It identifies none of them, and no other one either.
+    """
+
+    by_digest: dict[str, Organisation] = field(default_factory=dict)
+    shared: dict[str, tuple[str, ...]] = field(default_factory=dict)
+
+    def find(self, key):
+        """Return the Organisation that holds a key, or None.
+
+        :param key: bytes, or None.
+        """
+        if not key or len(key) > MAX_KEY_BYTES:
+            return None
+        return self.by_digest.get(digest_key(key))
+
+
+def build_key_index(organisations):
+    """Return the KeyIndex of Organisations by name."""
+    by_digest = {}
+    shared = {}
+    for name, organisation in sorted(organisations.items()):
+        for digest in organisation.key_digests:
+            holder = by_digest.setdefault(digest, organisation)
+            if holder is not organisation:
+                names = shared.get(digest, (holder.name,))
+                shared[digest] = (*names, name)
+    for digest in shared:
+        del by_digest[digest]
+    return KeyIndex(by_digest, shared)
+
+
+def read_key(headers, header_name=b'authorization'):
+    """Return the key that a caller shows, or None if it shows no single one.
+
+    :param headers: pairs of name in lower case and value, as bytes.
+    :param header_name: the name of the header that holds it.
+    """
+    keys = {
+        _parse_credentials(value)
+        for name, value in headers
+        if name == header_name
+    }
+    return keys.pop() if len(keys) == 1 else None
+
+
+def _parse_credentials(value):
+    parts = value.split()
+    if len(parts) != 2 or parts[0].lower() != SCHEME:
+        return None
+    return parts[1]
+
+
+def may_have_missed_a_revocation(facts, bound_seconds, now):
+    """Return whether a node heard nothing of the store for too long.
+
+    A node that reads the store answers for itself, another one is told by
+    the beats of its source.
+
+    :param facts: the Facts of the node.
+    :param bound_seconds: within which a revocation has to be in force.
+    :param now: seconds on the clock of the facts.
+    """
+    heard_at = facts.source_heard_at
+    if facts.platform.watching:
+        heard_at = max(heard_at, facts.platform.heard_at)
+    return now - heard_at > bound_seconds
--- a/poplarrack/platform/header_names.py
+++ b/poplarrack/platform/header_names.py
@@ -10,6 +10,7 @@
     caller_service=b'caller-service',
     # On each answer that an endpoint made itself.
     origin_stamp=b'server-stamp',
+    organisation=b'tenant-id',
     # Misdirected Request: the address belongs to another endpoint by now.
     not_run_statuses=frozenset((421,)),
 )
--- a/poplarrack/platform/settings.py
+++ b/poplarrack/platform/settings.py
@@ -6,6 +6,7 @@
 
 from poplarrack.errors import ErrorKind
 from poplarrack.errors import PoplarrackError
+from poplarrack.organisations import StaleKeys
 from poplarrack.settings import CallSettings
 from poplarrack.settings import PeerSettings
 from poplarrack.settings import PlatformSettings
@@ -116,9 +117,22 @@
         ),
         grace_seconds=parse_duration(bounds['grace']),
         max_connections=raw['limits']['max_fds'] - RESERVED_FDS,
+        **_translate_revocation(bounds),
     )
 
 
+def _translate_revocation(bounds):
+    """Return the settings of what happens to keys out of touch, by name."""
+    if not bounds.get('strict_revoke', False):
+        return {}
+    return {
+        'stale_keys': StaleKeys.REFUSED,
+        'revoke_seconds': parse_duration(
+            bounds.get('revoke') or bounds['config']
+        ),
+    }
+
+
 # The part of a process's memory that messages which are incomplete may take.
 # The rest is for those that are complete, which are copied from hop to hop,
 # and for the process itself.
--- a/poplarrack/receivers.py
+++ b/poplarrack/receivers.py
@@ -273,6 +273,11 @@
             header_lines.append(
                 b'%s: %s\r\n' % (header_names.caller_service, caller)
             )
+        if header_names.organisation and request.organisation:
+            name = request.organisation.encode()
+            header_lines.append(
+                b'%s: %s\r\n' % (header_names.organisation, name)
+            )
         forwarded = HttpRequest(
             request.method, request.target, request.headers, request.body
         )
--- a/poplarrack/routing_tables.py
+++ b/poplarrack/routing_tables.py
@@ -11,6 +11,8 @@
 from poplarrack.destination_states import Tier
 from poplarrack.members import EndpointState
 from poplarrack.members import MemberState
+from poplarrack.organisations import build_key_index
+from poplarrack.organisations import KeyIndex
 from poplarrack.resources import CallerLimits
 from poplarrack.routers import Router
 
@@ -31,7 +33,8 @@
     that may be in the mesh. ``by_node`` has the member record and the
     Destination of each node with an endpoint that serves. ``services`` and
     ``organisations`` are the configuration's, by name; ``evacuated_zones``
-    are the zones whose endpoints get no calls.
+    are the zones whose endpoints get no calls. ``keys`` has the organisations
+    by their keys.
     """
 
     revision: int = 0
@@ -46,6 +49,7 @@
     services: dict = field(default_factory=dict)
     organisations: dict = field(default_factory=dict)
     evacuated_zones: frozenset[str] = frozenset()
+    keys: KeyIndex = field(default_factory=KeyIndex)
 
 
 def derive_routing_table(locality, knowledge, now, previous=RoutingTable()):
@@ -81,9 +85,16 @@
         configuration.services,
         configuration.organisations,
         configuration.evacuated_zones,
+        _derive_keys(configuration.organisations, previous),
     )
 
 
+def _derive_keys(organisations, previous):
+    if organisations == previous.organisations:
+        return previous.keys
+    return build_key_index(organisations)
+
+
 def _count_nodes(members):
     """Return how many nodes did not leave.
 
--- a/poplarrack/senders.py
+++ b/poplarrack/senders.py
@@ -29,6 +29,8 @@
 from poplarrack.http_messages import build_error
 from poplarrack.load_reports import LoadReports
 from poplarrack.offers import build_routed_request
+from poplarrack.organisations import read_key
+from poplarrack.organisations import StaleKeys
 from poplarrack.placements import choose_destination
 from poplarrack.placements import choose_queue
 from poplarrack.placements import choose_trial
@@ -88,6 +90,8 @@
         self.draining = False
         # Set while the process stops and only takes requests that end by then.
         self.closes_at = None
+        # Returns whether a revocation of keys may have been missed.
+        self.keys_are_stale = lambda now: False
 
     def rebuild_table(self, locality, knowledge, now):
         """Derive the routing table from what the node knows and apply it."""
@@ -149,6 +153,9 @@
             return False
         call.route = route
         call.rank = route.queue_rank
+        needs_key = self.table.organisations and not route.public
+        if needs_key and not self._identify(call, now):
+            return False
         call.service = self.splitter.choose_service(route)
         requested_ms = _parse_milliseconds(
             request.header(self.header_names.deadline_ms)
@@ -173,6 +180,24 @@
         self.budget_of(call.service).record_call(route.name, now)
         return True
 
+    def _identify(self, call, now):
+        """Find the organisation of a call by its key; refuse it without."""
+        stale_keys = self.settings.stale_keys
+        if stale_keys is StaleKeys.REFUSED and self.keys_are_stale(now):
+            self._refuse(call, ErrorKind.NO_ENDPOINT, 'keys may be revoked')
+            return False
+        name = self.header_names.credentials
+        organisation = self.table.keys.find(
+            read_key(call.request.headers, name)
+        )
+        if organisation is None:
+            self._refuse(call, ErrorKind.UNAUTHENTICATED, 'no known key')
+            return False
+        call.organisation = organisation
+        if organisation.rank is not None:
+            call.rank = organisation.rank
+        return True
+
     def _service_counts(self, service):
         counts = self.counts_by_service.get(service)
         if counts is None:
@@ -313,6 +338,7 @@
             self.settings.service,
             now,
             loads,
+            bool(self.table.organisations),
         )
         if destination.tier is Tier.OWN:
             received = self.receiver.receive(routed, done)
--- a/poplarrack/settings.py
+++ b/poplarrack/settings.py
@@ -20,6 +20,7 @@
 from poplarrack.byte_budgets import MAX_BUFFERED_BYTES
 from poplarrack.errors import ErrorKind
 from poplarrack.errors import PoplarrackError
+from poplarrack.organisations import StaleKeys
 from poplarrack.retry_budgets import RetryLimits
 
 MAX_SETTINGS_BYTES = 256_000
@@ -110,7 +111,9 @@
     ``retry_budget_slack`` more; ``retry_budget_levels`` is the number of
     services that call each other in a chain. ``grace_seconds`` is the time
     between SIGTERM and the end of the process. ``max_connections`` bounds the
-    callers' connections.
+    callers' connections. ``stale_keys`` tells what is done with keys of
+    organisations once the node has heard nothing of the store for
+    ``revoke_seconds``.
     """
 
     service: str = ''
@@ -121,6 +124,8 @@
     retry_budget_levels: int = 2
     grace_seconds: float = 6.0
     max_connections: int = 4_096
+    stale_keys: StaleKeys = StaleKeys.LAST_KNOWN
+    revoke_seconds: float = 5.0
 
     @cached_property
     def retry_limits(self):
--- a/poplarrack/sidecar_servers.py
+++ b/poplarrack/sidecar_servers.py
@@ -28,6 +28,7 @@
 from poplarrack.nodes import Node
 from poplarrack.nodes import NodeDependencies
 from poplarrack.nodes import TICK_SECONDS
+from poplarrack.organisations import may_have_missed_a_revocation
 from poplarrack.pages import json_page
 from poplarrack.pages import Page
 from poplarrack.peer_handlers import bind_handlers
@@ -150,6 +151,7 @@
             lambda: self.sender,
         )
         self.node = Node(settings, dependencies)
+        self.sender.keys_are_stale = self._keys_are_stale
         self.stream_server = StreamServer(
             self.traffic, self.receiver, bind_handlers(self.node), self.budget
         )
@@ -163,6 +165,11 @@
         self.expiry_checked_at = 0.0
         self.settings_read_at = 0.0
 
+    def _keys_are_stale(self, now):
+        return may_have_missed_a_revocation(
+            self.node.facts, self.settings.revoke_seconds, now
+        )
+
     async def run(self):
         """Serve until a signal asks to stop, then drain."""
         self.loop = asyncio.get_running_loop()
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -14,6 +14,7 @@
 from poplarrack.errors import ErrorKind
 from poplarrack.executors import move_transaction
 from poplarrack.fetchers import read_configuration
+from poplarrack.organisations import StaleKeys
 from poplarrack.platform.heartbeats import decode_born
 from poplarrack.platform.heartbeats import decode_heartbeat
 from poplarrack.platform.settings import parse_duration
@@ -134,6 +135,14 @@
     assert settings.retry_budget_window_seconds == 10.0
     assert settings.calls.announcement_ttl_seconds == 6.0
     assert settings.platform.addresses == ('10.200.1.7:8142',)
+    assert settings.stale_keys is StaleKeys.LAST_KNOWN
+
+
+def test_a_strict_bound_on_revocation_is_taken_over():
+    bounds = '[bounds]\nstrict_revoke = true\nrevoke = "4s"\n'
+    settings = parse_settings(SETTINGS.replace('[bounds]\n', bounds))
+    assert settings.stale_keys is StaleKeys.REFUSED
+    assert settings.revoke_seconds == 4.0
 
 
 def test_settings_that_can_not_be_used_say_why():
--- a/tests/test_receivers.py
+++ b/tests/test_receivers.py
@@ -23,6 +23,7 @@
     not_run=b'x-not-run',
     instance=b'x-instance',
     origin_stamp=b'x-stamp',
+    organisation=b'x-org',
     not_run_statuses=frozenset((421,)),
 )
 
@@ -151,6 +152,18 @@
         assert delivery.verdict is Verdict.LOST, script
 
 
+# UNASKED: the endpoint must be told the organisation that holds the key.
+def test_the_endpoint_is_told_the_organisation():
+    async def run():
+        server = ScriptedServer(lambda head, number: answer())
+        async with receiver_of(server) as receiver:
+            await deliver(receiver, organisation='acme')
+            await deliver(receiver)
+        return [b'x-org: acme' in head for head in server.requests]
+
+    assert asyncio.run(run()) == [True, False]
+
+
 def test_an_answer_to_another_request_is_skipped():
     stray = answer(body=b'old', x_id='r0')
     delivery, _ = verdict_of(lambda *x: stray + answer())
--- a/tests/test_senders.py
+++ b/tests/test_senders.py
@@ -18,7 +18,11 @@
 from poplarrack.exchanges import Verdict
 from poplarrack.header_names import HeaderNames
 from poplarrack.http_messages import HttpRequest
+from poplarrack.organisations import build_key_index
+from poplarrack.organisations import StaleKeys
 from poplarrack.receivers import RunningRepeats
+from poplarrack.resources import digest_key
+from poplarrack.resources import Organisation
 from poplarrack.resources import Route
 from poplarrack.resources import WeightedService
 from poplarrack.routers import Router
@@ -32,7 +36,10 @@
 load_tests = build_load_tests(__name__)
 
 HEADER_NAMES = HeaderNames(
-    request_id=b'x-id', deadline_ms=b'x-deadline', caller_service=b'x-from'
+    request_id=b'x-id',
+    deadline_ms=b'x-deadline',
+    caller_service=b'x-from',
+    organisation=b'x-org',
 )
 SETTINGS = SidecarSettings(
     'n1',
@@ -276,6 +283,89 @@
     assert routed.request_id == b'r1' and b'x-id' in names
 
 
+def with_organisations(table, *organisations):
+    """Return a RoutingTable with organisations and a public route."""
+    by_name = {item.name: item for item in organisations}
+    public = Route('open', '/open/', 'front', public=True)
+    return replace(
+        table,
+        router=Router((*ROUTES, public)),
+        organisations=by_name,
+        keys=build_key_index(by_name),
+    )
+
+
+ACME = Organisation('acme', (digest_key(b'k1'),), rank=7)
+KEY = (b'authorization', b'Bearer k1')
+
+
+def send_with_key(headers, path='/pay/x', stale_keys=None, table=None):
+    """Send one request; return its status and the offers made of it."""
+
+    async def run():
+        sender, streams = build_sender([GOOD])
+        sender.set_table(table or with_organisations(sender.table, ACME))
+        if stale_keys is not None:
+            sender.settings = replace(SETTINGS, stale_keys=stale_keys)
+            sender.keys_are_stale = lambda now: True
+        status, head, body = await send(sender, path, headers)
+        assert b'k1' not in head + body
+        return status, [request for _, request in streams.sent]
+
+    return asyncio.run(run())
+
+
+# UNASKED: a key was passed on to the endpoint, or a caller named another
+# organisation than the one that holds its key.
+def test_a_key_ends_where_the_caller_connects():
+    forged = ((b'x-org', b'other'), (b'x-org', b'acme'), KEY, KEY)
+    status, (routed,) = send_with_key(forged)
+    assert (status, routed.organisation, routed.rank) == (200, 'acme', 7)
+    names = {name for name, _ in routed.headers}
+    assert not names & {b'authorization', b'x-org'}
+
+
+# ROUTE, CONFIG: a request ran with a key that no version held, or that was
+# taken away.
+def test_without_a_known_key_nothing_runs():
+    for headers in (
+        (),
+        ((b'authorization', b'Bearer k2'),),
+        ((b'authorization', b'k1'),),
+        (KEY, (b'authorization', b'Bearer k2')),
+    ):
+        assert send_with_key(headers) == (401, []), headers
+    assert send_with_key((KEY,), table=RoutingTable()) == (503, [])
+
+
+def test_a_public_route_asks_for_no_key_and_passes_none_on():
+    status, (routed,) = send_with_key((KEY, (b'x-org', b'acme')), '/open/x')
+    assert (status, routed.organisation) == (200, '')
+    names = {name for name, _ in routed.headers}
+    assert not names & {b'authorization', b'x-org'}
+    assert send_with_key((), '/open/x')[0] == 200
+
+
+def test_without_organisations_credentials_are_the_endpoints_own():
+    async def run():
+        sender, streams = build_sender([GOOD])
+        await send(sender, headers=(KEY,))
+        return streams.sent[0][1]
+
+    routed = asyncio.run(run())
+    assert KEY in routed.headers and routed.organisation == ''
+
+
+# A node that is out of touch can't know of a revocation: it serves by the
+# last version, or refuses every key with a promise that nothing ran.
+def test_stale_keys_are_taken_or_refused_as_set():
+    status, sent = send_with_key((KEY,), stale_keys=StaleKeys.LAST_KNOWN)
+    assert (status, len(sent)) == (200, 1)
+    refused = StaleKeys.REFUSED
+    assert send_with_key((KEY,), stale_keys=refused) == (503, [])
+    assert send_with_key((), '/open/x', refused)[0] == 200
+
+
 def test_a_retry_is_marked_as_a_repeat():
     _, _, streams = answer_to([STOPPING, FAILED, GOOD], '/read/x')
     marks = [request.is_repeat for _, request in streams.sent]
