Show a key in the tests of candidates

Cause: since calls need a key where there are organisations, those of the tests, whose organisation was set past the key, were refused with 401.

Change: they show one, so that the organisation is found as for callers. What the tests check is unchanged.

--- a/tests/test_candidates.py
+++ b/tests/test_candidates.py
@@ -17,9 +17,11 @@
 from poplarrack.destination_states import DestinationState
 from poplarrack.destination_states import Tier
 from poplarrack.doors import Door
+from poplarrack.organisations import build_key_index
 from poplarrack.placements import choose_destination
 from poplarrack.placements import DestinationGroup
 from poplarrack.placements import RemainingTime
+from poplarrack.resources import digest_key
 from poplarrack.resources import Organisation
 from poplarrack.resources import Route
 from poplarrack.routers import Router
@@ -41,6 +43,7 @@
 REGIONS = ('north', 'south')
 ZONES = ('n1', 'n2', 's1', 's2')
 TIERS = (Tier.ZONE, Tier.REGION, Tier.FAR)
+KEY = (b'authorization', b'Bearer k')
 ANSWERS = (BUSY, FAILED, LOST, REFUSED, STOPPING)
 
 homes = strategies.none() | strategies.lists(
@@ -87,14 +90,18 @@
     if mesh['share'] is not None:
         move['front'] = VersionSplit('m', 'v1', 'v2', mesh['share'], True)
     route = Route('r', '/r/', 'front', repeatable=True, regions=mesh['route'])
-    organisation = Organisation('org', regions=mesh['organisation'])
+    organisation = Organisation(
+        'org', (digest_key(b'k'),), regions=mesh['organisation']
+    )
+    organisations = {'org': organisation}
     return RoutingTable(
         revision,
         Router((route,)),
         {'front': destinations_at(mesh['places'])},
         move,
-        organisations={'org': organisation},
+        organisations=organisations,
         evacuated_zones=mesh['evacuated'],
+        keys=build_key_index(organisations),
     )
 
 
@@ -126,14 +133,7 @@
         return deliver(address, *rest)
 
     streams.deliver = deliver_and_change
-    route = sender._route
-
-    def with_organisation(call, now):
-        call.organisation = sender.table.organisations['org']
-        return route(call, now)
-
-    sender._route = with_organisation
-    status, head, _ = await send(sender, '/r/x')
+    status, head, _ = await send(sender, '/r/x', (KEY,))
     return phases, status, head
 
 
@@ -172,7 +172,7 @@
     async def reason(changes):
         sender, _ = build_sender([])
         sender.set_table(table_of(mesh | changes, 5))
-        status, _, body = await send(sender, '/r/x')
+        status, _, body = await send(sender, '/r/x', (KEY,))
         return status, body
 
     status, body = asyncio.run(reason({}))
