Hold organisations to limits over all nodes

Cause: nothing held an organisation to its calls per second; one that sent seven times its usual had as much more of the room.

Change: nodes tell counts of calls up the tree and are told totals where an organisation comes near its limit ("Count", every 0.4 s). A call passes if the fraction that the totals leave room for and the node's own bucket, its part by demand, both let it. What a node or region that is cut off had stays reserved. Over the limit the answer is 429 at once, with a Retry-After that grows with the excess.

--- a/poplarrack/messages.py
+++ b/poplarrack/messages.py
@@ -13,6 +13,8 @@
 from msgspec.msgpack import Decoder
 from msgspec.msgpack import Encoder
 
+from poplarrack.call_limits import CallCounts
+from poplarrack.call_limits import CallTotals
 from poplarrack.configurations import Rejection
 from poplarrack.errors import ErrorKind
 from poplarrack.errors import PoplarrackError
@@ -185,6 +187,7 @@
     'Push': (Updates, UpdatesAnswer),
     'Probe': (ProbeRequest, ProbeAnswer),
     'Gather': (Report, ReportAnswer),
+    'Count': (CallCounts, CallTotals),
 }
 CODECS = {
     name: (Codec(request), Codec(answer))
--- a/poplarrack/peer_handlers.py
+++ b/poplarrack/peer_handlers.py
@@ -3,6 +3,7 @@
 from poplarrack.blackboards import ChildReport
 from poplarrack.errors import PoplarrackError
 from poplarrack.joiners import answer_sync
+from poplarrack.limit_exchanges import serve_counts
 from poplarrack.messages import DigestsAnswer
 from poplarrack.messages import ProbeAnswer
 from poplarrack.messages import ReportAnswer
@@ -73,6 +74,12 @@
     return ProbeAnswer(True)
 
 
+@handles('Count')
+async def on_count(node, counts):
+    """Record the calls of organisations and return their totals."""
+    return serve_counts(node, counts)
+
+
 @handles('Gather')
 async def on_gather(node, report):
     """Record the report of a subtree, a zone or a region."""
--- a/poplarrack/senders.py
+++ b/poplarrack/senders.py
@@ -9,6 +9,7 @@
 import asyncio
 from collections import Counter
 
+from poplarrack.call_limits import CallLimits
 from poplarrack.carried_calls import Call
 from poplarrack.carried_calls import log_ended
 from poplarrack.carried_calls import log_internal_error
@@ -47,6 +48,8 @@
 # Minimum Retry-After of answers with status 503, which ask for up to twice as
 # much at random. A shorter wait does not help against overload.
 RETRY_AFTER_SECONDS = 0.15
+# Answers after which callers come back.
+RETRIED_STATUSES = (429, 503)
 # A deadline header with more digits is ignored as invalid.
 MAX_DEADLINE_DIGITS = 9
 # Part of its route's timeout that a call must have left for a trial.
@@ -83,6 +86,7 @@
         self.splitter = TrafficSplitter(random)
         self.evidence = EvidenceCounter()
         self.budgets = {}
+        self.call_limits = CallLimits(random)
         self.counts = Counter()
         self.counts_by_service = {}
         self.latencies = Histogram()
@@ -108,6 +112,9 @@
             for budget in self.budgets.values():
                 budget.keep_only(names)
             self.run_times.keep_only(names)
+        self.call_limits.set_organisations(
+            table.organisations, table.node_count
+        )
         self.table = table
 
     def start(self, request, respond):
@@ -196,6 +203,12 @@
         call.organisation = organisation
         if organisation.rank is not None:
             call.rank = organisation.rank
+        retry_after = self.call_limits.admit(organisation, self.clock())
+        if retry_after is not None:
+            self._refuse(
+                call, ErrorKind.RATE_LIMITED, organisation.name, retry_after
+            )
+            return False
         return True
 
     def _service_counts(self, service):
@@ -483,7 +496,7 @@
         else:
             self._refuse(call, ErrorKind.NO_ENDPOINT, call.service)
 
-    def _refuse(self, call, kind, detail):
+    def _refuse(self, call, kind, detail, retry_after=None):
         if call.ended:
             return
         kind = resolve_error_kind(kind, call.may_have_run)
@@ -492,12 +505,13 @@
         log_ended(call, self.table.revision, kind.value, detail, now)
         self._end(call)
         keep_alive = call.request.keep_alive and not self.draining
-        retry_after = None
-        if ANSWERS[kind].http_status == 503:
+        if ANSWERS[kind].http_status in RETRIED_STATUSES:
             # Callers retry on a new connection; this one would stay idle,
             # unless it carries other requests.
             keep_alive = keep_alive and call.request.is_pipelined
-            retry_after = RETRY_AFTER_SECONDS * (1 + self.random.random())
+            retry_after = retry_after or (
+                RETRY_AFTER_SECONDS * (1 + self.random.random())
+            )
         raw = build_error(
             kind, detail, call.request_id, keep_alive, retry_after
         )
--- a/poplarrack/sidecar_servers.py
+++ b/poplarrack/sidecar_servers.py
@@ -23,6 +23,7 @@
 from poplarrack.header_names import HeaderNames
 from poplarrack.http_messages import build_answer
 from poplarrack.joiners import join
+from poplarrack.limit_exchanges import LimitExchange
 from poplarrack.local_endpoints import LocalEndpoint
 from poplarrack.metrics import build_metrics_page
 from poplarrack.nodes import Node
@@ -151,6 +152,7 @@
             lambda: self.sender,
         )
         self.node = Node(settings, dependencies)
+        self.limit_exchange = LimitExchange(self.node, self.sender.call_limits)
         self.sender.keys_are_stale = self._keys_are_stale
         self.stream_server = StreamServer(
             self.traffic, self.receiver, bind_handlers(self.node), self.budget
@@ -212,6 +214,7 @@
         self.node.tick()
         now = self.clock()
         self.streams.check_liveness(self.loop.time())
+        self.limit_exchange.tick(now)
         if now - self.expiry_checked_at >= CONNECTION_EXPIRY_INTERVAL_SECONDS:
             self.expiry_checked_at = now
             self._expire(now)
--- a/tests/test_senders.py
+++ b/tests/test_senders.py
@@ -366,6 +366,25 @@
     assert send_with_key((), '/open/x', refused)[0] == 200
 
 
+# QUOTA: a call over the limit must be refused at once with a promise that it
+# did not run, and be told when there is room again.
+def test_over_its_limit_an_organisation_is_refused():
+    limited = replace(ACME, calls_per_second=2.0, burst=2.0)
+
+    async def run():
+        sender, streams = build_sender([GOOD] * 5)
+        sender.set_table(with_organisations(sender.table, limited))
+        sender.call_limits.told_at = sender.clock()
+        found = [await send(sender, headers=(KEY,)) for _ in range(20)]
+        passed = sum(status == 200 for status, _, _ in found)
+        assert passed == len(streams.sent) <= 3
+        return found[-1]
+
+    status, head, body = asyncio.run(run())
+    assert status == 429 and b'"ran":"no"' in body
+    assert b'retry-after: ' in head
+
+
 def test_a_retry_is_marked_as_a_repeat():
     _, _, streams = answer_to([STOPPING, FAILED, GOOD], '/read/x')
     marks = [request.is_repeat for _, request in streams.sent]
