Give organisations fair shares of an endpoint

Cause: requests waited by rank and deadline, so that an organisation with seven times its usual calls had five times its share of a full endpoint.

Change: where the configuration holds organisations, the queue of an endpoint goes by rank (the organisation's, then the route's) and then by start-time fair queueing over the slot seconds that each organisation had. The wait that a request is admitted by counts those that go before it; the last one that can't be served in time any more is refused at once. Without organisations the order is as before.

--- a/poplarrack/admissions.py
+++ b/poplarrack/admissions.py
@@ -3,6 +3,7 @@
 from bisect import insort
 from dataclasses import dataclass
 from dataclasses import field
+from math import inf
 
 # Least weight of a new observation in the mean service time: the plain mean
 # of the first observations changes over to a moving average.
@@ -18,11 +19,12 @@
 class QueuedRequest:
     """A request that waits for a slot, ordered as the queue is.
 
-    ``received`` is the ReceivedRequest, ``expires_at`` when it leaves the
+    ``tag`` is that of FairShares, 0 without organisations. ``received`` is the ReceivedRequest, ``expires_at`` when it leaves the
     queue unserved, ``target_at`` when its target latency has passed.
     """
 
     rank: int
+    tag: float
     deadline: float
     sequence: int
     received: object = field(compare=False, default=None)
@@ -52,15 +54,20 @@
         """Return the number of unused slots."""
         return max(0, self.slots - self.running)
 
-    def expected_wait(self, rank):
-        """Return the seconds that a request of a rank would wait."""
+    def expected_wait(self, rank, tag=inf):
+        """Return the seconds that a request of a rank and tag would wait."""
         if self.free_slots > len(self.queue):
             return 0.0
-        ahead = sum(1 for item in self.queue if item.rank <= rank)
+        ahead = sum(
+            1 for item in self.queue if (item.rank, item.tag) <= (rank, tag)
+        )
+        return self._wait_behind(ahead)
+
+    def _wait_behind(self, ahead):
         excess = ahead + 1 + max(0, self.running - self.slots)
         return excess * self.service_seconds / max(1, self.slots)
 
-    def admits(self, rank, max_wait_seconds, spare_slot_fraction=0.0):
+    def admits(self, rank, max_wait_seconds, spare_slot_fraction=0.0, tag=inf):
         """Return whether a request is admitted, at once or to the queue.
 
         :param spare_slot_fraction: fraction of the slots that must be free.
@@ -69,9 +76,11 @@
             spare_slot_fraction * self.slots
         ):
             return False
-        return self.expected_wait(rank) <= max_wait_seconds
+        return self.expected_wait(rank, tag) <= max_wait_seconds
 
-    def enqueue(self, received, rank, deadline, expires_at, target_at=0.0):
+    def enqueue(
+        self, received, rank, deadline, expires_at, target_at=0.0, tag=0.0
+    ):
         """Add a request to the queue.
 
         :param expires_at: when the request leaves the queue unserved.
@@ -80,11 +89,30 @@
         """
         self.last_sequence += 1
         item = QueuedRequest(
-            rank, deadline, self.last_sequence, received, expires_at, target_at
+            rank,
+            tag,
+            deadline,
+            self.last_sequence,
+            received,
+            expires_at,
+            target_at,
         )
         insort(self.queue, item)
         return item
 
+    def displaced(self, now):
+        """Return the last request if it can't be served in time any more.
+
+        Requests that came later may be ahead of it.
+
+        :returns: its QueuedRequest, or None.
+        """
+        if not self.queue:
+            return None
+        last = self.queue[-1]
+        wait = self._wait_behind(len(self.queue) - 1)
+        return last if now + wait > last.expires_at else None
+
     def discard(self, item):
         """Remove a request that ended before it got a slot."""
         if item in self.queue:
--- a/poplarrack/organisations.py
+++ b/poplarrack/organisations.py
@@ -10,6 +10,9 @@
 SCHEME = b'bearer'
 # Longer keys are unknown, so that none has to be digested.
 MAX_KEY_BYTES = 1_024
+# Distance of the ranks of organisations; a greater rank of a route counts as
+# the greatest below it.
+RANK_STEP = 1_000
 
 
 class StaleKeys(Enum):
@@ -80,6 +83,20 @@
     return parts[1]
 
 
+def rank_of(organisation, route):
+    """Return the rank of a call in a mesh of organisations.
+
+    That of the organisation goes before the route's, which orders the calls
+    of organisations of one rank.
+
+    :param organisation: the Organisation, or None if the route is public.
+    """
+    route_rank = first = route.queue_rank
+    if organisation is not None and organisation.rank is not None:
+        first = organisation.rank
+    return first * RANK_STEP + max(0, min(RANK_STEP - 1, route_rank))
+
+
 def may_have_missed_a_revocation(facts, bound_seconds, now):
     """Return whether a node heard nothing of the store for too long.
 
--- a/poplarrack/receivers.py
+++ b/poplarrack/receivers.py
@@ -9,6 +9,7 @@
 from collections import Counter
 from dataclasses import dataclass
 import logging
+from math import inf
 
 from msgspec.structs import replace
 
@@ -19,6 +20,8 @@
 from poplarrack.exchanges import Occupancy
 from poplarrack.exchanges import RoutedRequest
 from poplarrack.exchanges import Verdict
+from poplarrack.fair_queues import FairShares
+from poplarrack.fair_queues import Ticket
 from poplarrack.http_messages import build_request
 from poplarrack.http_messages import HttpRequest
 from poplarrack.http_messages import is_end_to_end
@@ -45,13 +48,15 @@
     """A request that is queued or runs at the receiving node.
 
     ``reply`` is called once with the Delivery. ``queue_entry`` and ``timer``
-    are set while the request is queued, ``exchange`` while it runs.
+    are set while the request is queued, ``exchange`` while it runs, ``ticket``
+    in a mesh of organisations.
     """
 
     request: RoutedRequest
     reply: object
     deadline: float
     queue_entry: object = None
+    ticket: Ticket | None = None
     timer: object = None
     exchange: object = None
     sent_at: float = 0.0
@@ -105,6 +110,8 @@
         self.endpoint = None
         self.pool = None
         self.admission = Admission(0)
+        # Set where the configuration holds organisations.
+        self.shares = None
         self.failure_rate = FailureRate()
         self.unreachable_until = 0.0
         self.refuses_new_requests = False
@@ -179,10 +186,15 @@
             self._reply_not_run(received, reason)
             return received
         self.received_requests.add(received)
+        if self.shares is not None:
+            received.ticket = self.shares.charge(
+                request.rank, request.organisation, request.route
+            )
         if self.admission.free_slots and not self.admission.queue:
             self._run(received, now)
         else:
             self._enqueue(received, now)
+            self._displace(now)
         return received
 
     def _refusal_reason(self, request, now):
@@ -201,8 +213,11 @@
         if now < self.unreachable_until:
             return 'endpoint unreachable'
         max_wait_seconds = request.max_wait_ms / 1000
+        tag = inf
+        if self.shares is not None:
+            tag = self.shares.tag_of(request.rank, request.organisation)
         if not self.admission.admits(
-            request.rank, max_wait_seconds, request.spare_slot_fraction
+            request.rank, max_wait_seconds, request.spare_slot_fraction, tag
         ):
             return 'busy'
         return ''
@@ -217,11 +232,19 @@
             received.deadline,
             expires_at,
             now + request.target_left_ms / 1000,
+            received.ticket.tag if received.ticket else 0.0,
         )
         received.timer = get_running_loop().call_later(
             expires_at - now, self._expire, received
         )
 
+    def _displace(self, now):
+        """Refuse a request at once that others have left too late."""
+        item = self.shares and self.admission.displaced(now)
+        if item:
+            self.admission.discard(item)
+            self._reply_not_run(item.received, 'busy')
+
     def _expire(self, received):
         self.admission.discard(received.queue_entry)
         self._reply_not_run(received, 'busy')
@@ -240,6 +263,8 @@
         admission = self.admission
         admission.running += 1
         received.sent_at = now
+        if received.ticket is not None:
+            self.shares.begin(received.ticket)
         self.counts['sent'] += 1
         self.counts['sent_repeats'] += request.is_repeat
         self.running_repeats.add(request)
@@ -331,6 +356,10 @@
             # Failures are often fast: an endpoint that fails would seem the
             # fastest one.
             admission.observe(now - received.sent_at)
+            if self.shares is not None:
+                self.shares.learn(
+                    received.request.route, now - received.sent_at
+                )
         headers = [item for item in answer.headers if is_end_to_end(item[0])]
         self.counts['answered'] += 1
         self._reply(
@@ -384,10 +413,26 @@
 
     def _end(self, received):
         received.ended = True
+        self._settle(received)
         if received.timer is not None:
             received.timer.cancel()
         self.received_requests.discard(received)
 
+    def _settle(self, received):
+        """Charge the organisation for what its request took."""
+        if received.ticket is None or self.shares is None:
+            return
+        if received.sent_at:
+            seconds = self.clock() - received.sent_at
+            self.shares.end(received.ticket, seconds)
+        else:
+            self.shares.refund(received.ticket)
+
+    def share_fairly(self, wanted):
+        """Set whether organisations get fair shares of the endpoint."""
+        if wanted != (self.shares is not None):
+            self.shares = FairShares() if wanted else None
+
     def cancel(self, received):
         """Cancel a request whose sender no longer waits for it."""
         if received.ended:
--- a/poplarrack/senders.py
+++ b/poplarrack/senders.py
@@ -30,6 +30,7 @@
 from poplarrack.http_messages import build_error
 from poplarrack.load_reports import LoadReports
 from poplarrack.offers import build_routed_request
+from poplarrack.organisations import rank_of
 from poplarrack.organisations import read_key
 from poplarrack.organisations import StaleKeys
 from poplarrack.placements import choose_destination
@@ -160,8 +161,7 @@
             return False
         call.route = route
         call.rank = route.queue_rank
-        needs_key = self.table.organisations and not route.public
-        if needs_key and not self._identify(call, now):
+        if self.table.organisations and not self._identify(call, now):
             return False
         call.service = self.splitter.choose_service(route)
         requested_ms = _parse_milliseconds(
@@ -188,7 +188,13 @@
         return True
 
     def _identify(self, call, now):
-        """Find the organisation of a call by its key; refuse it without."""
+        """Find the organisation of a call by its key; refuse it without.
+
+        A public route asks for no key.
+        """
+        if call.route.public:
+            call.rank = rank_of(None, call.route)
+            return True
         stale_keys = self.settings.stale_keys
         if stale_keys is StaleKeys.REFUSED and self.keys_are_stale(now):
             self._refuse(call, ErrorKind.NO_ENDPOINT, 'keys may be revoked')
@@ -201,8 +207,7 @@
             self._refuse(call, ErrorKind.UNAUTHENTICATED, 'no known key')
             return False
         call.organisation = organisation
-        if organisation.rank is not None:
-            call.rank = organisation.rank
+        call.rank = rank_of(organisation, call.route)
         retry_after = self.call_limits.admit(organisation, self.clock())
         if retry_after is not None:
             self._refuse(
--- a/poplarrack/sidecar_servers.py
+++ b/poplarrack/sidecar_servers.py
@@ -226,6 +226,7 @@
     def _expire(self, now):
         self.call_server.limits = self.sender.table.limits
         self.call_server.expire(now)
+        self.receiver.share_fairly(bool(self.sender.table.organisations))
         self.receiver.close_idle(self.loop.time())
         members = self.node.knowledge.members.members.values()
         self.streams.keep_only(member.peer_address for member in members)
