--- a/poplarrack/admissions.py
+++ b/poplarrack/admissions.py
@@ -19,8 +19,9 @@
 class QueuedRequest:
     """A request that waits for a slot, ordered as the queue is.
 
-    ``tag`` is that of FairShares, 0 without organisations. ``received`` is the ReceivedRequest, ``expires_at`` when it leaves the
-    queue unserved, ``target_at`` when its target latency has passed.
+    ``tag`` is that of FairShares, 0 without organisations. ``received`` is
+    the ReceivedRequest, ``expires_at`` when it leaves the queue unserved,
+    ``target_at`` when its target latency has passed.
     """
 
     rank: int
--- a/poplarrack/receivers.py
+++ b/poplarrack/receivers.py
@@ -212,15 +212,19 @@
             return 'stopping'
         if now < self.unreachable_until:
             return 'endpoint unreachable'
-        max_wait_seconds = request.max_wait_ms / 1000
+        return '' if self._admits(request) else 'busy'
+
+    def _admits(self, request):
+        """Return whether a request can run, now or after its longest wait."""
         tag = inf
         if self.shares is not None:
             tag = self.shares.tag_of(request.rank, request.organisation)
-        if not self.admission.admits(
-            request.rank, max_wait_seconds, request.spare_slot_fraction, tag
-        ):
-            return 'busy'
-        return ''
+        return self.admission.admits(
+            request.rank,
+            request.max_wait_ms / 1000,
+            request.spare_slot_fraction,
+            tag,
+        )
 
     def _enqueue(self, received, now):
         request = received.request
--- a/tests/test_fair_queues.py
+++ b/tests/test_fair_queues.py
@@ -112,7 +112,7 @@
 
 
 def worst_tenth(served, fair):
-    """Return the mean fraction of their fair share that the worst tenth got."""
+    """Return the mean part of its fair share that the worst tenth got."""
     fractions = sorted(served[name] / fair[name] for name in fair)
     worst = fractions[: max(1, len(fractions) // 10)]
     return sum(worst) / len(worst)
