Leave out bad organisations, and name them

Cause: one organisation with an empty key or a negative limit kept the whole version from being in force.

Change: it is left out of the translation and named in the rejected entries (op/config/tenants/NAME), as are keys that are empty or no text and keys that several organisations hold, which identify none. What is logged shows no key.

Measured: tests.test_platform_adapter.

--- a/poplarrack/configurations.py
+++ b/poplarrack/configurations.py
@@ -6,6 +6,7 @@
 from functools import cached_property
 from functools import lru_cache
 from operator import attrgetter
+import re
 
 from poplarrack.errors import ErrorKind
 from poplarrack.errors import PoplarrackError
@@ -48,6 +49,9 @@
 MAX_TIME_SECONDS = 1e11
 MAX_WINDOW_SECONDS = 1e8
 
+# Names that endpoints are told in a header.
+HEADER_VALUE = re.compile(r'[!-~]{1,200}')
+
 FAULT_FINDERS = {}
 
 
@@ -273,7 +277,15 @@
 
 
 @finds_faults('organisations')
-def _organisation_faults(organisation):
+def organisation_faults(organisation):
+    """Yield what is wrong with an organisation by itself."""
+    if not HEADER_VALUE.fullmatch(organisation.name):
+        yield f'organisation {organisation.name!r}: no value of a header'
+    if not abs(organisation.rank or 0) <= MAX_WEIGHT:
+        yield (
+            f'organisation {organisation.name}: rank {organisation.rank} is '
+            'out of range'
+        )
     for field_name in ('calls_per_second', 'burst'):
         number = getattr(organisation, field_name)
         if not 0 <= number <= MAX_LIMIT:
--- a/poplarrack/platform/configurations.py
+++ b/poplarrack/platform/configurations.py
@@ -14,11 +14,13 @@
 
 from poplarrack.configurations import load_configuration
 from poplarrack.configurations import move_faults
+from poplarrack.configurations import organisation_faults
 from poplarrack.errors import ErrorKind
 from poplarrack.errors import PoplarrackError
 from poplarrack.fetchers import HEAD_KEY
 from poplarrack.fetchers import snapshot_from_items
 from poplarrack.json_values import decode_json
+from poplarrack.organisations import build_key_index
 from poplarrack.platform.settings import parse_duration
 from poplarrack.platforms import CONFIGURATION_PREFIX
 from poplarrack.resources import CallerLimits
@@ -45,6 +47,9 @@
 EVACUATION_PREFIX = 'op/evacuate/'
 RECORD_PREFIX = 'own/moves/'
 STATUS_PREFIX = 'status/rollout/'
+# What the organisations of the configuration are named by where one can't be
+# used.
+ORGANISATION_KEYS = f'{CONFIGURATION_KEY}/tenants/'
 MOVES_PREFIX = f'{CONFIGURATION_PREFIX}{TEAM}/moves/'
 EVACUATIONS_PREFIX = f'{CONFIGURATION_PREFIX}{TEAM}/evacuations/'
 MOVE_POLICY = 'replace_at_end'
@@ -144,11 +149,15 @@
         self.resources = previous.resources
         self.services = previous.services
         if item == previous.configuration:
-            if item.key in previous.rejected:
-                self.rejected[item.key] = previous.rejected[item.key]
+            self.rejected.update(
+                (key, fault)
+                for key, fault in previous.rejected.items()
+                if key == item.key or key.startswith(ORGANISATION_KEYS)
+            )
             return
+        faults = {}
         try:
-            resources = _translate_configuration(item)
+            resources = _translate_configuration(item, faults)
             snapshot = snapshot_from_items(resources.values())
             configuration = load_configuration(snapshot)
         except PoplarrackError as error:
@@ -156,16 +165,22 @@
         else:
             self.resources = resources
             self.services = frozenset(configuration.services)
+            for name, detail in faults.items():
+                key = f'{ORGANISATION_KEYS}{name}'
+                self._reject_key(key, item.mod_revision, detail)
 
     def _reject(self, item, detail):
         """Record an item that can't be used; log it once."""
-        fault = (item.mod_revision, detail[:MAX_DETAIL_CHARACTERS])
-        self.rejected[item.key] = fault
-        if self.previous.rejected.get(item.key) != fault:
+        self._reject_key(item.key, item.mod_revision, detail)
+
+    def _reject_key(self, key, revision, detail):
+        fault = (revision, detail[:MAX_DETAIL_CHARACTERS])
+        self.rejected[key] = fault
+        if self.previous.rejected.get(key) != fault:
             logger.error(
                 'entry_rejected',
                 extra={
-                    'key': item.key,
+                    'key': key,
                     'revision': fault[0],
                     'detail': fault[1],
                 },
@@ -206,17 +221,22 @@
             )
 
 
-def _translate_configuration(item):
+def _translate_configuration(item, faults):
+    """Return the resources of the configuration by their keys.
+
+    :param faults: gets what is wrong with organisations, by name. Those are
+        left out, and keys that identify none.
+    """
     raw = decode_json(item.value, ErrorKind.INVALID_CONFIGURATION, item.key)
     try:
-        return _translate_resources(raw)
+        return _translate_resources(raw, faults)
     except UNEXPECTED_SHAPE as error:
         raise PoplarrackError(
             ErrorKind.INVALID_CONFIGURATION, f'{item.key}: {error!r}'
         ) from error
 
 
-def _translate_resources(raw):
+def _translate_resources(raw, faults):
     resources = {
         f'routes/{name}': _translate_route(name, route)
         for name, route in raw['routes'].items()
@@ -228,10 +248,8 @@
             max_connections=service['max_connections'],
             cold_calls_per_second=service.get('cold_per_s', 0.0),
         )
-    for name, organisation in (raw.get('tenants') or {}).items():
-        resources[f'organisations/{name}'] = _translate_organisation(
-            name, organisation
-        )
+    for name, organisation in _translate_organisations(raw, faults).items():
+        resources[f'organisations/{name}'] = organisation
     limits = raw.get('limits')
     if limits:
         resources['limits/callers'] = CallerLimits(
@@ -257,15 +275,46 @@
     return KeyValue(EVACUATIONS_PREFIX + zone, value, 0, 0)
 
 
-def _translate_organisation(name, raw):
-    return Organisation(
+def _translate_organisations(raw, faults):
+    organisations = {}
+    for name, fields in (raw.get('tenants') or {}).items():
+        try:
+            organisation = _translate_organisation(name, fields, faults)
+        except UNEXPECTED_SHAPE as error:
+            # The error may show a key.
+            faults[name] = f'left out: {type(error).__name__}'
+            continue
+        except PoplarrackError as error:
+            faults[name] = f'left out: {error.detail}'
+            continue
+        organisations[name] = organisation
+    for names in build_key_index(organisations).shared.values():
+        for name in names:
+            holders = ', '.join(names)
+            faults[name] = f'a key of several identifies none: {holders}'
+    return organisations
+
+
+def _translate_organisation(name, raw, faults):
+    keys = [key for key in raw['api_keys'] if isinstance(key, str) and key]
+    if len(keys) < len(raw['api_keys']):
+        faults[name] = 'keys that are empty or no text are left out'
+    organisation = Organisation(
         name,
-        tuple(digest_key(key.encode()) for key in raw['api_keys']),
+        tuple(digest_key(key.encode()) for key in keys),
         raw.get('priority'),
         raw.get('rate_per_s') or 0.0,
         raw.get('burst') or 0.0,
         _translate_regions(raw),
     )
+    path = f'{TEAM}/organisations/{name}'
+    decoded = decode_resource(path, encode_resource(organisation))
+    found = list(organisation_faults(decoded))
+    if found:
+        raise PoplarrackError(
+            ErrorKind.INVALID_CONFIGURATION, '; '.join(found)
+        )
+    return decoded
 
 
 def _translate_regions(raw):
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -14,7 +14,11 @@
 from poplarrack.errors import ErrorKind
 from poplarrack.executors import move_transaction
 from poplarrack.fetchers import read_configuration
+from poplarrack.fetchers import snapshot_from_items
+from poplarrack.organisations import build_key_index
 from poplarrack.organisations import StaleKeys
+from poplarrack.platform.configurations import translate
+from poplarrack.platform.configurations import Translation
 from poplarrack.platform.heartbeats import decode_born
 from poplarrack.platform.heartbeats import decode_heartbeat
 from poplarrack.platform.settings import parse_duration
@@ -27,6 +31,7 @@
 from poplarrack.platforms import CONNECT_TIMEOUT_SECONDS
 from poplarrack.platforms import ZONE_PREFIX
 from poplarrack.resources import MoveState
+from poplarrack.stores import KeyValue
 from poplarrack.stores import Operation
 from tests.store_stand_in import running_store
 from tests.support import assert_raises
@@ -209,6 +214,53 @@
     assert configuration.caller_limits.idle_timeout_seconds == 15
 
 
+def translated(tenants):
+    """Return the organisations and the faults of a configuration."""
+    value = dumps({**CONFIG, 'tenants': tenants}).encode()
+    item = KeyValue('op/config', value, 3, 3)
+    translation = translate({item.key: item}, Translation())
+    snapshot = snapshot_from_items(translation.resources.values())
+    assert translate({item.key: item}, translation).rejected == (
+        translation.rejected
+    )
+    organisations = load_configuration(snapshot).organisations
+    return organisations, {
+        key.rpartition('/')[2]: detail
+        for key, (_, detail) in translation.rejected.items()
+    }
+
+
+# One bad organisation must not keep a version from being in force, nor be
+# given the calls of another; its keys must not be shown in what is logged.
+def test_bad_organisations_are_left_out_and_named():
+    good = {'api_keys': ['k-good'], 'rate_per_s': 5, 'burst': 5}
+    organisations, faults = translated(
+        {
+            'good': good,
+            'two': {'api_keys': ['k-two', 'k-one']},
+            'three': {'api_keys': ['k-two', 'k-three']},
+            'odd keys': {'api_keys': ['k-spaced']},
+            'empty': {'api_keys': ['', 7, None, 'k-left']},
+            'less': {'api_keys': ['k-less'], 'rate_per_s': -1},
+            'text': {'api_keys': ['k-text'], 'burst': 'many'},
+            'none': {'api_keys': None},
+            'list': ['k-list'],
+        }
+    )
+    assert set(organisations) == {'good', 'two', 'three', 'empty'}
+    assert set(faults) == {
+        *('two', 'three', 'odd keys', 'empty', 'less', 'text', 'none'),
+        'list',
+    }
+    assert 'k-' not in ' '.join(faults.values())
+    index = build_key_index(organisations)
+    for key, name in ((b'k-good', 'good'), (b'k-left', 'empty')):
+        assert index.find(key).name == name
+    for key in (b'k-two', b'k-less', b'k-list', b'', b'7', b'k-spaced'):
+        assert index.find(key) is None
+    assert index.find(b'k-three').name == 'three'
+
+
 def test_a_new_version_changes_only_what_differs(store):
     stand_in, address = store
     stand_in.put('op/config', CONFIG)
