Show operators why organisations are refused

Cause: neither logs nor metrics told an organisation over its limit or its share from a lack of room.

Change: counts by organisation with at most 101 labels; the ten nearest to their limits, and holders of shared keys, in the dump; "over_limit" with the limit, the totals, their age and the part here; the organisation, rank and seconds beyond the share in the lines on refusals.

Measured: tests.test_metrics, tests.test_senders.

--- a/poplarrack/call_limits.py
+++ b/poplarrack/call_limits.py
@@ -311,6 +311,51 @@
         longest = min(MAX_RETRY_AFTER_SECONDS, max(1.0, excess))
         return MIN_RETRY_AFTER_SECONDS + self.random.random() * longest
 
+    # What operators see.
+
+    def describe(self, organisation, now):
+        """Return what a decision on an organisation's call was based on.
+
+        Rates are per second, those of all nodes as they were told of last;
+        None stands for what the node was not told.
+        """
+        state = self._state(organisation, now)
+        made = state.made_per_second
+        told = self.told_at is not None
+        return {
+            'limit': organisation.calls_per_second,
+            'burst': organisation.burst,
+            'made_on_all_nodes': round(made, 1) if made >= 0 else None,
+            'left_of_burst': round(state.level, 1),
+            'told_ms_ago': round((now - self.told_at) * 1000)
+            if told
+            else None,
+            'made_here': round(state.own.at(now), 1),
+            'part_here': round(state.part, 3),
+        }
+
+    def nearest(self, number, now):
+        """Return the organisations nearest to their limits, described.
+
+        :param number: how many at most.
+        """
+        fractions = sorted(
+            (
+                (
+                    max(state.made_per_second, state.own.at(now))
+                    / self.organisations[name].calls_per_second,
+                    name,
+                )
+                for name, state in self.states.items()
+                if self.organisations[name].calls_per_second
+            ),
+            reverse=True,
+        )
+        return {
+            name: self.describe(self.organisations[name], now)
+            for _, name in fractions[:number]
+        }
+
     # What nodes tell each other.
 
     def step(self, is_lead, far_leads, now):
--- a/poplarrack/carried_calls.py
+++ b/poplarrack/carried_calls.py
@@ -81,6 +81,23 @@
     )
 
 
+def log_over_limit(call, basis, retry_after):
+    """Log that a call is over its organisation's limit.
+
+    :param basis: what the decision was based on, by name.
+    """
+    logger.info(
+        'over_limit',
+        extra={
+            'request': call.request_id.decode('latin-1'),
+            'organisation': call.organisation.name,
+            'route': call.route.name,
+            'retry_after': round(retry_after, 2),
+            **basis,
+        },
+    )
+
+
 def log_internal_error(call):
     """Log an unexpected exception with its traceback."""
     logger.exception(
@@ -103,6 +120,10 @@
             'request': call.request_id.decode('latin-1'),
             'route': call.route.name if call.route else '',
             'service': call.service,
+            'organisation': call.organisation.name
+            if call.organisation
+            else '',
+            'rank': call.rank,
             'outcome': outcome,
             'detail': detail,
             'may_have_run': call.may_have_run,
--- a/poplarrack/dumps.py
+++ b/poplarrack/dumps.py
@@ -40,6 +40,7 @@
         'evidence': to_builtins(facts.cells),
         'servers': node.dispatcher.dump_servers(),
         'calls': dict(node.dispatcher.counts),
+        **_dump_organisations(node.dispatcher),
         'last_decisions': {
             name: {'at': at, 'decision': repr(decision)}
             for name, (at, decision) in node.last_decisions.items()
@@ -59,6 +60,11 @@
     }
 
 
+def _dump_organisations(dispatcher):
+    dump = getattr(dispatcher, 'dump_organisations', None)
+    return {'organisations': dump()} if dump else {}
+
+
 def _dump_moves(knowledge):
     return {
         service: {
--- a/poplarrack/fair_queues.py
+++ b/poplarrack/fair_queues.py
@@ -76,6 +76,11 @@
         shares = self.by_rank.get(rank)
         return shares.start_of(organisation) if shares else 0.0
 
+    def beyond_share(self, rank, organisation):
+        """Return the seconds that an organisation had beyond the others."""
+        shares = self.by_rank.get(rank)
+        return shares.start_of(organisation) - shares.served if shares else 0.0
+
     def charge(self, rank, organisation, route):
         """Charge an organisation for a request that waits or runs.
 
--- a/poplarrack/metrics.py
+++ b/poplarrack/metrics.py
@@ -20,6 +20,13 @@
 )
 
 
+# The same for an organisation. Labels are bounded: each costs the server that
+# collects them memory.
+ORGANISATION_COUNTS = ('calls', 'over_limit')
+MAX_LABELLED_ORGANISATIONS = 100
+OTHER_ORGANISATIONS = '(other)'
+
+
 def build_metrics_page(server):
     """Return a page with the metrics of a node's process.
 
@@ -89,6 +96,7 @@
             )
             yield from self._collect_latency()
             yield from self._collect_services()
+            yield from self._collect_organisations()
         for name, value in counters.items():
             name = re.sub(r'\W', '_', name)
             text = name.replace('_', ' ')
@@ -146,6 +154,27 @@
                 family.add_metric([service], counts[name])
             yield family
 
+    def _collect_organisations(self):
+        """Yield counts by organisation, of those beyond a number together."""
+        from prometheus_client.core import CounterMetricFamily
+
+        by_name = self.node.dispatcher.counts_by_organisation
+        for name in ORGANISATION_COUNTS:
+            counts = Counter()
+            for number, organisation in enumerate(sorted(by_name)):
+                label = organisation
+                if number >= MAX_LABELLED_ORGANISATIONS:
+                    label = OTHER_ORGANISATIONS
+                counts[label] += by_name[organisation][name]
+            family = CounterMetricFamily(
+                f'poplarrack_organisation_{name}',
+                name.replace('_', ' '),
+                labels=['organisation'],
+            )
+            for label, count in counts.items():
+                family.add_metric([label], count)
+            yield family
+
     def _collect_latency(self):
         from prometheus_client.core import HistogramMetricFamily
 
--- a/poplarrack/receivers.py
+++ b/poplarrack/receivers.py
@@ -402,6 +402,7 @@
                 'running': self.admission.running,
                 'waiting': len(self.admission.queue),
                 'slots': self.admission.slots,
+                **self._describe_share(received),
             },
         )
         delivery = Delivery(verdict, reason=reason, occupancy=self.occupancy())
@@ -422,6 +423,19 @@
             received.timer.cancel()
         self.received_requests.discard(received)
 
+    def _describe_share(self, received):
+        """Return the inputs of a place in the queue, for the log."""
+        if self.shares is None:
+            return {}
+        request = received.request
+        return {
+            'organisation': request.organisation,
+            'rank': request.rank,
+            'seconds_beyond_share': round(
+                self.shares.beyond_share(request.rank, request.organisation), 3
+            ),
+        }
+
     def _settle(self, received):
         """Charge the organisation for what its request took."""
         if received.ticket is None or self.shares is None:
--- a/poplarrack/senders.py
+++ b/poplarrack/senders.py
@@ -13,6 +13,7 @@
 from poplarrack.carried_calls import Call
 from poplarrack.carried_calls import log_ended
 from poplarrack.carried_calls import log_internal_error
+from poplarrack.carried_calls import log_over_limit
 from poplarrack.carried_calls import log_retried
 from poplarrack.carried_calls import log_retry_over_budget
 from poplarrack.destination_states import Tier
@@ -51,6 +52,8 @@
 RETRY_AFTER_SECONDS = 0.15
 # Answers after which callers come back.
 RETRIED_STATUSES = (429, 503)
+# Organisations in the state dump.
+DUMPED_ORGANISATIONS = 10
 # A deadline header with more digits is ignored as invalid.
 MAX_DEADLINE_DIGITS = 9
 # Part of its route's timeout that a call must have left for a trial.
@@ -90,6 +93,7 @@
         self.call_limits = CallLimits(random)
         self.counts = Counter()
         self.counts_by_service = {}
+        self.counts_by_organisation = {}
         self.latencies = Histogram()
         self.calls = set()
         self.draining = False
@@ -113,6 +117,10 @@
             for budget in self.budgets.values():
                 budget.keep_only(names)
             self.run_times.keep_only(names)
+            for name in (
+                self.counts_by_organisation.keys() - table.organisations.keys()
+            ):
+                del self.counts_by_organisation[name]
         self.call_limits.set_organisations(
             table.organisations, table.node_count
         )
@@ -208,8 +216,17 @@
             return False
         call.organisation = organisation
         call.rank = rank_of(organisation, call.route)
-        retry_after = self.call_limits.admit(organisation, self.clock())
+        now = self.clock()
+        retry_after = self.call_limits.admit(organisation, now)
+        counts = self.counts_by_organisation.setdefault(
+            organisation.name, Counter()
+        )
+        counts['calls'] += 1
         if retry_after is not None:
+            counts['over_limit'] += 1
+            log_over_limit(
+                call, self.call_limits.describe(organisation, now), retry_after
+            )
             self._refuse(
                 call, ErrorKind.RATE_LIMITED, organisation.name, retry_after
             )
@@ -572,6 +589,17 @@
         """Return the numbers of calls in flight by service and version."""
         return self.destinations.busy()
 
+    def dump_organisations(self):
+        """Return those nearest to their limits, for the state dump."""
+        shared = self.table.keys.shared.values()
+        return {
+            'number': len(self.table.organisations),
+            'holders_of_shared_keys': sorted(set().union(*shared)),
+            'nearest_to_limits': self.call_limits.nearest(
+                DUMPED_ORGANISATIONS, self.clock()
+            ),
+        }
+
     def dump_servers(self):
         """Return the state of each endpoint for the state dump."""
         return self.destinations.dump()
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -13,7 +13,9 @@
 from poplarrack.evidence import Side
 from poplarrack.knowledge import apply_snapshot
 from poplarrack.knowledge import Knowledge
+from poplarrack.metrics import MAX_LABELLED_ORGANISATIONS
 from poplarrack.metrics import NodeCollector
+from poplarrack.metrics import OTHER_ORGANISATIONS
 from poplarrack.resources import encode_resource
 from poplarrack.resources import MoveState
 from poplarrack.settings import NodeSettings
@@ -72,3 +74,22 @@
         '12.0',
     ):
         assert line in page, page
+
+
+# An organisation a label would let the metrics grow with the configuration.
+def test_the_labels_of_organisations_are_bounded():
+    counts = {
+        f'o{number:03d}': Counter(calls=1)
+        for number in range(MAX_LABELLED_ORGANISATIONS + 5)
+    }
+    node = SimpleNamespace(
+        dispatcher=SimpleNamespace(counts_by_organisation=counts)
+    )
+    collector = NodeCollector(SimpleNamespace(node=node))
+    calls, over_limit = collector._collect_organisations()
+    values = {
+        sample.labels['organisation']: sample.value for sample in calls.samples
+    }
+    assert len(values) == MAX_LABELLED_ORGANISATIONS + 1
+    assert values['o000'] == 1 and values[OTHER_ORGANISATIONS] == 5
+    assert sum(sample.value for sample in over_limit.samples) == 0
--- a/tests/test_senders.py
+++ b/tests/test_senders.py
@@ -378,6 +378,10 @@
         found = [await send(sender, headers=(KEY,)) for _ in range(20)]
         passed = sum(status == 200 for status, _, _ in found)
         assert passed == len(streams.sent) <= 3
+        (described,) = sender.dump_organisations()[
+            'nearest_to_limits'
+        ].values()
+        assert described['limit'] == 2.0 and described['made_here'] == 20.0
         return found[-1]
 
     status, head, body = asyncio.run(run())
