--- a/poplarrack/senders.py
+++ b/poplarrack/senders.py
@@ -9,12 +9,14 @@
 import asyncio
 from collections import Counter
 
+from poplarrack.call_limits import CallLimits
 from poplarrack.candidates import common_regions
 from poplarrack.candidates import explain_exclusion
 from poplarrack.candidates import filter_group
 from poplarrack.carried_calls import Call
 from poplarrack.carried_calls import log_ended
 from poplarrack.carried_calls import log_internal_error
+from poplarrack.carried_calls import log_over_limit
 from poplarrack.carried_calls import log_retried
 from poplarrack.carried_calls import log_retry_over_budget
 from poplarrack.destination_states import Tier
@@ -33,6 +35,7 @@
 from poplarrack.http_messages import build_error
 from poplarrack.load_reports import LoadReports
 from poplarrack.offers import build_routed_request
+from poplarrack.organisations import rank_of
 from poplarrack.organisations import read_key
 from poplarrack.organisations import StaleKeys
 from poplarrack.placements import choose_destination
@@ -53,6 +56,10 @@
 RETRY_AFTER_SECONDS = 0.15
 # Part of their time left that callers wait for a Retry-After.
 CALLERS_PATIENCE_FRACTION = 1 / 3
+# Answers after which callers come back.
+RETRIED_STATUSES = (429, 503)
+# Organisations in the state dump.
+DUMPED_ORGANISATIONS = 10
 # A deadline header with more digits is ignored as invalid.
 MAX_DEADLINE_DIGITS = 9
 # Part of its route's timeout that a call must have left for a trial.
@@ -89,8 +96,10 @@
         self.splitter = TrafficSplitter(random)
         self.evidence = EvidenceCounter()
         self.budgets = {}
+        self.call_limits = CallLimits(random)
         self.counts = Counter()
         self.counts_by_service = {}
+        self.counts_by_organisation = {}
         self.latencies = Histogram()
         self.calls = set()
         self.draining = False
@@ -114,6 +123,13 @@
             for budget in self.budgets.values():
                 budget.keep_only(names)
             self.run_times.keep_only(names)
+            for name in (
+                self.counts_by_organisation.keys() - table.organisations.keys()
+            ):
+                del self.counts_by_organisation[name]
+        self.call_limits.set_organisations(
+            table.organisations, table.node_count
+        )
         self.table = table
         self.receiver.door = derive_door(self.settings, table)
 
@@ -160,8 +176,7 @@
             return False
         call.route = route
         call.rank = route.queue_rank
-        needs_key = self.table.organisations and not route.public
-        if needs_key and not self._identify(call, now):
+        if self.table.organisations and not self._identify(call, now):
             return False
         call.service = self.splitter.choose_service(route)
         requested_ms = _parse_milliseconds(
@@ -188,7 +203,13 @@
         return True
 
     def _identify(self, call, now):
-        """Find the organisation of a call by its key; refuse it without."""
+        """Find the organisation of a call by its key; refuse it without.
+
+        A public route asks for no key.
+        """
+        if call.route.public:
+            call.rank = rank_of(None, call.route)
+            return True
         stale_keys = self.settings.stale_keys
         if stale_keys is StaleKeys.REFUSED and self.keys_are_stale(now):
             self._refuse(call, ErrorKind.NO_ENDPOINT, 'keys may be revoked')
@@ -201,8 +222,22 @@
             self._refuse(call, ErrorKind.UNAUTHENTICATED, 'no known key')
             return False
         call.organisation = organisation
-        if organisation.rank is not None:
-            call.rank = organisation.rank
+        call.rank = rank_of(organisation, call.route)
+        now = self.clock()
+        retry_after = self.call_limits.admit(organisation, now)
+        counts = self.counts_by_organisation.setdefault(
+            organisation.name, Counter()
+        )
+        counts['calls'] += 1
+        if retry_after is not None:
+            counts['over_limit'] += 1
+            log_over_limit(
+                call, self.call_limits.describe(organisation, now), retry_after
+            )
+            self._refuse(
+                call, ErrorKind.RATE_LIMITED, organisation.name, retry_after
+            )
+            return False
         return True
 
     def _service_counts(self, service):
@@ -522,7 +557,7 @@
         else:
             self._refuse(call, ErrorKind.NO_ENDPOINT, call.service)
 
-    def _refuse(self, call, kind, detail):
+    def _refuse(self, call, kind, detail, retry_after=None):
         if call.ended:
             return
         kind = resolve_error_kind(kind, call.may_have_run)
@@ -531,12 +566,11 @@
         log_ended(call, self.table.revision, kind.value, detail, now)
         self._end(call)
         keep_alive = call.request.keep_alive and not self.draining
-        retry_after = None
-        if ANSWERS[kind].http_status == 503:
+        if ANSWERS[kind].http_status in RETRIED_STATUSES:
             # Callers retry on a new connection; this one would stay idle,
             # unless it carries other requests.
             keep_alive = keep_alive and call.request.is_pipelined
-            retry_after = self._retry_after(call, now)
+            retry_after = retry_after or self._retry_after(call, now)
         raw = build_error(
             kind, detail, call.request_id, keep_alive, retry_after
         )
@@ -608,6 +642,17 @@
         """Return the numbers of calls in flight by service and version."""
         return self.destinations.busy()
 
+    def dump_organisations(self):
+        """Return those nearest to their limits, for the state dump."""
+        shared = self.table.keys.shared.values()
+        return {
+            'number': len(self.table.organisations),
+            'holders_of_shared_keys': sorted(set().union(*shared)),
+            'nearest_to_limits': self.call_limits.nearest(
+                DUMPED_ORGANISATIONS, self.clock()
+            ),
+        }
+
     def dump_servers(self):
         """Return the state of each endpoint for the state dump."""
         return self.destinations.dump()
