Run the newest request once some can't be in time

Cause: with more load than room, the requests of a rank ran in the order of their deadlines, so that each waited until it was nearly too late and most answers were late. Senders took the whole queue for what a new request would wait for, and refused those that could have been in time.

Change: while all that wait can be in time, the order is as before. Once some can't, the newest of the organisation whose turn it is runs first, and a new request counts only what runs before it; so do load reports.

--- a/poplarrack/admissions.py
+++ b/poplarrack/admissions.py
@@ -21,7 +21,7 @@
 
     ``tag`` is that of FairShares, 0 without organisations. ``received`` is
     the ReceivedRequest, ``expires_at`` when it leaves the queue unserved,
-    ``target_at`` when its target latency has passed.
+    ``target_at`` when its target latency has passed, 0 if it has none.
     """
 
     rank: int
@@ -31,6 +31,7 @@
     received: object = field(compare=False, default=None)
     expires_at: float = field(compare=False, default=0.0)
     target_at: float = field(compare=False, default=0.0)
+    organisation: str = field(compare=False, default='')
 
 
 class Admission:
@@ -55,20 +56,47 @@
         """Return the number of unused slots."""
         return max(0, self.slots - self.running)
 
-    def expected_wait(self, rank, tag=inf):
+    def expected_wait(self, rank, now, tag=inf):
         """Return the seconds that a request of a rank and tag would wait."""
         if self.free_slots > len(self.queue):
             return 0.0
-        ahead = sum(
-            1 for item in self.queue if (item.rank, item.tag) <= (rank, tag)
+        return self._wait_behind(self._count_ahead(rank, tag, now))
+
+    def count_ahead_of_new(self, now):
+        """Return how many run before a new request of the lowest rank."""
+        if not self.queue:
+            return 0
+        return self._count_ahead(self.queue[-1].rank, inf, now)
+
+    def expected_wait_of_new(self, now):
+        """Return the seconds that a new one of the lowest rank would wait."""
+        if self.free_slots > len(self.queue):
+            return 0.0
+        return self._wait_behind(self.count_ahead_of_new(now))
+
+    def _count_ahead(self, rank, tag, now):
+        """Return how many of those that wait run before a new request."""
+        better = sum(1 for item in self.queue if item.rank < rank)
+        waiting = [item for item in self.queue if item.rank == rank]
+        in_time = [item for item in waiting if self._may_be_in_time(item, now)]
+        if len(in_time) < len(waiting):
+            # The newest goes first then, if others have no better claim.
+            return better + sum(1 for item in in_time if 0 < item.tag < tag)
+        return better + sum(1 for item in waiting if item.tag <= tag)
+
+    def _may_be_in_time(self, item, now):
+        """Return whether an answer can still meet the target latency."""
+        return (
+            not item.target_at or item.target_at - now >= self.service_seconds
         )
-        return self._wait_behind(ahead)
 
     def _wait_behind(self, ahead):
         excess = ahead + 1 + max(0, self.running - self.slots)
         return excess * self.service_seconds / max(1, self.slots)
 
-    def admits(self, rank, max_wait_seconds, spare_slot_fraction=0.0, tag=inf):
+    def admits(
+        self, rank, max_wait_seconds, now, spare_slot_fraction=0.0, tag=inf
+    ):
         """Return whether a request is admitted, at once or to the queue.
 
         :param spare_slot_fraction: fraction of the slots that must be free.
@@ -77,15 +105,23 @@
             spare_slot_fraction * self.slots
         ):
             return False
-        return self.expected_wait(rank, tag) <= max_wait_seconds
+        return self.expected_wait(rank, now, tag) <= max_wait_seconds
 
     def enqueue(
-        self, received, rank, deadline, expires_at, target_at=0.0, tag=0.0
+        self,
+        received,
+        rank,
+        deadline,
+        expires_at,
+        target_at=0.0,
+        tag=0.0,
+        organisation='',
     ):
         """Add a request to the queue.
 
         :param expires_at: when the request leaves the queue unserved.
-        :param target_at: when its target latency has passed.
+        :param target_at: when its target latency has passed; 0 for none.
+        :param tag: that of the organisation's share, if it has any.
         :returns: the QueuedRequest, to pass to ``discard``.
         """
         self.last_sequence += 1
@@ -97,6 +133,7 @@
             received,
             expires_at,
             target_at,
+            organisation,
         )
         insort(self.queue, item)
         return item
@@ -138,14 +175,31 @@
     def _next_index(self, now):
         """Return the queue index of the request to run next.
 
-        Among requests of the best rank, the first that can still meet its
-        target latency takes precedence over those that can't: when the queue
-        is too long, strict queue order would make every answer late.
+        Of the requests of the best rank, those that can still meet their
+        target latency take precedence over those that can't. While all can,
+        they run in order. Once some can't, the newest runs first: in order,
+        each would wait until it is nearly too late, and most would be late.
         """
         rank = self.queue[0].rank
+        in_time, are_all_in_time = [], True
         for index, item in enumerate(self.queue):
             if item.rank != rank:
                 break
-            if item.target_at - now >= self.service_seconds:
-                return index
-        return 0
+            if self._may_be_in_time(item, now):
+                in_time.append((index, item))
+            else:
+                are_all_in_time = False
+        if not in_time:
+            return 0
+        first_index, first = in_time[0]
+        if are_all_in_time:
+            return first_index
+        newest_index, _ = max(
+            (
+                pair
+                for pair in in_time
+                if pair[1].organisation == first.organisation
+            ),
+            key=lambda pair: pair[1].sequence,
+        )
+        return newest_index
--- a/poplarrack/exchanges.py
+++ b/poplarrack/exchanges.py
@@ -84,7 +84,8 @@
 class Occupancy(Struct, frozen=True, array_like=True):
     """Load of an endpoint, as measured by its own node.
 
-    ``wait_ms`` is how long a request of the lowest rank would wait now,
+    ``waiting`` are those that run before a new request of the lowest rank,
+    ``wait_ms`` is how long that one would wait,
     ``service_ms`` the mean service time, ``failure_rate`` the recent fraction
     of its requests that failed. ``room`` is how many requests it is found to
     run well at once, 0 if that is not known. ``cold_ms`` is how much longer
--- a/poplarrack/receivers.py
+++ b/poplarrack/receivers.py
@@ -167,12 +167,12 @@
     def occupancy(self):
         """Return the Occupancy of the endpoint."""
         admission = self.admission
-        wait = admission.expected_wait(len(admission.queue))
         now = self.clock()
+        wait = admission.expected_wait_of_new(now)
         wait = max(wait, min(self._cold_wait(now), MAX_TOLD_WAIT_SECONDS))
         return Occupancy(
             admission.running,
-            len(admission.queue),
+            admission.count_ahead_of_new(now),
             admission.slots,
             int(wait * 1000),
             round(admission.service_seconds * 1000, 1),
@@ -257,9 +257,9 @@
             return excluded
         if self._cold_wait(now, len(self.admission.queue)) > 0:
             return 'cold'
-        return '' if self._admits(request) else 'busy'
+        return '' if self._admits(request, now) else 'busy'
 
-    def _admits(self, request):
+    def _admits(self, request, now):
         """Return whether a request can run, now or after its longest wait."""
         tag = inf
         if self.shares is not None:
@@ -267,6 +267,7 @@
         return self.admission.admits(
             request.rank,
             request.max_wait_ms / 1000,
+            now,
             request.spare_slot_fraction,
             tag,
         )
@@ -282,6 +283,7 @@
             expires_at,
             now + request.target_left_ms / 1000,
             received.ticket.tag if received.ticket else 0.0,
+            request.organisation,
         )
         received.timer = get_running_loop().call_later(
             expires_at - now, self._expire, received
--- a/tests/test_admissions.py
+++ b/tests/test_admissions.py
@@ -38,6 +38,52 @@
     assert order == ['in time', 'late', 'hopeless', 'lower rank']
 
 
+# More load than room, all of one rank: in order, each request waited until it
+# was nearly too late, and most answers were late.
+def test_the_newest_goes_first_once_some_can_not_be_in_time():
+    admission = Admission(1)
+    admission.observe(0.4)
+    for number in range(4):
+        admission.enqueue(number, 1, 20.0, 15.0, 10.5 + number / 10)
+    assert admission.dequeue(10.0)[0].received == 0
+    order = [admission.dequeue(10.25)[0].received for _ in range(3)]
+    assert order == [3, 2, 1]
+
+
+def test_a_new_request_does_not_wait_for_those_that_are_late():
+    admission = Admission(1)
+    admission.observe(0.4)
+    admission.running = 1
+    for _ in range(5):
+        admission.enqueue('late', 1, 20.0, 15.0, 10.1)
+    assert admission.expected_wait(1, 9.0) > 1.9
+    assert admission.count_ahead_of_new(9.0) == 5
+    assert admission.expected_wait(1, 10.0) < 0.5
+    assert admission.count_ahead_of_new(10.0) == 0
+    assert admission.expected_wait(2, 10.0) > 1.9
+
+
+def test_the_newest_of_one_organisation_takes_no_others_place():
+    admission = Admission(1)
+    admission.observe(0.4)
+    for name, tag, target_at in (
+        ('small', 1.0, 10.7),
+        ('large', 2.0, 10.1),
+        ('large', 3.0, 10.6),
+        ('large', 4.0, 10.8),
+    ):
+        admission.enqueue(
+            (name, tag), 1, 20.0, 15.0, target_at, tag, organisation=name
+        )
+    order = [admission.dequeue(10.0)[0].received for _ in range(4)]
+    assert order == [
+        ('small', 1.0),
+        ('large', 4.0),
+        ('large', 3.0),
+        ('large', 2.0),
+    ]
+
+
 def test_a_queue_goes_by_rank_then_deadline():
     admission = Admission(1)
     admission.running = 1
@@ -65,6 +111,7 @@
     admission.service_seconds = 0.1
     for number in range(10):
         admission.enqueue(number, 2, 9.0, 9.0)
-    assert admission.expected_wait(0) < admission.expected_wait(2)
-    assert admission.admits(0, 0.1) and not admission.admits(2, 0.1)
-    assert not admission.admits(0, 9.0, spare_slot_fraction=0.1)
+    assert admission.expected_wait(0, 1.0) < admission.expected_wait(2, 1.0)
+    assert admission.admits(0, 0.1, 1.0)
+    assert not admission.admits(2, 0.1, 1.0)
+    assert not admission.admits(0, 9.0, 1.0, spare_slot_fraction=0.1)
--- a/tests/test_fair_queues.py
+++ b/tests/test_fair_queues.py
@@ -41,7 +41,7 @@
         admission, tag = self.admission, 0.0
         if self.shares is not None:
             tag = self.shares.tag_of(rank, organisation)
-        if not admission.admits(rank, PATIENCE_SECONDS, tag=tag):
+        if not admission.admits(rank, PATIENCE_SECONDS, now, tag=tag):
             return
         ticket = None
         if self.shares is not None:
@@ -49,7 +49,13 @@
         expires_at = now + PATIENCE_SECONDS
         request = (organisation, ticket, run_seconds)
         admission.enqueue(
-            request, rank, expires_at, expires_at, expires_at, tag
+            request,
+            rank,
+            expires_at,
+            expires_at,
+            expires_at,
+            tag,
+            organisation,
         )
         if self.shares is not None and admission.displaced(now):
             item = admission.displaced(now)
