--- a/poplarrack/senders.py
+++ b/poplarrack/senders.py
@@ -492,7 +492,11 @@
             detail = f'{call.service}: {excluded}'
             self._refuse(call, ErrorKind.NO_ENDPOINT, detail)
         elif group:
-            self._refuse(call, ErrorKind.OVERLOADED, call.service)
+            detail = call.service
+            if call.cold_seconds:
+                self.counts['met_cold'] += 1
+                detail = f'{call.service}: cold'
+            self._refuse(call, ErrorKind.OVERLOADED, detail)
         else:
             self._refuse(call, ErrorKind.NO_ENDPOINT, call.service)
 
