--- a/poplarrack/cold_gates.py
+++ b/poplarrack/cold_gates.py
@@ -7,6 +7,7 @@
 """
 
 from collections import deque
+from math import ceil
 from math import inf
 
 WINDOW_SECONDS = 1.0
@@ -64,7 +65,7 @@
             return 0.0
         if rate is None:
             return inf
-        most = max(1, int(rate))
+        most = ceil(rate)
         window = max(WINDOW_SECONDS, most / rate)
         blind = self.known_since + window - now
         ahead_windows, ahead = divmod(ahead, most)
