Know all that a later endpoint got

Cause: after a loss of power, nothing went to cold endpoints for a second, though they had started after their nodes. Change: the blind second is left out where the endpoint started later. Measured: tests.test_cold_gates passes.

--- a/poplarrack/cold_gates.py
+++ b/poplarrack/cold_gates.py
@@ -29,6 +29,7 @@
     def __init__(self, known_since):
         self.known_since = known_since
         self.cold_until = 0.0
+        self.born = 0.0
         # Set while the endpoint may have become cold without having told.
         self.is_doubtful = False
         self.sent_at = deque(maxlen=MAX_KEPT_TIMES)
@@ -37,9 +38,14 @@
         """Record a request that is sent to the endpoint."""
         self.sent_at.append(now)
 
-    def hear(self, cold_until):
-        """Learn from the endpoint until when it is cold."""
+    def hear(self, cold_until, born=0.0):
+        """Learn from the endpoint until when it is cold.
+
+        :param born: when it started, in seconds on the gate's clock. One that
+            started after the process has got nothing that is not known.
+        """
         self.cold_until = cold_until
+        self.born = born
         self.is_doubtful = False
 
     def doubt(self):
@@ -67,7 +73,9 @@
             return inf
         most = ceil(rate)
         window = max(WINDOW_SECONDS, most / rate)
-        blind = self.known_since + window - now
+        blind = 0.0
+        if self.born <= self.known_since:
+            blind = self.known_since + window - now
         ahead_windows, ahead = divmod(ahead, most)
         opens_at = now
         if len(self.sent_at) >= most - ahead:
--- a/poplarrack/receivers.py
+++ b/poplarrack/receivers.py
@@ -132,7 +132,8 @@
         """
         previous = self.endpoint
         self.endpoint = endpoint
-        self.cold_gate.hear(cold_until)
+        born = endpoint.born / 1000 if endpoint is not None else 0.0
+        self.cold_gate.hear(cold_until, born)
         if self.door.is_evacuated:
             # It may become cold before it gets requests again.
             self.cold_gate.doubt()
--- a/tests/test_cold_gates.py
+++ b/tests/test_cold_gates.py
@@ -72,6 +72,9 @@
     assert gate.wait(None, 102.0) == inf
     assert gate.wait(13.0, 100.5) == 0.5
     assert gate.wait(13.0, 103.0) == 0
+    # Of one that started later, nothing is unknown.
+    gate.hear(104.0, 100.1)
+    assert gate.wait(13.0, 100.5) == 0
 
 
 def test_the_wait_is_until_the_oldest_request_is_a_second_old():
