--- a/poplarrack/admissions.py
+++ b/poplarrack/admissions.py
@@ -31,10 +31,14 @@
 
 
 class Admission:
-    """The slots of an endpoint and the queue of requests for them."""
+    """The room of an endpoint and the queue of requests for it.
 
-    def __init__(self, slots):
+    :param learned: the LearnedRoom, or None where all slots are used.
+    """
+
+    def __init__(self, slots, learned=None):
         self.slots = slots
+        self.learned = learned
         self.running = 0
         self.queue = []
         self.last_sequence = 0
@@ -47,18 +51,47 @@
         weight = max(SERVICE_TIME_WEIGHT, 1 / self.observations)
         self.service_seconds += weight * (seconds - self.service_seconds)
 
+    def resize(self, slots):
+        """Set the slots that the endpoint tells."""
+        self.slots = slots
+        if self.learned is not None:
+            self.learned.resize(slots)
+
+    @property
+    def room(self):
+        """Return how many requests may run at once."""
+        return self.slots if self.learned is None else self.learned.room
+
+    def begin(self, route, now):
+        """Count a request that starts to run.
+
+        :returns: what ``end`` is given.
+        """
+        self.running += 1
+        return self.learned and self.learned.begin(route, now)
+
+    def end(self, run, now, succeeded):
+        """Count a request that no longer runs.
+
+        :param run: what ``begin`` returned.
+        :param succeeded: whether the endpoint ran it to a good end.
+        """
+        self.running -= 1
+        if self.learned is not None:
+            self.learned.end(run, now, succeeded)
+
     @property
     def free_slots(self):
-        """Return the number of unused slots."""
-        return max(0, self.slots - self.running)
+        """Return the number of unused slots of the room."""
+        return max(0, self.room - self.running)
 
     def expected_wait(self, rank):
         """Return the seconds that a request of a rank would wait."""
         if self.free_slots > len(self.queue):
             return 0.0
         ahead = sum(1 for item in self.queue if item.rank <= rank)
-        excess = ahead + 1 + max(0, self.running - self.slots)
-        return excess * self.service_seconds / max(1, self.slots)
+        excess = ahead + 1 + max(0, self.running - self.room)
+        return excess * self.service_seconds / max(1, self.room)
 
     def admits(self, rank, max_wait_seconds, spare_slot_fraction=0.0):
         """Return whether a request is admitted, at once or to the queue.
@@ -66,7 +99,7 @@
         :param spare_slot_fraction: fraction of the slots that must be free.
         """
         if spare_slot_fraction and self.free_slots - len(self.queue) <= (
-            spare_slot_fraction * self.slots
+            spare_slot_fraction * self.room
         ):
             return False
         return self.expected_wait(rank) <= max_wait_seconds
--- a/poplarrack/benches/cases.py
+++ b/poplarrack/benches/cases.py
@@ -25,6 +25,7 @@
     'poplarrack.benches.cuts',
     'poplarrack.benches.capacities',
     'poplarrack.benches.many_nodes',
+    'poplarrack.benches.rooms',
 )
 EXIT_BOUND_MISSED = 3
 
--- a/poplarrack/metrics.py
+++ b/poplarrack/metrics.py
@@ -83,6 +83,7 @@
         )
         receiver = getattr(self.server, 'receiver', None)
         if receiver is not None:
+            yield from self._collect_room(GaugeMetricFamily, receiver)
             counters.update(
                 (f'endpoint_{name}', count)
                 for name, count in sorted(receiver.counts.items())
@@ -94,6 +95,17 @@
             text = name.replace('_', ' ')
             yield CounterMetricFamily(f'poplarrack_{name}', text, value)
 
+    def _collect_room(self, family, receiver):
+        """Yield how many requests the endpoint may run, and the slots."""
+        admission = receiver.admission
+        for name, value in (
+            ('endpoint_room', admission.room),
+            ('endpoint_slots', admission.slots),
+            ('endpoint_running', admission.running),
+        ):
+            text = name.replace('_', ' ')
+            yield family(f'poplarrack_{name}', text, value)
+
     def _collect_moves(self, facts):
         """Yield the shares of moves and the calls that this node counted.
 
--- a/poplarrack/receivers.py
+++ b/poplarrack/receivers.py
@@ -22,6 +22,7 @@
 from poplarrack.http_messages import build_request
 from poplarrack.http_messages import HttpRequest
 from poplarrack.http_messages import is_end_to_end
+from poplarrack.learned_rooms import LearnedRoom
 from poplarrack.members import EndpointState
 from poplarrack.members import same_start
 from poplarrack.upstream_pools import UpstreamPool
@@ -95,13 +96,22 @@
         goes back, such as a SteadyClock.
     :param max_answer_bytes: bound on the size of an answer.
     :param budget: the ByteBudget of the process.
+    :param learns_room: whether the endpoint's room is learned.
     """
 
-    def __init__(self, header_names, clock, max_answer_bytes, budget=None):
+    def __init__(
+        self,
+        header_names,
+        clock,
+        max_answer_bytes,
+        budget=None,
+        learns_room=False,
+    ):
         self.header_names = header_names
         self.clock = clock
         self.max_answer_bytes = max_answer_bytes
         self.budget = budget or ByteBudget()
+        self.learns_room = learns_room
         self.endpoint = None
         self.pool = None
         self.admission = Admission(0)
@@ -127,7 +137,7 @@
             self.refuse_waiting('no endpoint')
             return
         if previous is not None and same_start(previous, endpoint):
-            self.admission.slots = endpoint.slots
+            self.admission.resize(endpoint.slots)
             if endpoint.state is not EndpointState.SERVING:
                 self.refuse_waiting('draining')
             return
@@ -135,7 +145,10 @@
         if self.pool is not None:
             self.pool.close()
         self.unreachable_until = 0.0
-        self.admission = Admission(endpoint.slots)
+        learned = None
+        if self.learns_room:
+            learned = LearnedRoom(endpoint.slots, self.clock())
+        self.admission = Admission(endpoint.slots, learned)
         self.failure_rate = FailureRate()
         self.pool = UpstreamPool(
             endpoint.address,
@@ -155,6 +168,7 @@
             int(wait * 1000),
             round(admission.service_seconds * 1000, 1),
             round(self.failure_rate.at(self.clock()), 2),
+            admission.room if admission.learned else 0.0,
         )
 
     @property
@@ -238,14 +252,18 @@
         request = received.request
         remaining_seconds = received.deadline - now
         admission = self.admission
-        admission.running += 1
+        run = admission.begin(request.route, now)
         received.sent_at = now
         self.counts['sent'] += 1
         self.counts['sent_repeats'] += request.is_repeat
         self.running_repeats.add(request)
 
         def done(outcome, answer):
-            admission.running -= 1
+            succeeded = outcome is Outcome.ANSWERED and answer.status < 400
+            room = admission.room
+            admission.end(run, self.clock(), succeeded)
+            if admission.room != room:
+                self._log_room(admission)
             self.running_repeats.remove(request)
             self._on_outcome(received, admission, outcome, answer)
 
@@ -257,6 +275,19 @@
             (self.header_names.request_id, request.request_id),
         )
 
+    def _log_room(self, admission):
+        logger.info(
+            'room_changed',
+            extra={
+                'instance': self.endpoint and self.endpoint.instance_id,
+                'room': admission.room,
+                'slots': admission.slots,
+                'reason': admission.learned.reason,
+                'running': admission.running,
+                'waiting': len(admission.queue),
+            },
+        )
+
     def _build_request(self, request, remaining_seconds):
         header_names = self.header_names
         header_lines = [
@@ -364,6 +395,7 @@
                 'running': self.admission.running,
                 'waiting': len(self.admission.queue),
                 'slots': self.admission.slots,
+                'room': self.admission.room,
             },
         )
         delivery = Delivery(verdict, reason=reason, occupancy=self.occupancy())
--- a/poplarrack/settings.py
+++ b/poplarrack/settings.py
@@ -72,7 +72,9 @@
     """Limits and timeouts of the call path, and its load balancer.
 
     ``max_buffered_bytes`` bounds what all connections of the process buffer
-    of messages that are incomplete.
+    of messages that are incomplete. ``learns_room`` says whether a sidecar
+    learns how many requests its backend server runs well at once; if not,
+    all slots are used.
     """
 
     max_answer_bytes: int = 8_000_000
@@ -80,6 +82,7 @@
     drain_seconds: float = 3.0
     announcement_ttl_seconds: float = 3.0
     balancer: str = 'least_loaded'
+    learns_room: bool = True
 
 
 @dataclass(frozen=True)
--- a/poplarrack/sidecar_servers.py
+++ b/poplarrack/sidecar_servers.py
@@ -129,6 +129,7 @@
             self.clock,
             settings.calls.max_answer_bytes,
             self.budget,
+            settings.calls.learns_room,
         )
         self.sender = Sender(
             settings,
