--- a/poplarrack/admissions.py
+++ b/poplarrack/admissions.py
@@ -35,10 +35,14 @@
 
 
 class Admission:
-    """The slots of an endpoint and the queue of requests for them."""
+    """The room of an endpoint and the queue of requests for it.
 
-    def __init__(self, slots):
+    :param learned: the LearnedRoom, or None where all slots are used.
+    """
+
+    def __init__(self, slots, learned=None):
         self.slots = slots
+        self.learned = learned
         self.running = 0
         self.queue = []
         self.last_sequence = 0
@@ -51,10 +55,39 @@
         weight = max(SERVICE_TIME_WEIGHT, 1 / self.observations)
         self.service_seconds += weight * (seconds - self.service_seconds)
 
+    def resize(self, slots):
+        """Set the slots that the endpoint tells."""
+        self.slots = slots
+        if self.learned is not None:
+            self.learned.resize(slots)
+
+    @property
+    def room(self):
+        """Return how many requests may run at once."""
+        return self.slots if self.learned is None else self.learned.room
+
+    def begin(self, route, now):
+        """Count a request that starts to run.
+
+        :returns: what ``end`` is given.
+        """
+        self.running += 1
+        return self.learned and self.learned.begin(route, now)
+
+    def end(self, run, now, succeeded):
+        """Count a request that no longer runs.
+
+        :param run: what ``begin`` returned.
+        :param succeeded: whether the endpoint ran it to a good end.
+        """
+        self.running -= 1
+        if self.learned is not None:
+            self.learned.end(run, now, succeeded)
+
     @property
     def free_slots(self):
-        """Return the number of unused slots."""
-        return max(0, self.slots - self.running)
+        """Return the number of unused slots of the room."""
+        return max(0, self.room - self.running)
 
     def expected_wait(self, rank, now, tag=inf):
         """Return the seconds that a request of a rank and tag would wait."""
@@ -91,8 +124,8 @@
         )
 
     def _wait_behind(self, ahead):
-        excess = ahead + 1 + max(0, self.running - self.slots)
-        return excess * self.service_seconds / max(1, self.slots)
+        excess = ahead + 1 + max(0, self.running - self.room)
+        return excess * self.service_seconds / max(1, self.room)
 
     def admits(
         self, rank, max_wait_seconds, now, spare_slot_fraction=0.0, tag=inf
@@ -102,7 +135,7 @@
         :param spare_slot_fraction: fraction of the slots that must be free.
         """
         if spare_slot_fraction and self.free_slots - len(self.queue) <= (
-            spare_slot_fraction * self.slots
+            spare_slot_fraction * self.room
         ):
             return False
         return self.expected_wait(rank, now, tag) <= max_wait_seconds
