--- a/tests/node_processes.py
+++ b/tests/node_processes.py
@@ -56,6 +56,10 @@
         fields = dict(line.split(':', 1) for line in status.splitlines())
         return int(fields['VmHWM'].split()[0]) // 1024
 
+    def count_descriptors(self):
+        """Return the number of the process's open descriptors."""
+        return len(os.listdir(f'/proc/{self.process.pid}/fd'))
+
     async def report(self):
         """Send heartbeats of the node's endpoint, until cancelled."""
         sequence = 0
@@ -85,12 +89,12 @@
         return answer.status == 200
 
 
-def build_configuration(services):
+def build_configuration(services, timeout='2s'):
     """Return a configuration with the route ``/SERVICE/`` to each service."""
     route = {
         'host': HOST,
         'route_type': 'safe',
-        'timeout': '2s',
+        'timeout': timeout,
         'target_latency': '1s',
         'priority': 2,
         'max_attempts': 1,
@@ -114,16 +118,19 @@
     }
 
 
-def start_node(directory, store_address, ip, service):
+def start_node(directory, store_address, ip, service, memory_mebibytes):
     """Start a node's process; return the NodeProcess.
 
     :param directory: the path for its settings and its log.
+    :param memory_mebibytes: the limit on memory in its settings.
     """
     name = f'sidecar-{service}'
     text = SETTINGS.replace('10.1.0.35', ip)
     text = text.replace('10.200.1.7:8142', store_address)
     text = text.replace('sidecar-a-1', name)
     text = text.replace('service = "front"', f'service = "{service}"')
+    limits = f'[limits]\nmemory_mb = {memory_mebibytes}'
+    text = text.replace('[limits]', limits)
     settings = directory / f'{name}.toml'
     settings.write_text(text)
     log = directory / f'{name}.log'
@@ -154,7 +161,12 @@
         tasks.append(asyncio.current_task())
         try:
             await serve(reader, writer)
-        except (OSError, asyncio.IncompleteReadError):
+        except (
+            OSError,
+            asyncio.IncompleteReadError,
+            asyncio.CancelledError,
+        ):
+            # asyncio prints the traceback of a cancelled one.
             pass
         finally:
             writer.transport.abort()
@@ -170,16 +182,22 @@
 
 
 @asynccontextmanager
-async def running_nodes(directory, endpoints):
+async def running_nodes(
+    directory, endpoints, memory_mebibytes=300, timeout='2s'
+):
     """Run a node beside each endpoint until all are ready; yield them.
 
     :param endpoints: what ``running_endpoint`` takes, by service.
+    :param memory_mebibytes: the limit on memory in the nodes' settings.
+    :param timeout: that of the routes.
     :yields: the NodeProcess by service, and the StoreStandIn.
     """
     with running_store() as (store, address):
-        store.put('op/config', build_configuration(endpoints))
+        store.put('op/config', build_configuration(endpoints, timeout))
         nodes = {
-            service: start_node(directory, address, choose_ip(), service)
+            service: start_node(
+                directory, address, choose_ip(), service, memory_mebibytes
+            )
             for service in endpoints
         }
         async with AsyncExitStack() as stack:
