Pass long bodies on in pieces

Cause: each hop took a whole message before it passed it on and wrote it whole to whoever read it next, and nothing counted what was complete.

One budget counts what is read and what is yet to be written; the holder that keeps most bytes from moving gives way. A caller that takes nothing for the idle timeout is let go. Smaller messages stay whole, with their retries.

--- a/poplarrack/carried_calls.py
+++ b/poplarrack/carried_calls.py
@@ -4,6 +4,7 @@
 from dataclasses import field
 import logging
 
+from poplarrack.body_pipes import BodyPipe
 from poplarrack.destination_states import DestinationState
 from poplarrack.exchanges import Delivery
 from poplarrack.http_messages import HttpRequest
@@ -25,6 +26,7 @@
     ``inherited_repeat`` is the probability that a repeated run made the call,
     if the local endpoint did. ``organisation`` is that of the caller's key,
     ``rank`` orders the call where it waits; 0 is served first.
+    ``answer_body`` is the BodyPipe of the last answer, if that is long.
     """
 
     request: HttpRequest
@@ -48,9 +50,19 @@
     may_have_run: bool = False
     last_state: DestinationState | None = None
     last_failure: Delivery | None = None
+    answer_body: BodyPipe | None = None
     task: object = None
     ended: bool = False
 
+    @property
+    def is_spent(self):
+        """Return whether a part of its body is no longer held.
+
+        Such a call can't be sent to another endpoint.
+        """
+        upload = self.request.upload
+        return upload is not None and upload.opened
+
 
 def log_retried(call, state, delivery):
     """Log that a call is retried at another endpoint."""
--- a/poplarrack/exchanges.py
+++ b/poplarrack/exchanges.py
@@ -58,7 +58,8 @@
     ``is_repeat`` says that it may have reached another endpoint before.
     ``loads`` tells a node of the same zone of endpoints there.
     ``organisation`` is the name of the caller's, if its key was checked, and
-    ``route`` the name of the route.
+    ``route`` the name of the route. ``streamed_bytes`` is the size of a body
+    that follows in pieces, -1 if its size is not known, 0 if ``body`` is all.
     """
 
     request_id: bytes
@@ -79,6 +80,7 @@
     loads: tuple[EndpointLoad, ...] = ()
     organisation: str = ''
     route: str = ''
+    streamed_bytes: int = 0
 
 
 class Occupancy(Struct, frozen=True, array_like=True):
@@ -105,7 +107,7 @@
     """A receiving node's answer to a RoutedRequest.
 
     ``loads`` answers those of the request, ``run_ms`` is how long the endpoint
-    took.
+    took. ``streamed_bytes`` is as in a RoutedRequest.
     """
 
     verdict: Verdict
@@ -116,6 +118,7 @@
     occupancy: Occupancy | None = None
     loads: tuple[EndpointLoad, ...] = ()
     run_ms: float = 0.0
+    streamed_bytes: int = 0
 
 
 class _StructCodec:
--- a/poplarrack/http_messages.py
+++ b/poplarrack/http_messages.py
@@ -6,6 +6,7 @@
 
 from msgspec.json import encode
 
+from poplarrack.body_pipes import BodyPipe
 from poplarrack.errors import ANSWERS
 from poplarrack.errors import Ran
 
@@ -46,7 +47,9 @@
 
     ``arrived_at`` is when it was complete, on the clock of the server, 0 if
     that is not known. ``is_pipelined`` says that its connection carried other
-    requests at the same time.
+    requests at the same time. ``upload`` is the BodyPipe of a body that is not
+    in ``body``, and ``takes_chunks`` whether its caller can read an answer of
+    unknown length.
     """
 
     method: str
@@ -56,6 +59,8 @@
     keep_alive: bool = True
     arrived_at: float = 0.0
     is_pipelined: bool = False
+    upload: BodyPipe | None = None
+    takes_chunks: bool = True
 
     def header(self, name):
         """Return the first header of a name, or None."""
@@ -112,7 +117,12 @@
             parts += (name, b': ', value, b'\r\n')
     if not has_host:
         parts += (b'host: ', address.encode(), b'\r\n')
-    if request.body or request.method in ('POST', 'PUT', 'PATCH'):
+    upload = request.upload
+    if upload is not None and upload.length is None:
+        parts.append(b'transfer-encoding: chunked\r\n')
+    elif upload is not None:
+        parts.append(b'content-length: %d\r\n' % upload.length)
+    elif request.body or request.method in ('POST', 'PUT', 'PATCH'):
         parts.append(b'content-length: %d\r\n' % len(request.body))
     parts += (hop_headers, b'\r\n', request.body)
     return b''.join(parts)
@@ -138,10 +148,7 @@
     :param keep_alive: whether the connection stays open.
     :param bodiless: whether to leave out the body, as for HEAD.
     """
-    line = _STATUS_LINES.get(status) or b'HTTP/1.1 %d -\r\n' % status
-    parts = [line]
-    for name, value in headers:
-        parts += (name, b': ', value, b'\r\n')
+    parts = _build_status_lines(status, headers)
     if status != 204 and status != 304 and not bodiless:
         parts.append(b'content-length: %d\r\n' % len(body))
     if not keep_alive:
@@ -152,6 +159,32 @@
     return b''.join(parts)
 
 
+def _build_status_lines(status, headers):
+    parts = [_STATUS_LINES.get(status) or b'HTTP/1.1 %d -\r\n' % status]
+    for name, value in headers:
+        parts += (name, b': ', value, b'\r\n')
+    return parts
+
+
+def build_answer_head(status, headers, length, keep_alive, chunked):
+    """Serialize the head of an answer whose body follows in pieces.
+
+    :param length: the size of the body, or None if it is not known.
+    :param keep_alive: whether the connection stays open.
+    :param chunked: whether a body of unknown size is sent in chunks; without
+        them it ends with the connection.
+    """
+    parts = _build_status_lines(status, headers)
+    if length is not None:
+        parts.append(b'content-length: %d\r\n' % length)
+    elif chunked:
+        parts.append(b'transfer-encoding: chunked\r\n')
+    if not keep_alive:
+        parts.append(b'connection: close\r\n')
+    parts.append(b'\r\n')
+    return b''.join(parts)
+
+
 def build_error(kind, detail, call_id, keep_alive, retry_after=None):
     """Serialize the answer to a call that failed in the mesh.
 
--- a/poplarrack/offers.py
+++ b/poplarrack/offers.py
@@ -50,4 +50,5 @@
         loads,
         call.organisation.name if call.organisation else '',
         route.name,
+        0 if request.upload is None else request.upload.length or -1,
     )
--- a/poplarrack/receivers.py
+++ b/poplarrack/receivers.py
@@ -44,13 +44,19 @@
 class ReceivedRequest:
     """A request that is queued or runs at the receiving node.
 
-    ``reply`` is called once with the Delivery. ``queue_entry`` and ``timer``
-    are set while the request is queued, ``exchange`` while it runs.
+    ``reply`` is called once with the Delivery, and with the BodyPipe of a long
+    answer if ``in_pieces`` allows for that. ``upload`` is the BodyPipe of a
+    long request. ``queue_entry`` and ``timer`` are set while the request is
+    queued, ``exchange`` while it runs. ``has_begun`` says that its answer is
+    passed on in pieces or was refused by its head.
     """
 
     request: RoutedRequest
     reply: object
     deadline: float
+    upload: object = None
+    in_pieces: bool = False
+    has_begun: bool = False
     queue_entry: object = None
     timer: object = None
     exchange: object = None
@@ -162,18 +168,22 @@
         """Return the number of requests that are queued or running."""
         return len(self.received_requests)
 
-    def receive(self, request, reply):
+    def receive(self, request, reply, upload=None, in_pieces=False):
         """Run a request, queue it or refuse it.
 
         :param request: the RoutedRequest.
         :param reply: called once with the Delivery.
+        :param upload: the BodyPipe of a body that follows, or None. It is
+            opened once the endpoint takes the request.
+        :param in_pieces: whether ``reply`` also takes the BodyPipe of a long
+            answer.
         :returns: the ReceivedRequest, to pass to ``cancel``.
         """
         now = self.clock()
         if request.loads and self.load_reports is not None:
             self.load_reports.learn(request.loads, now)
         deadline = now + request.time_left_ms / 1000 - ANSWER_MARGIN_SECONDS
-        received = ReceivedRequest(request, reply, deadline)
+        received = ReceivedRequest(request, reply, deadline, upload, in_pieces)
         reason = self._refusal_reason(request, now)
         if reason:
             self._reply_not_run(received, reason)
@@ -249,15 +259,20 @@
             self.running_repeats.remove(request)
             self._on_outcome(received, admission, outcome, answer)
 
+        def begin(answer, body):
+            return self._begin_answer(received, admission, answer, body)
+
         received.exchange = self.pool.start(
-            self._build_request(request, remaining_seconds),
+            self._build_request(request, remaining_seconds, received.upload),
             request.method == 'HEAD',
             remaining_seconds,
             done,
             (self.header_names.request_id, request.request_id),
+            upload=received.upload,
+            on_begin=begin if received.in_pieces else None,
         )
 
-    def _build_request(self, request, remaining_seconds):
+    def _build_request(self, request, remaining_seconds, upload):
         header_names = self.header_names
         header_lines = [
             b'%s: %d\r\n'
@@ -276,6 +291,7 @@
         forwarded = HttpRequest(
             request.method, request.target, request.headers, request.body
         )
+        forwarded.upload = upload
         return build_request(
             forwarded, self.endpoint.address, b''.join(header_lines)
         )
@@ -285,7 +301,9 @@
         received.exchange = None
         if outcome in FAILED_OUTCOMES:
             self.failure_rate.record(True, now)
-        if outcome is Outcome.ANSWERED:
+        if received.has_begun:
+            self._end(received)
+        elif outcome is Outcome.ANSWERED:
             self._on_answer(received, admission, answer, now)
         elif outcome is Outcome.NEVER_SENT:
             self.unreachable_until = now + UNREACHABLE_BACKOFF_SECONDS
@@ -299,6 +317,28 @@
         self._serve_queue(now)
 
     def _on_answer(self, received, admission, answer, now):
+        if self._is_refused_head(received, answer, now):
+            return
+        self._observe(received, admission, answer, now)
+        delivery = self._build_delivery(received, answer, now)
+        self._reply(received, delivery)
+
+    def _begin_answer(self, received, admission, answer, body):
+        """Pass on an answer whose body follows; return whether it is taken.
+
+        The request goes on running until the body is complete.
+        """
+        now = self.clock()
+        received.has_begun = True
+        if received.ended or self._is_refused_head(received, answer, now):
+            return False
+        self._observe(received, admission, answer, now)
+        delivery = self._build_delivery(received, answer, now, body.length)
+        received.reply(self._add_loads(received, delivery), body)
+        return True
+
+    def _is_refused_head(self, received, answer, now):
+        """Refuse an answer by its head; return whether that was necessary."""
         header_names = self.header_names
         not_run = (
             answer.header(header_names.not_run) is not None
@@ -309,7 +349,7 @@
             self._reply_unanswered(
                 received, Verdict.REFUSED, f'status {answer.status}'
             )
-            return
+            return True
         is_stamped = (
             not header_names.origin_stamp
             or answer.header(header_names.origin_stamp) is not None
@@ -319,26 +359,34 @@
             # them, so something on the way altered this one.
             self.failure_rate.record(True, now)
             self._reply_unanswered(received, Verdict.LOST, 'spoiled answer')
-            return
+            return True
+        return False
+
+    def _observe(self, received, admission, answer, now):
         failed = answer.status >= 500
         self.failure_rate.record(failed, now)
         if not failed:
             # Failures are often fast: an endpoint that fails would seem the
             # fastest one.
             admission.observe(now - received.sent_at)
-        headers = [item for item in answer.headers if is_end_to_end(item[0])]
         self.counts['answered'] += 1
-        self._reply(
-            received,
-            Delivery(
-                Verdict.ANSWERED,
-                answer.status,
-                headers,
-                answer.body,
-                '',
-                self.occupancy(),
-                run_ms=round((now - received.sent_at) * 1000, 1),
-            ),
+
+    def _build_delivery(self, received, answer, now, streamed_bytes=0):
+        """Return the Delivery of an answer.
+
+        :param streamed_bytes: the size of a body that follows, None if that
+            is not known, 0 if the answer is whole.
+        """
+        headers = [item for item in answer.headers if is_end_to_end(item[0])]
+        return Delivery(
+            Verdict.ANSWERED,
+            answer.status,
+            headers,
+            answer.body,
+            '',
+            self.occupancy(),
+            run_ms=round((now - received.sent_at) * 1000, 1),
+            streamed_bytes=-1 if streamed_bytes is None else streamed_bytes,
         )
 
     def _serve_queue(self, now):
@@ -372,10 +420,13 @@
     def _reply(self, received, delivery):
         if not received.ended:
             self._end(received)
-            if received.request.loads and self.load_reports is not None:
-                loads = self.load_reports.collect(self.clock())
-                delivery = replace(delivery, loads=loads)
-            received.reply(delivery)
+            received.reply(self._add_loads(received, delivery))
+
+    def _add_loads(self, received, delivery):
+        if received.request.loads and self.load_reports is not None:
+            loads = self.load_reports.collect(self.clock())
+            return replace(delivery, loads=loads)
+        return delivery
 
     def _end(self, received):
         received.ended = True
--- a/poplarrack/senders.py
+++ b/poplarrack/senders.py
@@ -9,6 +9,7 @@
 import asyncio
 from collections import Counter
 
+from poplarrack.body_pipes import WholeBody
 from poplarrack.carried_calls import Call
 from poplarrack.carried_calls import log_ended
 from poplarrack.carried_calls import log_internal_error
@@ -26,6 +27,7 @@
 from poplarrack.header_names import HeaderNames
 from poplarrack.histograms import Histogram
 from poplarrack.http_messages import build_answer
+from poplarrack.http_messages import build_answer_head
 from poplarrack.http_messages import build_error
 from poplarrack.load_reports import LoadReports
 from poplarrack.offers import build_routed_request
@@ -65,6 +67,9 @@
     :param random: a ``random.Random``.
     """
 
+    # Long bodies of requests may still be coming when a call starts.
+    takes_uploads = True
+
     def __init__(
         self, settings, header_names, receiver, streams, clock, random
     ):
@@ -219,6 +224,9 @@
         state.in_flight += 1
         sent_at = now
         try:
+            await self._prepare_upload(call, placement, now)
+            if call.ended:
+                return
             delivery = await self._offer(call, placement, now)
         finally:
             state.in_flight -= 1
@@ -298,9 +306,12 @@
         loop = asyncio.get_running_loop()
         future = loop.create_future()
 
-        def done(delivery):
+        def done(delivery, body=None):
             if not future.done():
+                call.answer_body = body
                 future.set_result(delivery)
+            elif body is not None:
+                body.close()
 
         destination = placement.state.destination
         loads = ()
@@ -314,22 +325,46 @@
             now,
             loads,
         )
-        if destination.tier is Tier.OWN:
-            received = self.receiver.receive(routed, done)
-
-            def cancel():
-                self.receiver.cancel(received)
-
-        else:
-            cancel = self.streams.deliver(
-                destination.peer_address, routed, call.deadline - now, done
-            )
+        cancel = self._deliver(call, destination, routed, now, done)
         try:
             return await future
         except asyncio.CancelledError:
             cancel()
+            if call.answer_body is not None:
+                call.answer_body.close()
             raise
 
+    def _deliver(self, call, destination, routed, now, done):
+        """Hand over an offer; return a function that cancels it."""
+        upload = call.request.upload
+        if destination.tier is Tier.OWN:
+            received = self.receiver.receive(routed, done, upload, True)
+            return lambda: self.receiver.cancel(received)
+        return self.streams.deliver(
+            destination.peer_address,
+            routed,
+            call.deadline - now,
+            done,
+            *(() if upload is None else (upload,)),
+        )
+
+    async def _prepare_upload(self, call, placement, now):
+        """Read a long body whole for a node that takes none in pieces."""
+        upload = call.request.upload
+        destination = placement.state.destination
+        if upload is None or destination.tier is Tier.OWN:
+            return
+        takes_pieces = await self.streams.takes_pieces(
+            destination.peer_address, call.deadline - now
+        )
+        if not takes_pieces:
+            body = await WholeBody(upload).read()
+            if body is None:
+                self._refuse(call, ErrorKind.OVERLOADED, 'memory')
+                return
+            call.request.body = body
+            call.request.upload = None
+
     # Outcomes of an attempt, by verdict.
 
     def _on_answered(self, call, state, delivery, sent_at, now):
@@ -346,7 +381,10 @@
             )
         if failed and self._may_retry(call, now):
             call.may_have_run = True
-            call.last_failure = delivery
+            if call.answer_body is None:
+                call.last_failure = delivery
+            else:
+                call.answer_body.close()
             log_retried(call, state, delivery)
             call.tried_instances.add(state.destination.endpoint.instance_id)
             return
@@ -360,6 +398,8 @@
             call.tried_instances.add(instance)
             state.away_until = now + AVOIDANCE_SECONDS
         self.counts[f'offer {delivery.reason}'] += 1
+        if call.is_spent:
+            self._refuse(call, ErrorKind.OVERLOADED, delivery.reason)
 
     def _on_refused(self, call, state, delivery, sent_at, now):
         call.arrivals += 1
@@ -389,7 +429,7 @@
         self._refuse(call, ErrorKind.DEADLINE_EXCEEDED, delivery.reason)
 
     def _has_attempts_left(self, call):
-        return call.arrivals < call.route.max_attempts
+        return call.arrivals < call.route.max_attempts and not call.is_spent
 
     def _spend_retry(self, call, now):
         taken = self.budget_of(call.service).try_acquire(
@@ -487,6 +527,9 @@
         )
         self._end(call)
         keep_alive = call.request.keep_alive and not self.draining
+        if delivery.streamed_bytes:
+            self._respond_in_pieces(call, delivery, keep_alive)
+            return
         raw = build_answer(
             delivery.status,
             delivery.headers,
@@ -496,6 +539,15 @@
         )
         call.respond(raw, keep_alive)
 
+    def _respond_in_pieces(self, call, delivery, keep_alive):
+        length = call.answer_body.length
+        chunked = length is None and call.request.takes_chunks
+        keep_alive = keep_alive and (chunked or length is not None)
+        head = build_answer_head(
+            delivery.status, delivery.headers, length, keep_alive, chunked
+        )
+        call.respond(head, keep_alive, call.answer_body, chunked)
+
     def _end(self, call):
         call.ended = True
         self.calls.discard(call)
--- a/poplarrack/sidecar_servers.py
+++ b/poplarrack/sidecar_servers.py
@@ -205,6 +205,7 @@
         self.node.tick()
         now = self.clock()
         self.streams.check_liveness(self.loop.time())
+        self.call_server.end_abandoned()
         if now - self.expiry_checked_at >= CONNECTION_EXPIRY_INTERVAL_SECONDS:
             self.expiry_checked_at = now
             self._expire(now)
--- a/poplarrack/stream_servers.py
+++ b/poplarrack/stream_servers.py
@@ -6,15 +6,17 @@
 from msgspec import MsgspecError
 
 from poplarrack.addresses import split_address
+from poplarrack.body_pipes import WINDOW_BYTES
 from poplarrack.byte_budgets import ByteBudget
 from poplarrack.errors import PoplarrackError
 from poplarrack.exchanges import ANSWER_CODEC
 from poplarrack.exchanges import Delivery
 from poplarrack.exchanges import REQUEST_CODEC
 from poplarrack.exchanges import Verdict
+from poplarrack.frames import FRAME_HEADER
+from poplarrack.frames import FrameKind
 from poplarrack.messages import CODECS
-from poplarrack.streams import FRAME_HEADER
-from poplarrack.streams import FrameKind
+from poplarrack.streams import BODY_HANDLERS
 from poplarrack.streams import FrameProtocol
 
 logger = logging.getLogger(__name__)
@@ -23,6 +25,8 @@
 class ServerStream(FrameProtocol):
     """A connection from another node."""
 
+    grants_first_window = True
+
     def __init__(self, server):
         super().__init__(server.budget)
         self.server = server
@@ -36,6 +40,7 @@
     def connection_lost(self, error):
         """Cancel the other node's requests, whose answers can't reach it."""
         self.budget.release(self)
+        self.bodies.lose()
         self.server.streams.discard(self)
         received_requests, self.received_requests = self.received_requests, {}
         for received in received_requests.values():
@@ -49,10 +54,22 @@
             received = self.received_requests.pop(message_id, None)
             if received is not None:
                 self.server.receiver.cancel(received)
+            self.bodies.forget(message_id)
         elif kind == FrameKind.CONTROL:
             self.server.serve_control(self, message_id, payload)
         elif kind == FrameKind.PING:
             self.send(FrameKind.PONG, message_id)
+        elif kind == FrameKind.HELLO:
+            self.knows_pieces = True
+            self.send(FrameKind.HELLO, 0)
+        else:
+            self.on_body_frame(kind, message_id, payload)
+
+    def cancel_body(self, message_id):
+        """Let a request's body stop for lack of a window.
+
+        Its answer tells the other node that no more of it is wanted.
+        """
 
     def on_skipped_frame(self, kind, message_id):
         """Refuse a request or a control message that was skipped."""
@@ -60,6 +77,8 @@
             self._refuse(message_id, 'too large')
         elif kind == FrameKind.CONTROL:
             self.send(FrameKind.CONTROL_ERROR, message_id, b'too large')
+        elif kind in BODY_HANDLERS:
+            self.bodies.break_off(message_id)
 
     def _refuse(self, message_id, reason):
         delivery = Delivery(Verdict.NOT_RUN, reason=reason)
@@ -72,21 +91,46 @@
             logger.warning('request_unreadable', extra={'detail': str(error)})
             self._refuse(message_id, 'unreadable')
             return
-        answered = False
-
-        def reply(delivery):
-            nonlocal answered
-            answered = True
-            self.received_requests.pop(message_id, None)
-            self.send(
-                FrameKind.ANSWER, message_id, ANSWER_CODEC.encode(delivery)
-            )
-
-        received = self.server.receiver.receive(request, reply)
-        if not answered:
+        upload = None
+        if request.streamed_bytes:
+            upload = self.bodies.receive(message_id, request.streamed_bytes)
+        reply = Reply(self, message_id, upload)
+        received = self.server.receiver.receive(
+            request, reply, upload, bool(self.knows_pieces)
+        )
+        if not reply.is_complete:
             self.received_requests[message_id] = received
 
 
+class Reply:
+    """Passes the outcome of a request to the other node.
+
+    ``is_complete`` says that nothing of it is still to be sent.
+    """
+
+    def __init__(self, stream, message_id, upload):
+        self.stream = stream
+        self.message_id = message_id
+        self.upload = upload
+        self.is_complete = False
+
+    def __call__(self, delivery, body=None):
+        """Send a Delivery, and the BodyPipe of its body if that is long."""
+        stream, message_id = self.stream, self.message_id
+        if self.upload is not None:
+            self.upload.close()
+        raw = ANSWER_CODEC.encode(delivery)
+        stream.send(FrameKind.ANSWER, message_id, raw)
+        if body is None:
+            self._end()
+        else:
+            stream.bodies.send(message_id, body, WINDOW_BYTES, self._end)
+
+    def _end(self):
+        self.is_complete = True
+        self.stream.received_requests.pop(self.message_id, None)
+
+
 class StreamServer:
     """Accepts the connections of other nodes.
 
--- a/poplarrack/streams.py
+++ b/poplarrack/streams.py
@@ -11,13 +11,13 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
-from enum import IntEnum
+from functools import partial
 import logging
-from struct import Struct
 
 from msgspec import MsgspecError
 
 from poplarrack.addresses import split_destination
+from poplarrack.body_pipes import BodyPipe
 from poplarrack.byte_budgets import ByteBudget
 from poplarrack.errors import ErrorKind
 from poplarrack.errors import PoplarrackError
@@ -25,13 +25,17 @@
 from poplarrack.exchanges import Delivery
 from poplarrack.exchanges import REQUEST_CODEC
 from poplarrack.exchanges import Verdict
+from poplarrack.framed_bodies import FramedBodies
+from poplarrack.frames import build_frame
+from poplarrack.frames import FRAME_HEADER
+from poplarrack.frames import FrameKind
+from poplarrack.frames import MAX_FRAME_BYTES
 from poplarrack.messages import CODECS
 
 logger = logging.getLogger(__name__)
 
-FRAME_HEADER = Struct('>IBI')
-# Bound on a frame's payload, which holds a whole body and its headers.
-MAX_FRAME_BYTES = 72_000_000
+# Payloads from which on it is counted what the transport has yet to write.
+MIN_COUNTED_BYTES = 16_384
 CONNECT_TIMEOUT_SECONDS = 0.5
 # A connection with pending requests is probed when it has received no bytes
 # for this long.
@@ -43,24 +47,6 @@
 PROBE_TIMEOUT_SECONDS = 0.6
 
 
-class FrameKind(IntEnum):
-    """Type of a frame's payload."""
-
-    REQUEST = 1
-    ANSWER = 2
-    CANCEL = 3
-    CONTROL = 4
-    CONTROL_ANSWER = 5
-    CONTROL_ERROR = 6
-    PING = 7
-    PONG = 8
-
-
-def build_frame(kind, message_id, payload=b''):
-    """Return the encoded frame."""
-    return FRAME_HEADER.pack(len(payload), kind, message_id) + payload
-
-
 class FrameProtocol(asyncio.Protocol):
     """Splits a byte stream into frames.
 
@@ -68,8 +54,15 @@
         for is skipped; those after it are not affected.
     """
 
+    # Whether bodies that this end receives wait for a first window.
+    grants_first_window = False
+
     def __init__(self, budget):
         self.budget = budget
+        self.bodies = FramedBodies(self, self.cancel_body)
+        self.is_write_paused = False
+        # Whether the other node takes bodies in pieces, None until known.
+        self.knows_pieces = None
         self.transport = None
         self.buffer = bytearray()
         # What is yet to come of a frame that is skipped.
@@ -104,10 +97,34 @@
             self.on_frame(kind, message_id, payload)
         if offset:
             del buffer[:offset]
-        self.budget.hold(self, len(buffer))
+        self.count_held()
+
+    def count_held(self):
+        """Count what is buffered, read or to be written."""
+        unwritten = self.transport.get_write_buffer_size()
+        self.budget.hold(self, len(self.buffer) + unwritten)
+
+    def pause_writing(self):
+        """Hold bodies back until the other node has read more."""
+        self.is_write_paused = True
+
+    def resume_writing(self):
+        """Go on with the bodies."""
+        self.is_write_paused = False
+        self.bodies.resume()
+        self.count_held()
 
     def give_up(self):
-        """Skip the frame whose start is buffered."""
+        """Skip the frame whose start is buffered.
+
+        A connection whose other node reads nothing is aborted.
+        """
+        if self.transport.get_write_buffer_size() > len(self.buffer):
+            self.transport.abort()
+        elif len(self.buffer) >= FRAME_HEADER.size:
+            self._skip_frame()
+
+    def _skip_frame(self):
         size, kind, message_id = FRAME_HEADER.unpack_from(self.buffer)
         self.skipped_bytes_left = FRAME_HEADER.size + size - len(self.buffer)
         self.buffer = bytearray()
@@ -117,6 +134,20 @@
         """Send a frame unless the connection is closing."""
         if not self.transport.is_closing():
             self.transport.write(build_frame(kind, message_id, payload))
+            if len(payload) >= MIN_COUNTED_BYTES:
+                self.count_held()
+
+    def on_body_frame(self, kind, message_id, payload):
+        """Handle a frame of a body in pieces; return whether it is one."""
+        handle = BODY_HANDLERS.get(kind)
+        if handle is None:
+            return False
+        handle(self.bodies, message_id, payload)
+        return True
+
+    def cancel_body(self, message_id):
+        """Tell the other node that no more of a body is wanted."""
+        raise NotImplementedError
 
     def on_frame(self, kind, message_id, payload):
         """Handle one frame."""
@@ -127,11 +158,22 @@
         raise NotImplementedError
 
 
+BODY_HANDLERS = {
+    FrameKind.PIECE: FramedBodies.on_piece,
+    FrameKind.END: FramedBodies.on_end,
+    FrameKind.WINDOW: FramedBodies.on_window,
+}
+
+
 @dataclass(slots=True)
 class PendingRequest:
-    """A request without an answer yet; ``on_done`` is called once with it."""
+    """A request without an answer yet; ``on_done`` is called once with it.
+
+    ``upload`` is the BodyPipe of its body, if that is sent in pieces.
+    """
 
     on_done: Callable
+    upload: BodyPipe | None = None
     timer: object = None
 
 
@@ -144,13 +186,29 @@
         self.pending = {}
         self.probe_sent_at = 0.0
 
+    def connection_made(self, transport):
+        """Say that this node takes bodies in pieces."""
+        super().connection_made(transport)
+        self.send(FrameKind.HELLO, 0)
+
     def on_frame(self, kind, message_id, payload):
         """Pass an answer to its request; drop it if the request has ended."""
         self.probe_sent_at = 0.0
-        self._end(message_id, kind, payload)
+        if kind == FrameKind.HELLO:
+            self.knows_pieces = True
+        elif not self.on_body_frame(kind, message_id, payload):
+            self._end(message_id, kind, payload)
+
+    def cancel_body(self, message_id):
+        """Tell the other node that an answer is not wanted any more."""
+        self.send(FrameKind.CANCEL, message_id)
 
     def on_skipped_frame(self, kind, message_id):
         """End the request whose answer was skipped as one without any."""
+        if kind in BODY_HANDLERS:
+            self.bodies.break_off(message_id)
+            return
+        self.cancel_body(message_id)
         self._end(message_id, None, b'')
 
     def _end(self, message_id, kind, payload):
@@ -159,17 +217,23 @@
             return
         if pending.timer is not None:
             pending.timer.cancel()
-        pending.on_done(kind, payload)
+        # What is left of the request's body is not wanted any more.
+        self.bodies.drop(message_id)
+        receive_body = None
+        if kind == FrameKind.ANSWER:
+            receive_body = partial(self.bodies.receive, message_id)
+        pending.on_done(kind, payload, receive_body)
 
     def connection_lost(self, error):
         """Fail the pending requests, which may have arrived."""
         self.budget.release(self)
+        self.bodies.lose()
         self.peer.remove_stream(self)
         pending, self.pending = self.pending, {}
         for item in pending.values():
             if item.timer is not None:
                 item.timer.cancel()
-            item.on_done(None, b'')
+            item.on_done(None, b'', None)
 
     def check_liveness(self, now):
         """Probe a silent connection; abort it if the probe is not answered.
@@ -185,8 +249,8 @@
                 self.peer.record_failure(now)
                 self.transport.abort()
         elif (
-            self.pending and now - self.last_received_at > PROBE_AFTER_SECONDS
-        ):
+            self.pending or self.bodies.incoming
+        ) and now - self.last_received_at > PROBE_AFTER_SECONDS:
             self.probe_sent_at = now
             self.send(FrameKind.PING, 0)
 
@@ -221,13 +285,18 @@
         if self.stream is stream:
             self.stream = None
 
-    def send_request(self, kind, payload, timeout_seconds, on_done):
+    def send_request(
+        self, kind, payload, timeout_seconds, on_done, upload=None
+    ):
         """Send a request and call ``on_done`` once with the outcome.
 
-        :param on_done: called with the kind and the payload of the answer;
-            with ``(None, b'')`` if no answer will come, although the request
-            may have arrived; with ``(FrameKind.CANCEL, b'')`` if the request
-            was never sent.
+        :param on_done: called with the kind and the payload of the answer and
+            a function that returns the BodyPipe of a body that follows it;
+            with ``(None, b'', None)`` if no answer will come, although the
+            request may have arrived; with ``(FrameKind.CANCEL, b'', None)``
+            if the request was never sent.
+        :param upload: the BodyPipe of a body that follows the request, or
+            None.
         :returns: a function that cancels the request, also at the other node
             if it was sent.
         """
@@ -235,7 +304,7 @@
         self.last_used_at = loop.time()
         self.last_message_id = (self.last_message_id + 1) & 0xFFFFFFFF
         message_id = self.last_message_id
-        pending = PendingRequest(on_done)
+        pending = PendingRequest(on_done, upload)
         pending.timer = loop.call_later(
             timeout_seconds, self._expire, message_id, pending
         )
@@ -255,6 +324,8 @@
             self.stream.last_received_at = self.last_used_at
         self.stream.pending[message_id] = pending
         self.stream.send(kind, message_id, payload)
+        if pending.upload is not None:
+            self.stream.bodies.send(message_id, pending.upload, 0)
 
     async def _connect(self):
         loop = asyncio.get_running_loop()
@@ -275,7 +346,7 @@
             self.connect_task = None
             for _, _, _, pending in unsent:
                 pending.timer.cancel()
-                pending.on_done(FrameKind.CANCEL, b'')
+                pending.on_done(FrameKind.CANCEL, b'', None)
             return
         self.connect_task = None
         if self.failed_at is not None:
@@ -288,7 +359,7 @@
 
     def _expire(self, message_id, pending):
         if self._cancel(message_id, pending):
-            pending.on_done(None, b'')
+            pending.on_done(None, b'', None)
 
     def _cancel(self, message_id, pending):
         pending.timer.cancel()
@@ -300,6 +371,7 @@
         if stream is None or stream.pending.get(message_id) is not pending:
             return False
         del stream.pending[message_id]
+        stream.bodies.drop(message_id)
         stream.send(FrameKind.CANCEL, message_id)
         return True
 
@@ -359,7 +431,7 @@
         """
         future = asyncio.get_running_loop().create_future()
 
-        def on_done(kind, payload):
+        def on_done(kind, payload, receive_body):
             if not future.done():
                 future.set_result((kind, payload))
 
@@ -385,16 +457,56 @@
             ErrorKind.PEER_UNAVAILABLE, f'{method} at {address}: no answer'
         )
 
-    def deliver(self, address, request, timeout_seconds, on_done):
+    async def takes_pieces(self, address, timeout_seconds):
+        """Return whether a node takes bodies in pieces.
+
+        A node that can't be asked counts as one that does: what is offered to
+        it next shows that it is not reached.
+        """
+        try:
+            peer = self.peer(address)
+        except PoplarrackError:
+            return True
+        if peer.stream is not None and peer.stream.knows_pieces is not None:
+            return peer.stream.knows_pieces
+        future = asyncio.get_running_loop().create_future()
+
+        def on_done(kind, payload, receive_body):
+            if not future.done():
+                future.set_result(kind)
+
+        # A HELLO would come before this answer.
+        cancel = peer.send_request(
+            FrameKind.PING, b'', timeout_seconds, on_done
+        )
+        try:
+            kind = await future
+        except asyncio.CancelledError:
+            cancel()
+            raise
+        if kind != FrameKind.PONG or peer.stream is None:
+            return True
+        if peer.stream.knows_pieces is None:
+            peer.stream.knows_pieces = False
+        return peer.stream.knows_pieces
+
+    def deliver(self, address, request, timeout_seconds, on_done, upload=None):
         """Send a request to the node of its endpoint.
 
         :param request: the RoutedRequest.
-        :param on_done: called once with the Delivery.
+        :param on_done: called once with the Delivery, and with the BodyPipe
+            of its body if that follows in pieces.
+        :param upload: the BodyPipe of the request's body, if that follows.
         :returns: a function that cancels the request.
         """
 
-        def on_answer(kind, payload):
-            on_done(_decode_delivery(kind, payload))
+        def on_answer(kind, payload, receive_body):
+            delivery = _decode_delivery(kind, payload)
+            if delivery.streamed_bytes:
+                body = receive_body(delivery.streamed_bytes)
+                on_done(delivery, body)
+            else:
+                on_done(delivery)
 
         try:
             peer = self.peer(address)
@@ -407,7 +519,7 @@
             return lambda: None
         payload = REQUEST_CODEC.encode(request)
         return peer.send_request(
-            FrameKind.REQUEST, payload, timeout_seconds, on_answer
+            FrameKind.REQUEST, payload, timeout_seconds, on_answer, upload
         )
 
     def check_liveness(self, now):
--- a/poplarrack/upstream_pools.py
+++ b/poplarrack/upstream_pools.py
@@ -42,6 +42,8 @@
         on_done,
         echo=None,
         mark=None,
+        upload=None,
+        on_begin=None,
     ):
         """Start an exchange.
 
@@ -51,10 +53,15 @@
         :param on_done: called once, with an Outcome and an HttpAnswer or None.
         :param echo: name and value of a header that the answer must have.
         :param mark: the Mark that the answer may bear.
+        :param upload: the BodyPipe of a body that follows the request.
+        :param on_begin: called with the HttpAnswer and the BodyPipe of a long
+            answer, which it takes or not.
         :returns: the Exchange, to be passed to ``cancel``.
         """
         loop = get_running_loop()
-        exchange = Exchange(self, request, bodiless, on_done, echo, mark)
+        exchange = Exchange(
+            self, request, bodiless, on_done, echo, mark, upload, on_begin
+        )
         exchange.timer = loop.call_later(
             timeout_seconds, self._expire, exchange
         )
--- a/poplarrack/upstreams.py
+++ b/poplarrack/upstreams.py
@@ -15,6 +15,9 @@
 from httptools import HttpParserUpgrade
 from httptools import HttpResponseParser
 
+from poplarrack.body_pipes import BodyPipe
+from poplarrack.body_pipes import MAX_WHOLE_BODY_BYTES
+from poplarrack.body_pipes import write_pieces
 from poplarrack.buffers import BodyBuffer
 from poplarrack.buffers import MAX_CHUNK_FRAMING_BYTES
 from poplarrack.buffers import SharedBufferProtocol
@@ -82,7 +85,11 @@
     ``on_done`` is called once, with an Outcome and an HttpAnswer or None.
     ``echo`` is the name and value of a header that the answer must have, or
     None. ``mark`` is the Mark that the answer may bear; after an answer with
-    another one, the connection is out of step.
+    another one, the connection is out of step. ``upload`` is the BodyPipe of
+    a request's body that is not in ``request``. ``on_begin``, unless None, is
+    called with the HttpAnswer and the BodyPipe of a long answer once its head
+    is there; it returns whether it takes the answer. ``on_done`` follows when
+    that is complete or broken off.
     """
 
     pool: object
@@ -91,6 +98,8 @@
     on_done: object
     echo: tuple[bytes, bytes] | None = None
     mark: Mark | None = None
+    upload: BodyPipe | None = None
+    on_begin: object = None
     timer: object = None
     connection: object = None
     ended: bool = False
@@ -132,6 +141,13 @@
         self.reason = b''
         self.has_head = False
         self.body = BodyBuffer()
+        # The body of an answer that is passed on in pieces, and what was read
+        # of it and is to be checked first.
+        self.pipe = None
+        self.unchecked = []
+        # The body of a request that is sent in pieces, until it is complete.
+        self.upload = None
+        self.is_write_paused = False
         # Bytes of the names and values of the headers.
         self.header_bytes = 0
         # Bytes of the exchange that are not part of a body or its framing.
@@ -169,8 +185,34 @@
             self.detach()
             self.close()
             return False
+        self.upload = exchange.upload
+        if self.upload is not None:
+            self.upload.open(self._send_upload)
         return True
 
+    def pause_writing(self):
+        """Hold the request's body back until the server has read more."""
+        self.is_write_paused = True
+
+    def resume_writing(self):
+        """Go on with the request's body."""
+        self.is_write_paused = False
+        self._send_upload()
+
+    def _send_upload(self):
+        upload = self.upload
+        if upload is None:
+            return
+        if upload.failed:
+            self._fail(Outcome.LOST)
+        elif write_pieces(
+            upload,
+            self.transport,
+            lambda: self.is_write_paused,
+            upload.length is None,
+        ):
+            self.upload = None
+
     def _reset_answer(self):
         self.body = BodyBuffer()
         self.answer = HttpAnswer(0)
@@ -193,6 +235,8 @@
             if not self.complete or self._may_be_cut_off():
                 self._fail(Outcome.LOST)
                 return
+        if self.unchecked:
+            self._pass_on()
         if self.complete and self.exchange is not None:
             self._succeed()
         elif self.overhead_bytes > MAX_HEADER_BYTES:
@@ -227,7 +271,8 @@
 
         An answer that is cut off looks complete then.
         """
-        return ANSWER_START.search(self.body.joined()) is not None
+        body = b''.join((self.body.joined(), *self.unchecked))
+        return ANSWER_START.search(body) is not None
 
     def on_status(self, part):
         """Add a part of the reason phrase."""
@@ -292,10 +337,53 @@
         self._discount(len(body))
         if self.complete or self.exchange is None:
             return
-        if self.body.size + len(body) > self.pool.max_answer_bytes:
+        if self.pipe is not None:
+            self.unchecked.append(body)
+            return
+        size = self.body.size + len(body)
+        if size > MAX_WHOLE_BODY_BYTES and self.exchange.on_begin is not None:
+            self._begin_pieces(body)
+        elif size > self.pool.max_answer_bytes:
             self._fail(Outcome.TOO_LARGE)
+        else:
+            self.body.append(body)
+
+    def _begin_pieces(self, body):
+        """Pass an answer on in pieces, unless its head is refused."""
+        if self._is_mismatched():
+            self._log_out_of_step('answer to another request')
+            self._fail(Outcome.LOST)
             return
-        self.body.append(body)
+        length = self.answer.header(b'content-length')
+        pipe = BodyPipe(
+            self, int(length) if length else None, self.pool.budget
+        )
+        self.pipe = pipe
+        self.unchecked = [self.body.joined(), body]
+        self.body = BodyBuffer()
+        if not self.exchange.on_begin(self.answer, pipe):
+            self._fail(Outcome.LOST)
+
+    def _pass_on(self):
+        unchecked, self.unchecked = self.unchecked, []
+        for piece in unchecked:
+            if self.pipe is not None:
+                self.pipe.put(piece)
+        if self.pipe is not None and self.pipe.is_full:
+            self.transport.pause_reading()
+
+    def on_pipe_opened(self, pipe):
+        """Do nothing: the answer comes anyway."""
+
+    def on_pipe_taken(self, pipe):
+        """Read on once the next hop has taken some of the answer."""
+        if pipe is self.pipe and not pipe.is_full:
+            self.transport.resume_reading()
+
+    def on_pipe_closed(self, pipe):
+        """End the exchange, whose answer is not wanted any more."""
+        if pipe is self.pipe and self.exchange is not None:
+            self.pool.cancel(self.exchange)
 
     def on_message_complete(self):
         """Complete the answer, unless it is interim or mismatched."""
@@ -387,15 +475,28 @@
         self.pool.budget.release(self)
         self.answer = None
         self.body = BodyBuffer()
+        self.unchecked = []
+        pipe, self.pipe = self.pipe, None
+        if pipe is not None:
+            pipe.fail()
+        upload, self.upload = self.upload, None
+        if upload is not None:
+            upload.close()
         return exchange
 
     def _succeed(self):
         answer = self.answer
         answer.body = self.body.joined()
+        is_sent = self.upload is None
+        if self.pipe is not None:
+            # The connection may have to wait for the reader.
+            self.transport.resume_reading()
+            self.pipe.end()
         exchange = self.detach()
         self.idle_seconds = idle_timeout_seconds(answer)
         can_reuse = (
             self.reusable
+            and is_sent
             and not self.followed
             and not exchange.bodiless
             and not exchange.is_out_of_step(answer)
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -97,6 +97,9 @@
     def is_closing(self):
         return self.closing
 
+    def get_write_buffer_size(self):
+        return 0
+
     def pause_reading(self):
         pass
 
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -38,7 +38,7 @@
         self.requests = []
         self.cancelled = asyncio.Event()
 
-    def receive(self, routed, reply):
+    def receive(self, routed, reply, upload=None, in_pieces=False):
         self.requests.append(routed)
         if not self.never_answers:
             reply(Delivery(Verdict.ANSWERED, 200, [], routed.body))
