Join what was read of a body before passing it on

Cause: each small chunk went through the node as a piece of its own.

Change: what one read gives is one piece.

--- a/poplarrack/callers.py
+++ b/poplarrack/callers.py
@@ -161,9 +161,10 @@
         ):
             # The parser keeps an unfinished header, whatever its size.
             self._refuse(ErrorKind.TOO_LARGE, 'headers')
-        self._count_held()
-        if self.upload is not None and self.upload.is_full:
+        if self.upload is not None:
+            self._pass_on()
             self._update_reading()
+        self._count_held()
 
     def _count_held(self):
         """Count what is held for the caller, read or to be written.
@@ -239,11 +240,14 @@
         request.upload = BodyPipe(self, length, self.server.budget)
         self.upload = request.upload
         self.upload_bytes = self.body.size
-        if self.body.size:
-            self.upload.put(self.body.joined())
-        self.body = BodyBuffer()
         self._enqueue(request)
 
+    def _pass_on(self):
+        """Put what was read of a body into its pipe, as one piece."""
+        if self.body.size:
+            body, self.body = self.body, BodyBuffer()
+            self.upload.put(body.joined())
+
     def on_pipe_opened(self, pipe):
         """Have the caller send its body, if it waits for that."""
         if self.awaits_continue and pipe is self.upload:
@@ -275,7 +279,7 @@
             self._refuse(ErrorKind.TOO_LARGE, 'body')
         elif self.upload is not None:
             self.upload_bytes = size
-            self.upload.put(body)
+            self.body.append(body)
         else:
             self.body.append(body)
             if size > MAX_WHOLE_BODY_BYTES and self.server.takes_uploads:
@@ -288,8 +292,9 @@
         if self.closing:
             return
         if self.upload is not None:
-            upload, self.upload = self.upload, None
-            upload.end()
+            self._pass_on()
+            self.upload.end()
+            self.upload = None
             return
         request.body, self.body = self.body.joined(), BodyBuffer()
         self._enqueue(request)
--- a/poplarrack/upstreams.py
+++ b/poplarrack/upstreams.py
@@ -365,10 +365,9 @@
             self._fail(Outcome.LOST)
 
     def _pass_on(self):
-        unchecked, self.unchecked = self.unchecked, []
-        for piece in unchecked:
-            if self.pipe is not None:
-                self.pipe.put(piece)
+        piece, self.unchecked = b''.join(self.unchecked), []
+        if self.pipe is not None:
+            self.pipe.put(piece)
         if self.pipe is not None and self.pipe.is_full:
             self.transport.pause_reading()
 
