--- a/poplarrack/sidecar_servers.py
+++ b/poplarrack/sidecar_servers.py
@@ -216,6 +216,7 @@
         now = self.clock()
         self.streams.check_liveness(self.loop.time())
         self.limit_exchange.tick(now)
+        self.call_server.end_abandoned()
         if now - self.expiry_checked_at >= CONNECTION_EXPIRY_INTERVAL_SECONDS:
             self.expiry_checked_at = now
             self._expire(now)
