Let limits allow a burst in each window

Besides, the bucket of all nodes lost what came in beyond its burst between two steps, and rates that were told rose and fell with each message.

Change: "limit_window_seconds", from quota_window on the platform: four fifths of the burst count as rate. Passed calls are taken from the bucket before it is cut to the burst; told rates are means over the time since the last message; counts are told every 0.3 s.

--- a/poplarrack/call_limits.py
+++ b/poplarrack/call_limits.py
@@ -24,12 +24,15 @@
 from collections import deque
 from dataclasses import dataclass
 from dataclasses import field
+from dataclasses import replace
 from math import exp
 
 from msgspec import Struct
 
 # Time constant of mean rates.
 RATE_SECONDS = 1.0
+# Least time that counts are taken for.
+MIN_ELAPSED_SECONDS = 0.2
 # The same for the rate of a node that gets few calls.
 SLOW_RATE_SECONDS = 8.0
 # What organisations that are not told of are taken to use of their limit.
@@ -38,14 +41,14 @@
 # What is to be left in a bucket of all nodes, as a part of the burst, and the
 # time in which it is filled up to that again.
 LEVEL_FRACTION = 0.2
-REFILL_SECONDS = 2.0
+REFILL_SECONDS = 1.0
 # Age of the own rate that a node derives its part from; as old as what it is
 # told of the others.
 PART_DELAY_SECONDS = 0.6
 # Without a message for so long, a node keeps to its part, and after a longer
 # time it takes itself for cut off.
-FRESH_SECONDS = 2.0
-CUT_OFF_SECONDS = 2.5
+FRESH_SECONDS = 1.5
+CUT_OFF_SECONDS = 2.0
 # After which a node that tells no counts is taken for cut off.
 SILENCE_SECONDS = 1.5
 # How long a lead that was told nothing before its start waits for counts.
@@ -57,6 +60,12 @@
 # Part of the limit, divided by the number of nodes, that each node may use at
 # least while the organisation is not near its limit.
 LEAST_PART = 1.0
+# Powers of the fraction of calls that may pass. The less that is, the less a
+# node has of what its slow rate and what is spare would give it.
+SLOW_POWER = 8
+SPARE_POWER = 4
+# Part of a burst that counts as rate where limits hold for windows.
+SPREAD_FRACTION = 0.8
 # Least part of a limit that is left beside nodes that are cut off.
 MIN_PART_LEFT = 0.05
 # Calls per second that a node with a small part may let pass beyond it while
@@ -130,7 +139,8 @@
 class Reporter:
     """A node that tells its counts: its rates and when it was heard.
 
-    ``rates`` are pairs of Rates, of calls made and passed, by organisation,
+    ``rates`` are pairs of the calls per second made and passed, as means that
+    stay as they are while nothing is heard, by organisation,
     ``parts`` its parts of the calls made when it was last heard, and
     ``usual_part`` what it is taken to have had of others.
     """
@@ -144,10 +154,25 @@
         """Return whether it seems to be cut off."""
         return now - self.heard_at > SILENCE_SECONDS
 
-    def made_per_second(self, organisation, now):
+    def learn(self, counts, now):
+        """Record what was counted since the node was last heard."""
+        elapsed = max(MIN_ELAPSED_SECONDS, now - self.heard_at)
+        self.heard_at = now
+        weight = 1 - exp(-elapsed / RATE_SECONDS)
+        by_name = {count.organisation: count for count in counts}
+        for name in self.rates.keys() | by_name.keys():
+            count = by_name.get(name)
+            numbers = (count.made, count.passed) if count else (0, 0)
+            self.rates[name] = tuple(
+                rate + weight * (number / elapsed - rate)
+                for rate, number in zip(
+                    self.rates.get(name, (0.0, 0.0)), numbers
+                )
+            )
+
+    def made_per_second(self, organisation):
         """Return the calls of an organisation."""
-        rates = self.rates.get(organisation)
-        return rates[0].at(now) if rates else 0.0
+        return self.rates.get(organisation, (0.0, 0.0))[0]
 
 
 @dataclass(slots=True)
@@ -157,6 +182,8 @@
     ``made_per_second`` and ``level`` are over all nodes. ``tokens`` are those
     of the node's own bucket, ``credit`` is what is left of the fractions of
     calls that may pass. ``past_rates`` are pairs of time and own rates.
+    ``made`` and ``passed`` are not told yet, ``taken`` passed on all nodes and
+    is not in ``level`` yet.
     """
 
     tokens: float
@@ -171,16 +198,39 @@
     past_rates: deque = field(default_factory=deque)
     made: int = 0
     passed: int = 0
+    taken: int = 0
+
+
+def spread_burst(organisation, window_seconds):
+    """Return an Organisation part of whose burst counts as rate.
+
+    A limit that holds for windows allows a burst in each of them. What is
+    spread no longer comes at once.
+    """
+    if not window_seconds or not organisation.calls_per_second:
+        return organisation
+    spread = SPREAD_FRACTION * organisation.burst
+    return replace(
+        organisation,
+        calls_per_second=organisation.calls_per_second
+        + spread / window_seconds,
+        burst=organisation.burst - spread,
+    )
 
 
 class CallLimits:
     """A node's part of the limits of all organisations.
 
     :param random: a ``random.Random``.
+    :param window_seconds: the length of the windows in each of which a burst
+        is allowed, 0 if it is allowed once and then at the rate of the limit.
     """
 
-    def __init__(self, random):
+    def __init__(self, random, window_seconds=0.0):
         self.random = random
+        self.window_seconds = window_seconds
+        # The Organisations as configured, and with their bursts spread.
+        self.configured = {}
         self.organisations = {}
         self.node_count = 1
         self.states = {}
@@ -194,9 +244,13 @@
     def set_organisations(self, organisations, node_count):
         """Apply the Organisations by name and the number of nodes."""
         self.node_count = max(1, node_count)
-        if organisations is self.organisations:
+        if organisations is self.configured:
             return
-        self.organisations = organisations
+        self.configured = organisations
+        self.organisations = {
+            name: spread_burst(organisation, self.window_seconds)
+            for name, organisation in organisations.items()
+        }
         for name in self.states.keys() - organisations.keys():
             del self.states[name]
 
@@ -208,7 +262,8 @@
                 tokens = float(self.random.random() < spare)
                 level = 0.0
             else:
-                tokens = 1 + max(1.0, self._least_part() * organisation.burst)
+                burst = self.configured[organisation.name].burst
+                tokens = 1 + max(1.0, self._least_part() * burst)
                 level = organisation.burst
             state = LimitState(tokens, self.random.random(), now, level=level)
             self.states[organisation.name] = state
@@ -221,6 +276,7 @@
 
         :returns: None, or the seconds after which to try again.
         """
+        organisation = self.organisations.get(organisation.name, organisation)
         if not organisation.calls_per_second:
             return None
         state = self._state(organisation, now)
@@ -252,23 +308,30 @@
         rate = organisation.calls_per_second
         part = self._part(organisation, state, now)
         is_fresh = self._is_informed(now, FRESH_SECONDS)
-        if fraction == 1 and is_fresh:
-            part = max(part, state.slow_part, self._least_part())
+        if is_fresh:
+            part = max(part, fraction**SLOW_POWER * state.slow_part)
+            if fraction == 1:
+                part = max(part, self._least_part())
         per_second = part * rate
-        capacity = max(1.0, part * organisation.burst)
+        burst = self.configured[organisation.name].burst
+        capacity = max(1.0, part * burst)
         if is_fresh:
             per_second *= TOLERANCE
-            if fraction == 1:
-                per_second += min(
-                    SPARE_CALLS_PER_SECOND, SPARE_FACTOR * per_second
-                )
-                capacity += 1
-            else:
-                capacity += min(1.0, 2 * part * organisation.burst)
+            per_second += (
+                self._freshness(now)
+                * fraction**SPARE_POWER
+                * min(SPARE_CALLS_PER_SECOND, SPARE_FACTOR * per_second)
+            )
+            capacity += max(fraction**SPARE_POWER, min(1.0, 2 * part * burst))
         elapsed = max(0.0, now - state.filled_at)
         state.filled_at = now
         state.tokens = min(capacity, state.tokens + elapsed * per_second)
 
+    def _freshness(self, now):
+        """Return how far the totals can be relied on, from 0 to 1."""
+        age = now - self.told_at
+        return min(1.0, max(0.0, 1.5 * (1 - age / FRESH_SECONDS)))
+
     def _least_part(self):
         """Return the part of a node without calls, far from the limit."""
         return LEAST_PART / self.node_count
@@ -408,9 +471,8 @@
             for name, (made, passed) in reporter.rates.items():
                 state = self.states.get(name)
                 if state is not None:
-                    at = reporter.heard_at
-                    state.made += self._round(made.at(at) * elapsed)
-                    state.passed += self._round(passed.at(at) * elapsed)
+                    state.made += self._round(made * elapsed)
+                    state.passed += self._round(passed * elapsed)
 
     def _round(self, number):
         """Return a number as a whole one that has the same mean."""
@@ -426,7 +488,8 @@
                 continue
             state = self._state(organisation, now)
             left = self._add_up(organisation, state, now)
-            state.level += elapsed * rate * left
+            state.level += elapsed * rate * left - state.taken
+            state.taken = 0
             state.level = min(
                 organisation.burst, max(-rate * REFILL_SECONDS, state.level)
             )
@@ -446,13 +509,13 @@
             if reporter.is_silent(now):
                 left -= reporter.parts.get(name, reporter.usual_part)
             else:
-                made += reporter.made_per_second(name, now)
+                made += reporter.made_per_second(name)
         left = max(MIN_PART_LEFT, left)
         state.made_per_second = made / left
         if made > MIN_PART_LEFT * organisation.calls_per_second:
             for reporter in self.reporters.values():
                 if not reporter.is_silent(now):
-                    of_reporter = reporter.made_per_second(name, now)
+                    of_reporter = reporter.made_per_second(name)
                     reporter.parts[name] = left * of_reporter / made
         return left
 
@@ -463,7 +526,7 @@
             if state.made:
                 counts.append(CallCount(name, state.made, state.passed))
                 if self.is_lead:
-                    state.level -= state.passed
+                    state.taken += state.passed
                 state.made = state.passed = 0
         return tuple(counts)
 
@@ -483,22 +546,17 @@
             of another region's lead don't.
         """
         reporter = self.reporters.setdefault(node_id, Reporter(now))
-        reporter.heard_at = now
+        reporter.learn(counts, now)
         for count in counts:
             organisation = self.organisations.get(count.organisation)
             if organisation is None:
                 continue
             state = self._state(organisation, now)
-            rates = reporter.rates.setdefault(
-                count.organisation, (Rate(), Rate())
-            )
-            rates[0].add(count.made, now)
-            rates[1].add(count.passed, now)
             if passes_on:
                 state.made += count.made
                 state.passed += count.passed
             elif self.is_lead:
-                state.level -= count.passed
+                state.taken += count.passed
 
     def forget(self, node_ids):
         """Forget nodes that tell their counts elsewhere by now."""
--- a/poplarrack/limit_exchanges.py
+++ b/poplarrack/limit_exchanges.py
@@ -4,9 +4,9 @@
 from poplarrack.call_limits import CallTotals
 from poplarrack.errors import PoplarrackError
 
-EXCHANGE_SECONDS = 0.4
+EXCHANGE_SECONDS = 0.3
 # How often a node without calls asks for the totals.
-KEEPALIVE_SECONDS = 0.8
+KEEPALIVE_SECONDS = 0.6
 
 
 class LimitExchange:
@@ -34,8 +34,8 @@
         receivers = receivers_of(topology)
         limits.forget(self._tells_elsewhere(topology))
         is_lead = topology.is_lead or not receivers
-        limits.step(is_lead, topology.far_leads, now)
         counts = limits.collect_counts()
+        limits.step(is_lead, topology.far_leads, now)
         if receivers and (counts or now - self.sent_at >= KEEPALIVE_SECONDS):
             self.sent_at = now
             self.node.start_task(self._send(receivers, counts, is_lead))
--- a/poplarrack/platform/settings.py
+++ b/poplarrack/platform/settings.py
@@ -118,6 +118,7 @@
         grace_seconds=parse_duration(bounds['grace']),
         max_connections=raw['limits']['max_fds'] - RESERVED_FDS,
         **_translate_revocation(bounds),
+        limit_window_seconds=parse_duration(bounds.get('quota_window', '0s')),
     )
 
 
--- a/poplarrack/senders.py
+++ b/poplarrack/senders.py
@@ -90,7 +90,7 @@
         self.splitter = TrafficSplitter(random)
         self.evidence = EvidenceCounter()
         self.budgets = {}
-        self.call_limits = CallLimits(random)
+        self.call_limits = CallLimits(random, settings.limit_window_seconds)
         self.counts = Counter()
         self.counts_by_service = {}
         self.counts_by_organisation = {}
--- a/poplarrack/settings.py
+++ b/poplarrack/settings.py
@@ -113,7 +113,8 @@
     between SIGTERM and the end of the process. ``max_connections`` bounds the
     callers' connections. ``stale_keys`` tells what is done with keys of
     organisations once the node has heard nothing of the store for
-    ``revoke_seconds``.
+    ``revoke_seconds``. With ``limit_window_seconds``, limits of organisations
+    allow a burst in each window of that length.
     """
 
     service: str = ''
@@ -126,6 +127,7 @@
     max_connections: int = 4_096
     stale_keys: StaleKeys = StaleKeys.LAST_KNOWN
     revoke_seconds: float = 5.0
+    limit_window_seconds: float = 0.0
 
     @cached_property
     def retry_limits(self):
--- a/tests/limit_meshes.py
+++ b/tests/limit_meshes.py
@@ -39,6 +39,7 @@
     random: Random
     organisation: Organisation
     skew: float = 1.0
+    window_seconds: float = 5.0
     now: float = 0.0
     nodes: list = field(default_factory=list)
     passed: deque = field(default_factory=deque)
@@ -57,7 +58,7 @@
         self.set_limit(self.organisation)
 
     def _start(self):
-        limits = CallLimits(Random(self.random.random()))
+        limits = CallLimits(Random(self.random.random()), self.window_seconds)
         offset = self.random.random() * EXCHANGE_SECONDS
         return SimulatedNode(limits, self.now + offset)
 
@@ -95,8 +96,8 @@
     def _exchange(self, index):
         node = self.nodes[index]
         far_leads = [str(1 - index)] if self._is_lead(index) else []
-        node.limits.step(self._is_lead(index), far_leads, self.now)
         counts = node.limits.collect_counts()
+        node.limits.step(self._is_lead(index), far_leads, self.now)
         if not counts and self.now - node.sent_at < KEEPALIVE_SECONDS:
             return
         node.sent_at = self.now
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -143,11 +143,14 @@
     assert settings.stale_keys is StaleKeys.LAST_KNOWN
 
 
-def test_a_strict_bound_on_revocation_is_taken_over():
-    bounds = '[bounds]\nstrict_revoke = true\nrevoke = "4s"\n'
+def test_bounds_on_organisations_are_taken_over():
+    bounds = (
+        '[bounds]\nstrict_revoke = true\nrevoke = "4s"\nquota_window = "5s"\n'
+    )
     settings = parse_settings(SETTINGS.replace('[bounds]\n', bounds))
     assert settings.stale_keys is StaleKeys.REFUSED
     assert settings.revoke_seconds == 4.0
+    assert settings.limit_window_seconds == 5.0
 
 
 def test_settings_that_can_not_be_used_say_why():
