Give up stalled answers that others wait behind

Cause: callers that read nothing could keep all slots of an endpoint until their deadlines.

Change: a request that finds no free slot ends the answer of which nothing was taken for the longest, if that is over a second.

--- a/poplarrack/byte_budgets.py
+++ b/poplarrack/byte_budgets.py
@@ -69,6 +69,11 @@
             ),
         )
 
+    def still_seconds(self, holder):
+        """Return for how long a holder has passed nothing on."""
+        now = self.clock()
+        return now - self.moved_at.get(holder, now)
+
     def release(self, holder):
         """Record that a holder holds nothing any more."""
         self.total_bytes -= self.held_bytes.pop(holder, 0)
--- a/poplarrack/receivers.py
+++ b/poplarrack/receivers.py
@@ -36,6 +36,9 @@
 # How long before the caller's deadline the endpoint's answer is no longer
 # awaited, so that the outcome reaches the caller in time.
 ANSWER_MARGIN_SECONDS = 0.005
+# A caller that takes nothing of its answer for so long gives its slot up to
+# requests that wait.
+STALLED_SECONDS = 1.0
 # Outcomes that count as failures of the endpoint.
 FAILED_OUTCOMES = (Outcome.LOST, Outcome.TIMED_OUT, Outcome.TOO_LARGE)
 
@@ -57,6 +60,7 @@
     upload: object = None
     in_pieces: bool = False
     has_begun: bool = False
+    answer_body: object = None
     queue_entry: object = None
     timer: object = None
     exchange: object = None
@@ -116,6 +120,8 @@
         self.refuses_new_requests = False
         self.counts = Counter()
         self.received_requests = set()
+        # The BodyPipes of answers that are passed on in pieces.
+        self.answer_bodies = set()
         # Set where the node also sends requests: its LoadReports.
         self.load_reports = None
         self.running_repeats = RunningRepeats()
@@ -195,6 +201,20 @@
             self._enqueue(received, now)
         return received
 
+    def _end_stalled_answer(self):
+        """Break off the answer of which nothing was taken for the longest.
+
+        Load answered: as many callers that read nothing as the endpoint has
+        slots, which others wait for.
+        """
+        stillest = max(self.answer_bodies, key=self.budget.still_seconds)
+        if (
+            stillest.is_full
+            and self.budget.still_seconds(stillest) > STALLED_SECONDS
+        ):
+            self.counts['stalled_answers'] += 1
+            stillest.give_up()
+
     def _refusal_reason(self, request, now):
         """Return why a request is not admitted, or an empty string."""
         endpoint = self.endpoint
@@ -302,6 +322,7 @@
         if outcome in FAILED_OUTCOMES:
             self.failure_rate.record(True, now)
         if received.has_begun:
+            self.answer_bodies.discard(received.answer_body)
             self._end(received)
         elif outcome is Outcome.ANSWERED:
             self._on_answer(received, admission, answer, now)
@@ -334,6 +355,8 @@
             return False
         self._observe(received, admission, answer, now)
         delivery = self._build_delivery(received, answer, now, body.length)
+        received.answer_body = body
+        self.answer_bodies.add(body)
         received.reply(self._add_loads(received, delivery), body)
         return True
 
