--- a/poplarrack/receivers.py
+++ b/poplarrack/receivers.py
@@ -30,6 +30,7 @@
 from poplarrack.learned_rooms import LearnedRoom
 from poplarrack.members import EndpointState
 from poplarrack.members import same_start
+from poplarrack.resources import CallerLimits
 from poplarrack.upstream_pools import UpstreamPool
 from poplarrack.upstreams import Outcome
 
@@ -66,6 +67,7 @@
     upload: object = None
     in_pieces: bool = False
     has_begun: bool = False
+    answer_body: object = None
     queue_entry: object = None
     ticket: Ticket | None = None
     timer: object = None
@@ -140,6 +142,11 @@
         self.cold_gate = ColdGate(clock())
         self.counts = Counter()
         self.received_requests = set()
+        # The BodyPipes of answers that are passed on in pieces.
+        self.answer_bodies = set()
+        # A caller that takes nothing of its answer for so long gives its slot
+        # up to requests that wait.
+        self.stalled_seconds = CallerLimits('callers').idle_timeout_seconds
         # Set where the node also sends requests: its LoadReports.
         self.load_reports = None
         self.running_repeats = RunningRepeats()
@@ -242,6 +249,8 @@
             self.load_reports.learn(request.loads, now)
         deadline = now + request.time_left_ms / 1000 - ANSWER_MARGIN_SECONDS
         received = ReceivedRequest(request, reply, deadline, upload, in_pieces)
+        if self.answer_bodies and not self.admission.free_slots:
+            self._end_stalled_answer()
         reason = self._refusal_reason(request, now)
         if reason:
             self._reply_not_run(received, reason)
@@ -258,6 +267,20 @@
             self._displace(now)
         return received
 
+    def _end_stalled_answer(self):
+        """Break off the answer of which nothing was taken for the longest.
+
+        Load answered: as many callers that read nothing as the endpoint has
+        slots, which others wait for.
+        """
+        stillest = max(self.answer_bodies, key=self.budget.still_seconds)
+        if (
+            stillest.is_full
+            and self.budget.still_seconds(stillest) > self.stalled_seconds
+        ):
+            self.counts['stalled_answers'] += 1
+            stillest.give_up()
+
     def _refusal_reason(self, request, now):
         """Return why a request is not admitted, or an empty string."""
         endpoint = self.endpoint
@@ -421,6 +444,7 @@
         if outcome in FAILED_OUTCOMES:
             self.failure_rate.record(True, now)
         if received.has_begun:
+            self.answer_bodies.discard(received.answer_body)
             self._end(received)
         elif outcome is Outcome.ANSWERED:
             self._on_answer(received, admission, answer, now)
@@ -455,6 +479,8 @@
             return False
         self._observe(received, admission, answer, now)
         delivery = self._build_delivery(received, answer, now, body.length)
+        received.answer_body = body
+        self.answer_bodies.add(body)
         received.reply(self._add_loads(received, delivery), body)
         return True
 
--- a/poplarrack/sidecar_servers.py
+++ b/poplarrack/sidecar_servers.py
@@ -226,7 +226,9 @@
             self.reload()
 
     def _expire(self, now):
-        self.call_server.limits = self.sender.table.limits
+        limits = self.sender.table.limits
+        self.call_server.limits = limits
+        self.receiver.stalled_seconds = limits.idle_timeout_seconds
         self.call_server.expire(now)
         self.receiver.share_fairly(bool(self.sender.table.organisations))
         self.receiver.close_idle(self.loop.time())
