Fetch uploads only as fast as the link takes them

Cause: each sender sent the body of an upload at once with its request.

The sender keeps them, so that what has not run is offered elsewhere. A wide link holds nothing back. Without link_mbps in the settings nothing changes.

--- a/poplarrack/platform/settings.py
+++ b/poplarrack/platform/settings.py
@@ -117,6 +117,7 @@
         ),
         grace_seconds=parse_duration(bounds['grace']),
         max_connections=raw['limits']['max_fds'] - RESERVED_FDS,
+        link_megabits_per_second=float(raw['limits'].get('link_mbps', 0.0)),
         **_translate_revocation(bounds),
         limit_window_seconds=parse_duration(bounds.get('quota_window', '0s')),
     )
--- a/poplarrack/receivers.py
+++ b/poplarrack/receivers.py
@@ -14,6 +14,7 @@
 from msgspec.structs import replace
 
 from poplarrack.admissions import Admission
+from poplarrack.body_pipes import MAX_WHOLE_BODY_BYTES
 from poplarrack.byte_budgets import ByteBudget
 from poplarrack.cold_gates import ColdGate
 from poplarrack.doors import Door
@@ -24,10 +25,13 @@
 from poplarrack.exchanges import Verdict
 from poplarrack.fair_queues import FairShares
 from poplarrack.fair_queues import Ticket
+from poplarrack.fetched_bodies import FetchedBody
+from poplarrack.fetched_bodies import is_fetched
 from poplarrack.http_messages import build_request
 from poplarrack.http_messages import HttpRequest
 from poplarrack.http_messages import is_end_to_end
 from poplarrack.learned_rooms import LearnedRoom
+from poplarrack.link_gates import LinkGate
 from poplarrack.members import EndpointState
 from poplarrack.members import same_start
 from poplarrack.resources import CallerLimits
@@ -45,6 +49,8 @@
 ANSWER_MARGIN_SECONDS = 0.005
 # Bound of the wait for a cold endpoint that is told to senders.
 MAX_TOLD_WAIT_SECONDS = 60.0
+# Megabits per second of a link of which nothing is known.
+UNBOUNDED_LINK = 1e6
 # Outcomes that count as failures of the endpoint.
 FAILED_OUTCOMES = (Outcome.LOST, Outcome.TIMED_OUT, Outcome.TOO_LARGE)
 
@@ -55,7 +61,8 @@
 
     ``reply`` is called once with the Delivery, and with the BodyPipe of a long
     answer if ``in_pieces`` allows for that. ``upload`` is the BodyPipe of a
-    long request. ``queue_entry`` and ``timer`` are set while the request is
+    long request, ``fetched`` its FetchedBody while that is under way.
+    ``queue_entry`` and ``timer`` are set while the request is
     queued, ``exchange`` while it runs, ``ticket`` in a mesh of organisations.
     ``has_begun`` says that its answer is
     passed on in pieces or was refused by its head.
@@ -68,6 +75,8 @@
     in_pieces: bool = False
     has_begun: bool = False
     answer_body: object = None
+    received_at: float = 0.0
+    fetched: FetchedBody | None = None
     queue_entry: object = None
     ticket: Ticket | None = None
     timer: object = None
@@ -147,6 +156,8 @@
         # A caller that takes nothing of its answer for so long gives its slot
         # up to requests that wait.
         self.stalled_seconds = CallerLimits('callers').idle_timeout_seconds
+        # Set where the link of the node is known.
+        self.link_gate = None
         # Set where the node also sends requests: its LoadReports.
         self.load_reports = None
         self.running_repeats = RunningRepeats()
@@ -249,6 +260,7 @@
             self.load_reports.learn(request.loads, now)
         deadline = now + request.time_left_ms / 1000 - ANSWER_MARGIN_SECONDS
         received = ReceivedRequest(request, reply, deadline, upload, in_pieces)
+        received.received_at = now
         if self.answer_bodies and not self.admission.free_slots:
             self._end_stalled_answer()
         reason = self._refusal_reason(request, now)
@@ -256,6 +268,15 @@
             self._reply_not_run(received, reason)
             return received
         self.received_requests.add(received)
+        if is_fetched(upload):
+            self._fetch(received, now)
+        else:
+            self._admit(received, now)
+        return received
+
+    def _admit(self, received, now):
+        """Run a request or let it wait for a slot."""
+        request = received.request
         if self.shares is not None:
             received.ticket = self.shares.charge(
                 request.rank, request.organisation, request.route
@@ -265,7 +286,53 @@
         else:
             self._enqueue(received, now)
             self._displace(now)
-        return received
+
+    def _fetch(self, received, now):
+        """Fetch a request's body before it is admitted."""
+        request, upload = received.request, received.upload
+        gate = self.link_gate or LinkGate(UNBOUNDED_LINK)
+
+        def done(body):
+            received.fetched = None
+            received.timer.cancel()
+            self._on_fetched(received, body, self.clock())
+
+        received.fetched = FetchedBody(gate, upload, done)
+        received.upload = None
+        max_wait_seconds = max(0.0, request.max_wait_ms / 1000)
+        received.timer = get_running_loop().call_later(
+            min(
+                received.deadline - now,
+                max_wait_seconds + gate.crossing_seconds(upload.length),
+            ),
+            self._expire_fetch,
+            received,
+        )
+        received.fetched.begin(request.rank, received.deadline)
+
+    def _on_fetched(self, received, body, now):
+        if received.ended:
+            return
+        if body is None:
+            self._reply_not_run(received, 'body not fetched')
+            return
+        late_ms = int((now - received.received_at) * 1000)
+        request = received.request = replace(
+            received.request,
+            body=body,
+            streamed_bytes=0,
+            target_left_ms=max(0, received.request.target_left_ms - late_ms),
+        )
+        reason = self._refusal_reason(request, now)
+        if reason:
+            self._reply_not_run(received, reason)
+            return
+        self._admit(received, now)
+
+    def _expire_fetch(self, received):
+        received.fetched.cancel()
+        received.fetched = None
+        self._reply_not_run(received, 'busy')
 
     def _end_stalled_answer(self):
         """Break off the answer of which nothing was taken for the longest.
@@ -305,8 +372,17 @@
             return excluded
         if self._cold_wait(now, len(self.admission.queue)) > 0:
             return 'cold'
+        if self._link_wait(request) > request.max_wait_ms / 1000:
+            return 'busy'
         return '' if self._admits(request, now) else 'busy'
 
+    def _link_wait(self, request):
+        """Return the seconds until a body that is to be fetched is here."""
+        size = request.streamed_bytes
+        if self.link_gate is None or not 0 < size <= MAX_WHOLE_BODY_BYTES:
+            return 0.0
+        return self.link_gate.expected_wait(request.rank, size)
+
     def _admits(self, request, now):
         """Return whether a request can run, now or after its longest wait."""
         tag = inf
@@ -322,8 +398,7 @@
 
     def _enqueue(self, received, now):
         request = received.request
-        max_wait_seconds = max(0.0, request.max_wait_ms / 1000)
-        expires_at = min(received.deadline, now + max_wait_seconds)
+        expires_at = self._expires_at(received, now)
         received.queue_entry = self.admission.enqueue(
             received,
             request.rank,
@@ -337,6 +412,11 @@
             expires_at - now, self._expire, received
         )
 
+    def _expires_at(self, received, now):
+        """Return when a request that has not run is given back."""
+        max_wait_seconds = max(0.0, received.request.max_wait_ms / 1000)
+        return min(received.deadline, now + max_wait_seconds)
+
     def _displace(self, now):
         """Refuse a request at once that others have left too late."""
         item = self.shares and self.admission.displaced(now)
@@ -349,7 +429,11 @@
         self._reply_not_run(received, 'busy')
 
     def refuse_waiting(self, reason):
-        """Answer the requests in the queue with NOT_RUN."""
+        """Answer the requests that have not run with NOT_RUN."""
+        for received in list(self.received_requests):
+            if received.fetched is not None:
+                received.fetched.cancel()
+                self._reply_not_run(received, reason)
         for item in list(self.admission.queue):
             self.admission.discard(item)
             self._reply_not_run(item.received, reason)
@@ -633,6 +717,8 @@
             # The exchange's CANCELLED outcome ends the request.
             received.exchange.pool.cancel(received.exchange)
             return
+        if received.fetched is not None:
+            received.fetched.cancel()
         self.admission.discard(received.queue_entry)
         self._end(received)
 
--- a/poplarrack/senders.py
+++ b/poplarrack/senders.py
@@ -9,6 +9,8 @@
 import asyncio
 from collections import Counter
 
+from msgspec.structs import replace
+
 from poplarrack.body_pipes import WholeBody
 from poplarrack.call_limits import CallLimits
 from poplarrack.candidates import common_regions
@@ -30,6 +32,8 @@
 from poplarrack.evidence import EvidenceCounter
 from poplarrack.evidence import Side
 from poplarrack.exchanges import Verdict
+from poplarrack.fetched_bodies import build_held_pipe
+from poplarrack.fetched_bodies import MIN_FETCHED_BYTES
 from poplarrack.header_names import HeaderNames
 from poplarrack.histograms import Histogram
 from poplarrack.http_messages import build_answer
@@ -429,6 +433,13 @@
         if destination.tier is Tier.OWN:
             received = self.receiver.receive(routed, done, upload, True)
             return lambda: self.receiver.cancel(received)
+        if (
+            upload is None
+            and len(routed.body) >= MIN_FETCHED_BYTES
+            and self.streams.knows_pieces(destination.peer_address)
+        ):
+            upload = build_held_pipe(routed.body)
+            routed = replace(routed, body=b'', streamed_bytes=upload.length)
         return self.streams.deliver(
             destination.peer_address,
             routed,
--- a/poplarrack/settings.py
+++ b/poplarrack/settings.py
@@ -130,6 +130,7 @@
     max_connections: int = 4_096
     stale_keys: StaleKeys = StaleKeys.LAST_KNOWN
     revoke_seconds: float = 5.0
+    link_megabits_per_second: float = 0.0
     limit_window_seconds: float = 0.0
 
     @cached_property
--- a/poplarrack/sidecar_servers.py
+++ b/poplarrack/sidecar_servers.py
@@ -24,6 +24,7 @@
 from poplarrack.http_messages import build_answer
 from poplarrack.joiners import join
 from poplarrack.limit_exchanges import LimitExchange
+from poplarrack.link_gates import LinkGate
 from poplarrack.local_endpoints import LocalEndpoint
 from poplarrack.metrics import build_metrics_page
 from poplarrack.nodes import Node
@@ -141,6 +142,10 @@
             self.clock,
             Random(),
         )
+        if settings.link_megabits_per_second:
+            self.receiver.link_gate = LinkGate(
+                settings.link_megabits_per_second
+            )
         self.receiver.load_reports = self.sender.load_reports
         self.streams.on_unresponsive = self.sender.destinations.avoid_node
         dependencies = NodeDependencies(
--- a/poplarrack/streams.py
+++ b/poplarrack/streams.py
@@ -457,6 +457,11 @@
             ErrorKind.PEER_UNAVAILABLE, f'{method} at {address}: no answer'
         )
 
+    def knows_pieces(self, address):
+        """Return whether a node has said that it takes bodies in pieces."""
+        peer = self.peers.get(address)
+        return bool(peer and peer.stream and peer.stream.knows_pieces)
+
     async def takes_pieces(self, address, timeout_seconds):
         """Return whether a node takes bodies in pieces.
 
