Place requests by the learned room

Cause: an endpoint that slows down before its slots are full was offered requests for all of them.

Change: load reports carry the room, and the expected wait and latency count it in place of the slots. A new endpoint starts with its slots; the room is reduced and grown again once run times have stayed 1.8 times as long as usual for 1.2 s while it is full.

--- a/poplarrack/benches/mesh_shapes.py
+++ b/poplarrack/benches/mesh_shapes.py
@@ -31,6 +31,7 @@
     Each node has one endpoint; ``service_shares`` are the fractions of them by
     service. ``load`` multiplies the arrivals of all kinds. ``failing_share``
     of the endpoints fail ``failure_rate`` of their requests, at once.
+    ``learns_room`` says whether nodes learn the room of their endpoints.
     """
 
     nodes: int
@@ -43,6 +44,7 @@
     seconds: float = 12.0
     failing_share: float = 0.0
     failure_rate: float = 0.0
+    learns_room: bool = False
 
 
 EIGHT_ZONES = tuple(
@@ -128,6 +130,44 @@
     CallKind('index', 'breeds', 0.0, 0.04, 0.158, 0.526, 1, 0.5),
     CallKind('roster', 'rings', 0.0, 0.04, 0.158, 0.526, 1, 0.5),
 )
+TRANSFER_KINDS = (
+    CallKind(
+        'balance',
+        'payments',
+        469.0,
+        0.14,
+        0.663,
+        4.421,
+        2,
+        inner_kind='code',
+        inner_calls=1,
+    ),
+    CallKind('transfer', 'payments', 165.0, 0.19, 0.868, 5.426, 1),
+    CallKind('statement', 'records', 75.6, 0.12, 0.971, 6.066),
+    CallKind('history', 'records', 104.0, 0.58, 2.057, 12.344),
+    CallKind('code', 'records', 0.0, 0.043, 0.208, 0.692, 2, 0.5),
+)
+
+
+def transfer_mesh(nodes, load, seconds=8.0):
+    """Return the shape of a mesh of few slots on machines of uneven speed.
+
+    A load of 1 is 12 requests a second and node.
+
+    :param load: a multiple of it.
+    """
+    return MeshShape(
+        nodes,
+        TRANSFER_KINDS,
+        (('payments', 38 / 66), ('records', 28 / 66)),
+        FOUR_ZONES,
+        slots=6,
+        speeds=(0.6, 1.0, 1.6),
+        load=load * nodes / 66,
+        seconds=seconds,
+    )
+
+
 LOOKUP_SHARES = (
     ('entries', 20 / 65),
     ('press', 14 / 65),
--- a/poplarrack/destination_states.py
+++ b/poplarrack/destination_states.py
@@ -91,6 +91,7 @@
         self.reported_running = 0
         self.reported_wait_seconds = 0.0
         self.reported_at = -1.0
+        self.reported_room = 0.0
         # Zero until the first report, so that a new endpoint is tried.
         self.service_seconds = 0.0
         self.failure_rate = 0.0
@@ -111,22 +112,28 @@
             occupancy.service_ms,
             occupancy.failure_rate,
             now,
+            occupancy.room,
         )
         self.record_cold(occupancy.cold_ms, now)
 
-    def record_load(self, running, wait_ms, service_ms, failure_rate, at):
+    def record_load(
+        self, running, wait_ms, service_ms, failure_rate, at, room=0.0
+    ):
         """Record a load that the endpoint's node reported.
 
         :param running: the requests that run and that wait.
         :param at: when it was reported, in seconds.
+        :param room: how many requests it is found to run well at once, 0 if
+            that is not known.
         """
+        self.reported_room = room
         self.reported_running = running
         self.reported_wait_seconds = wait_ms / 1000
         self.service_seconds = service_ms / 1000
         self.reported_failure_rate = failure_rate
         self.reported_at = at
         # One that was full is expected to have a free slot again later.
-        bounded = min(running, self.destination.endpoint.slots - 1)
+        bounded = min(running, self.room - 1)
         if self.usual_running is None:
             self.usual_running = bounded
         self.usual_running += USUAL_LOAD_EWMA_WEIGHT * (
@@ -162,9 +169,15 @@
             self.in_flight, usual + (self.reported_running - usual) * weight
         )
 
+    @property
+    def room(self):
+        """Return how many requests the endpoint runs well at once."""
+        slots = self.destination.endpoint.slots
+        return min(slots, self.reported_room) if self.reported_room else slots
+
     def usable_slots(self, now):
         """Return the slots to count on, a fraction during slow start."""
-        slots = self.destination.endpoint.slots
+        slots = self.room
         if now < self.slow_start_until:
             slots = max(1.0, slots * SLOW_START_FRACTION)
         if now < self.cold_until and self.cold_calls_per_second:
@@ -177,9 +190,7 @@
         excess = self.running(now) + 1 - self.usable_slots(now)
         if excess <= 0:
             return 0.0
-        estimated = (
-            excess * self.service_seconds / self.destination.endpoint.slots
-        )
+        estimated = excess * self.service_seconds / max(1.0, self.room)
         if now - self.reported_at <= MAX_WAIT_AGE_SECONDS:
             return max(estimated, self.reported_wait_seconds)
         return estimated
--- a/poplarrack/destinations.py
+++ b/poplarrack/destinations.py
@@ -123,6 +123,7 @@
                 'tier': state.destination.tier.name.lower(),
                 'in_flight': state.in_flight,
                 'running': state.running(now),
+                'room': state.room,
                 'occupancy_age_seconds': round(now - state.reported_at, 3),
                 'service_seconds': state.service_seconds,
                 'expected_wait_seconds': round(state.expected_wait(now), 4),
--- a/poplarrack/learned_rooms.py
+++ b/poplarrack/learned_rooms.py
@@ -20,9 +20,9 @@
 MEMORY_SECONDS = 3.0
 # Time between decisions.
 STEP_SECONDS = 0.1
-# A new endpoint, and one whose run times have risen, gets this fraction of
-# its slots, and more by the factor when this many runs at a room have ended,
-# until they take longer by more than LOSING_SLOPE allows.
+# An endpoint whose run times have risen gets this fraction of its room, and
+# more by the factor when this many runs at a room have ended, until they take
+# longer by more than LOSING_SLOPE allows.
 INITIAL_FRACTION = 0.4
 MIN_ROOM = 2
 START_GROWTH = 1.5
@@ -57,8 +57,8 @@
 STAGES_SECONDS = 5.0
 # The room starts again if run times rise by this factor for a time. Each
 # start that leads back to the same room doubles the time to the next one.
-RISE_FACTOR = 3.0
-RISE_SECONDS = 0.3
+RISE_FACTOR = 1.8
+RISE_SECONDS = 1.2
 # It also does if half of those that run have run for this many of their usual
 # times, before any of them ends.
 RISE_AGE = 4.0
@@ -159,9 +159,8 @@
         self.starting = False
         self.stage = Level()
         self.stages = {}
-        self._start(now)
 
-    def _start(self, now):
+    def _start(self):
         self.starting = True
         self.stages.clear()
         self.levels.clear()
@@ -315,7 +314,7 @@
     def _restart(self, now):
         self.restarts_after = now + RESTART_SECONDS * 2**self.doublings
         self.doublings = min(MAX_DOUBLINGS, self.doublings + 1)
-        self._start(now)
+        self._start()
 
 
 def find_bend(levels):
--- a/poplarrack/load_reports.py
+++ b/poplarrack/load_reports.py
@@ -45,7 +45,8 @@
                     occupancy.service_ms,
                     0,
                     occupancy.failure_rate,
-                    cold_ms=occupancy.cold_ms,
+                    occupancy.room,
+                    occupancy.cold_ms,
                 )
             )
         for state in reversed(self.heard):
@@ -70,6 +71,7 @@
                 load.service_ms,
                 load.failure_rate,
                 at,
+                load.room,
             )
             state.record_cold(load.cold_ms, at)
             self.mark_heard(state)
@@ -98,5 +100,6 @@
         round(state.service_seconds * 1000, 1),
         int(age * 1000),
         state.reported_failure_rate,
-        cold_ms=int(max(0.0, state.cold_until - state.reported_at) * 1000),
+        state.reported_room,
+        int(max(0.0, state.cold_until - state.reported_at) * 1000),
     )
--- a/tests/test_load_reports.py
+++ b/tests/test_load_reports.py
@@ -48,6 +48,15 @@
     )
 
 
+def test_the_learned_room_is_passed_on():
+    first, second = reports_of(2), reports_of(2)
+    load = EndpointLoad('i-0', 5, 0, 90.0, 0, room=4.0)
+    first.learn((load,), 1000.0)
+    second.learn(first.collect(1000.2), 1000.2)
+    states = second.destinations.states_by_instance
+    assert (states['i-0'].room, states['i-1'].room) == (4.0, 10)
+
+
 # A node chose among endpoints that it had not met as if they were idle.
 def test_what_one_node_heard_another_one_learns():
     first, second = (
--- a/tests/test_placements.py
+++ b/tests/test_placements.py
@@ -66,6 +66,22 @@
     assert group[0].expected_wait(11.0) == 0
 
 
+# An endpoint that slows down at half of its slots seemed half free.
+def test_the_learned_room_counts_in_place_of_the_slots():
+    full, free = (
+        DestinationState(destination(number, Tier.ZONE), 10.0, True)
+        for number in range(2)
+    )
+    for state, room in ((full, 4.0), (free, 10.0)):
+        state.record_occupancy(Occupancy(4, 0, 10, 0, 90.0, 0.0, room), 10.0)
+    assert full.expected_wait(10.0) > 0 == free.expected_wait(10.0)
+    group = DestinationGroup((full, free))
+    chosen = choose_destination(group, REMAINING, set(), 10.0, Random(1))
+    assert chosen.state is free
+    full.record_occupancy(Occupancy(4, 0, 10, 0, 90.0), 10.1)
+    assert full.room == 10
+
+
 def test_a_first_offer_is_made_whatever_is_known():
     group = one_state_per_tier()
     for state in group:
