--- a/poplarrack/carried_calls.py
+++ b/poplarrack/carried_calls.py
@@ -4,6 +4,7 @@
 from dataclasses import field
 import logging
 
+from poplarrack.body_pipes import BodyPipe
 from poplarrack.destination_states import DestinationState
 from poplarrack.exchanges import Delivery
 from poplarrack.http_messages import HttpRequest
@@ -26,6 +27,7 @@
     if the local endpoint did. ``organisation`` is that of the caller's key,
     ``rank`` orders the call where it waits; 0 is served first.
     ``cold_seconds`` is how much longer endpoints that refused it are cold.
+    ``answer_body`` is the BodyPipe of the last answer, if that is long.
     """
 
     request: HttpRequest
@@ -50,9 +52,19 @@
     may_have_run: bool = False
     last_state: DestinationState | None = None
     last_failure: Delivery | None = None
+    answer_body: BodyPipe | None = None
     task: object = None
     ended: bool = False
 
+    @property
+    def is_spent(self):
+        """Return whether a part of its body is no longer held.
+
+        Such a call can't be sent to another endpoint.
+        """
+        upload = self.request.upload
+        return upload is not None and upload.opened
+
 
 def log_retried(call, state, delivery):
     """Log that a call is retried at another endpoint."""
@@ -83,6 +95,23 @@
     )
 
 
+def log_over_limit(call, basis, retry_after):
+    """Log that a call is over its organisation's limit.
+
+    :param basis: what the decision was based on, by name.
+    """
+    logger.info(
+        'over_limit',
+        extra={
+            'request': call.request_id.decode('latin-1'),
+            'organisation': call.organisation.name,
+            'route': call.route.name,
+            'retry_after': round(retry_after, 2),
+            **basis,
+        },
+    )
+
+
 def log_internal_error(call):
     """Log an unexpected exception with its traceback."""
     logger.exception(
@@ -105,6 +134,10 @@
             'request': call.request_id.decode('latin-1'),
             'route': call.route.name if call.route else '',
             'service': call.service,
+            'organisation': call.organisation.name
+            if call.organisation
+            else '',
+            'rank': call.rank,
             'outcome': outcome,
             'detail': detail,
             'may_have_run': call.may_have_run,
--- a/poplarrack/offers.py
+++ b/poplarrack/offers.py
@@ -59,4 +59,5 @@
         loads,
         call.organisation.name if call.organisation else '',
         route.name,
+        0 if request.upload is None else request.upload.length or -1,
     )
--- a/poplarrack/platform/configurations.py
+++ b/poplarrack/platform/configurations.py
@@ -15,11 +15,13 @@
 from poplarrack.configurations import load_configuration
 from poplarrack.configurations import MAX_LIMIT
 from poplarrack.configurations import move_faults
+from poplarrack.configurations import organisation_faults
 from poplarrack.errors import ErrorKind
 from poplarrack.errors import PoplarrackError
 from poplarrack.fetchers import HEAD_KEY
 from poplarrack.fetchers import snapshot_from_items
 from poplarrack.json_values import decode_json
+from poplarrack.organisations import build_key_index
 from poplarrack.platform.settings import parse_duration
 from poplarrack.platforms import CONFIGURATION_PREFIX
 from poplarrack.resources import CallerLimits
@@ -46,6 +48,8 @@
 EVACUATION_PREFIX = 'op/evacuate/'
 RECORD_PREFIX = 'own/moves/'
 STATUS_PREFIX = 'status/rollout/'
+# What the organisations of the configuration are named by where one can't be
+# used.
 MOVES_PREFIX = f'{CONFIGURATION_PREFIX}{TEAM}/moves/'
 EVACUATIONS_PREFIX = f'{CONFIGURATION_PREFIX}{TEAM}/evacuations/'
 MOVE_POLICY = 'replace_at_end'
@@ -260,10 +264,8 @@
             max_connections=service['max_connections'],
             cold_calls_per_second=_read_cold_rate(name, service, faults),
         )
-    for name, organisation in (raw.get('tenants') or {}).items():
-        resources[f'organisations/{name}'] = _translate_organisation(
-            name, organisation, faults
-        )
+    for name, organisation in _translate_organisations(raw, faults).items():
+        resources[f'organisations/{name}'] = organisation
     limits = raw.get('limits')
     if limits:
         resources['limits/callers'] = CallerLimits(
@@ -282,15 +284,52 @@
     return {key: KeyValue(key, value, 0, 0) for key, value in keys}
 
 
+def _translate_organisations(raw, faults):
+    organisations = {}
+    for name, fields in (raw.get('tenants') or {}).items():
+        try:
+            organisation = _translate_organisation(name, fields, faults)
+        except UNEXPECTED_SHAPE as error:
+            # The error may show a key.
+            faults[f'organisations/{name}'] = (
+                f'left out: {type(error).__name__}'
+            )
+            continue
+        except PoplarrackError as error:
+            faults[f'organisations/{name}'] = f'left out: {error.detail}'
+            continue
+        organisations[name] = organisation
+    for names in build_key_index(organisations).shared.values():
+        for name in names:
+            holders = ', '.join(names)
+            faults[f'organisations/{name}'] = (
+                f'a key of several identifies none: {holders}'
+            )
+    return organisations
+
+
 def _translate_organisation(name, raw, faults):
-    return Organisation(
+    keys = [key for key in raw['api_keys'] if isinstance(key, str) and key]
+    if len(keys) < len(raw['api_keys']):
+        faults[f'organisations/{name}'] = (
+            'keys that are empty or no text are left out'
+        )
+    organisation = Organisation(
         name,
-        tuple(digest_key(key.encode()) for key in raw['api_keys']),
+        tuple(digest_key(key.encode()) for key in keys),
         raw.get('priority'),
         raw.get('rate_per_s') or 0.0,
         raw.get('burst') or 0.0,
         _translate_regions(f'organisations/{name}', raw, faults),
     )
+    path = f'{TEAM}/organisations/{name}'
+    decoded = decode_resource(path, encode_resource(organisation))
+    found = list(organisation_faults(decoded))
+    if found:
+        raise PoplarrackError(
+            ErrorKind.INVALID_CONFIGURATION, '; '.join(found)
+        )
+    return decoded
 
 
 def _translate_regions(path, raw, faults):
--- a/poplarrack/receivers.py
+++ b/poplarrack/receivers.py
@@ -9,6 +9,7 @@
 from collections import Counter
 from dataclasses import dataclass
 import logging
+from math import inf
 
 from msgspec.structs import replace
 
@@ -21,12 +22,15 @@
 from poplarrack.exchanges import Occupancy
 from poplarrack.exchanges import RoutedRequest
 from poplarrack.exchanges import Verdict
+from poplarrack.fair_queues import FairShares
+from poplarrack.fair_queues import Ticket
 from poplarrack.http_messages import build_request
 from poplarrack.http_messages import HttpRequest
 from poplarrack.http_messages import is_end_to_end
 from poplarrack.learned_rooms import LearnedRoom
 from poplarrack.members import EndpointState
 from poplarrack.members import same_start
+from poplarrack.resources import CallerLimits
 from poplarrack.upstream_pools import UpstreamPool
 from poplarrack.upstreams import Outcome
 
@@ -49,14 +53,23 @@
 class ReceivedRequest:
     """A request that is queued or runs at the receiving node.
 
-    ``reply`` is called once with the Delivery. ``queue_entry`` and ``timer``
-    are set while the request is queued, ``exchange`` while it runs.
+    ``reply`` is called once with the Delivery, and with the BodyPipe of a long
+    answer if ``in_pieces`` allows for that. ``upload`` is the BodyPipe of a
+    long request. ``queue_entry`` and ``timer`` are set while the request is
+    queued, ``exchange`` while it runs, ``ticket`` in a mesh of organisations.
+    ``has_begun`` says that its answer is
+    passed on in pieces or was refused by its head.
     """
 
     request: RoutedRequest
     reply: object
     deadline: float
+    upload: object = None
+    in_pieces: bool = False
+    has_begun: bool = False
+    answer_body: object = None
     queue_entry: object = None
+    ticket: Ticket | None = None
     timer: object = None
     exchange: object = None
     sent_at: float = 0.0
@@ -119,6 +132,8 @@
         self.endpoint = None
         self.pool = None
         self.admission = Admission(0)
+        # Set where the configuration holds organisations.
+        self.shares = None
         self.failure_rate = FailureRate()
         self.unreachable_until = 0.0
         self.refuses_new_requests = False
@@ -127,6 +142,11 @@
         self.cold_gate = ColdGate(clock())
         self.counts = Counter()
         self.received_requests = set()
+        # The BodyPipes of answers that are passed on in pieces.
+        self.answer_bodies = set()
+        # A caller that takes nothing of its answer for so long gives its slot
+        # up to requests that wait.
+        self.stalled_seconds = CallerLimits('callers').idle_timeout_seconds
         # Set where the node also sends requests: its LoadReports.
         self.load_reports = None
         self.running_repeats = RunningRepeats()
@@ -142,7 +162,8 @@
         """
         previous = self.endpoint
         self.endpoint = endpoint
-        self.cold_gate.hear(cold_until)
+        born = endpoint.born / 1000 if endpoint is not None else 0.0
+        self.cold_gate.hear(cold_until, born)
         if self.door.is_evacuated:
             # It may become cold before it gets requests again.
             self.cold_gate.doubt()
@@ -173,12 +194,12 @@
     def occupancy(self):
         """Return the Occupancy of the endpoint."""
         admission = self.admission
-        wait = admission.expected_wait(len(admission.queue))
         now = self.clock()
+        wait = admission.expected_wait_of_new(now)
         wait = max(wait, min(self._cold_wait(now), MAX_TOLD_WAIT_SECONDS))
         return Occupancy(
             admission.running,
-            len(admission.queue),
+            admission.count_ahead_of_new(now),
             admission.slots,
             int(wait * 1000),
             round(admission.service_seconds * 1000, 1),
@@ -212,29 +233,54 @@
         """Return the number of requests that are queued or running."""
         return len(self.received_requests)
 
-    def receive(self, request, reply):
+    def receive(self, request, reply, upload=None, in_pieces=False):
         """Run a request, queue it or refuse it.
 
         :param request: the RoutedRequest.
         :param reply: called once with the Delivery.
+        :param upload: the BodyPipe of a body that follows, or None. It is
+            opened once the endpoint takes the request.
+        :param in_pieces: whether ``reply`` also takes the BodyPipe of a long
+            answer.
         :returns: the ReceivedRequest, to pass to ``cancel``.
         """
         now = self.clock()
         if request.loads and self.load_reports is not None:
             self.load_reports.learn(request.loads, now)
         deadline = now + request.time_left_ms / 1000 - ANSWER_MARGIN_SECONDS
-        received = ReceivedRequest(request, reply, deadline)
+        received = ReceivedRequest(request, reply, deadline, upload, in_pieces)
+        if self.answer_bodies and not self.admission.free_slots:
+            self._end_stalled_answer()
         reason = self._refusal_reason(request, now)
         if reason:
             self._reply_not_run(received, reason)
             return received
         self.received_requests.add(received)
+        if self.shares is not None:
+            received.ticket = self.shares.charge(
+                request.rank, request.organisation, request.route
+            )
         if self.admission.free_slots and not self.admission.queue:
             self._run(received, now)
         else:
             self._enqueue(received, now)
+            self._displace(now)
         return received
 
+    def _end_stalled_answer(self):
+        """Break off the answer of which nothing was taken for the longest.
+
+        Load answered: as many callers that read nothing as the endpoint has
+        slots, which others wait for.
+        """
+        stillest = max(self.answer_bodies, key=self.budget.still_seconds)
+        if (
+            stillest.is_full
+            and self.budget.still_seconds(stillest) > self.stalled_seconds
+        ):
+            self.counts['stalled_answers'] += 1
+            stillest.give_up()
+
     def _refusal_reason(self, request, now):
         """Return why a request is not admitted, or an empty string."""
         endpoint = self.endpoint
@@ -259,12 +305,20 @@
             return excluded
         if self._cold_wait(now, len(self.admission.queue)) > 0:
             return 'cold'
-        max_wait_seconds = request.max_wait_ms / 1000
-        if not self.admission.admits(
-            request.rank, max_wait_seconds, request.spare_slot_fraction
-        ):
-            return 'busy'
-        return ''
+        return '' if self._admits(request, now) else 'busy'
+
+    def _admits(self, request, now):
+        """Return whether a request can run, now or after its longest wait."""
+        tag = inf
+        if self.shares is not None:
+            tag = self.shares.tag_of(request.rank, request.organisation)
+        return self.admission.admits(
+            request.rank,
+            request.max_wait_ms / 1000,
+            now,
+            request.spare_slot_fraction,
+            tag,
+        )
 
     def _enqueue(self, received, now):
         request = received.request
@@ -276,11 +330,20 @@
             received.deadline,
             expires_at,
             now + request.target_left_ms / 1000,
+            received.ticket.tag if received.ticket else 0.0,
+            request.organisation,
         )
         received.timer = get_running_loop().call_later(
             expires_at - now, self._expire, received
         )
 
+    def _displace(self, now):
+        """Refuse a request at once that others have left too late."""
+        item = self.shares and self.admission.displaced(now)
+        if item:
+            self.admission.discard(item)
+            self._reply_not_run(item.received, 'busy')
+
     def _expire(self, received):
         self.admission.discard(received.queue_entry)
         self._reply_not_run(received, 'busy')
@@ -300,12 +363,19 @@
         run = admission.begin(request.route, now)
         received.sent_at = now
         self.cold_gate.record(now)
+        if received.ticket is not None:
+            self.shares.begin(received.ticket)
         self.counts['sent'] += 1
         self.counts['sent_repeats'] += request.is_repeat
         self.running_repeats.add(request)
 
         def done(outcome, answer):
-            succeeded = outcome is Outcome.ANSWERED and answer.status < 400
+            # A long answer takes as long as its caller reads it.
+            succeeded = (
+                outcome is Outcome.ANSWERED
+                and answer.status < 400
+                and not received.has_begun
+            )
             room = admission.room
             admission.end(run, self.clock(), succeeded)
             if admission.room != room:
@@ -313,12 +383,17 @@
             self.running_repeats.remove(request)
             self._on_outcome(received, admission, outcome, answer)
 
+        def begin(answer, body):
+            return self._begin_answer(received, admission, answer, body)
+
         received.exchange = self.pool.start(
-            self._build_request(request, remaining_seconds),
+            self._build_request(request, remaining_seconds, received.upload),
             request.method == 'HEAD',
             remaining_seconds,
             done,
             (self.header_names.request_id, request.request_id),
+            upload=received.upload,
+            on_begin=begin if received.in_pieces else None,
         )
 
     def _log_room(self, admission):
@@ -334,7 +409,7 @@
             },
         )
 
-    def _build_request(self, request, remaining_seconds):
+    def _build_request(self, request, remaining_seconds, upload):
         header_names = self.header_names
         header_lines = [
             b'%s: %d\r\n'
@@ -358,6 +433,7 @@
         forwarded = HttpRequest(
             request.method, request.target, request.headers, request.body
         )
+        forwarded.upload = upload
         return build_request(
             forwarded, self.endpoint.address, b''.join(header_lines)
         )
@@ -367,7 +443,10 @@
         received.exchange = None
         if outcome in FAILED_OUTCOMES:
             self.failure_rate.record(True, now)
-        if outcome is Outcome.ANSWERED:
+        if received.has_begun:
+            self.answer_bodies.discard(received.answer_body)
+            self._end(received)
+        elif outcome is Outcome.ANSWERED:
             self._on_answer(received, admission, answer, now)
         elif outcome is Outcome.NEVER_SENT:
             self.unreachable_until = now + UNREACHABLE_BACKOFF_SECONDS
@@ -383,6 +462,30 @@
         self._serve_queue(now)
 
     def _on_answer(self, received, admission, answer, now):
+        if self._is_refused_head(received, answer, now):
+            return
+        self._observe(received, admission, answer, now)
+        delivery = self._build_delivery(received, answer, now)
+        self._reply(received, delivery)
+
+    def _begin_answer(self, received, admission, answer, body):
+        """Pass on an answer whose body follows; return whether it is taken.
+
+        The request goes on running until the body is complete.
+        """
+        now = self.clock()
+        received.has_begun = True
+        if received.ended or self._is_refused_head(received, answer, now):
+            return False
+        self._observe(received, admission, answer, now)
+        delivery = self._build_delivery(received, answer, now, body.length)
+        received.answer_body = body
+        self.answer_bodies.add(body)
+        received.reply(self._add_loads(received, delivery), body)
+        return True
+
+    def _is_refused_head(self, received, answer, now):
+        """Refuse an answer by its head; return whether that was necessary."""
         header_names = self.header_names
         not_run = (
             answer.header(header_names.not_run) is not None
@@ -393,7 +496,7 @@
             self._reply_unanswered(
                 received, Verdict.REFUSED, f'status {answer.status}'
             )
-            return
+            return True
         is_stamped = (
             not header_names.origin_stamp
             or answer.header(header_names.origin_stamp) is not None
@@ -403,26 +506,38 @@
             # them, so something on the way altered this one.
             self.failure_rate.record(True, now)
             self._reply_unanswered(received, Verdict.LOST, 'spoiled answer')
-            return
+            return True
+        return False
+
+    def _observe(self, received, admission, answer, now):
         failed = answer.status >= 500
         self.failure_rate.record(failed, now)
         if not failed:
             # Failures are often fast: an endpoint that fails would seem the
             # fastest one.
             admission.observe(now - received.sent_at)
-        headers = [item for item in answer.headers if is_end_to_end(item[0])]
+            if self.shares is not None:
+                self.shares.learn(
+                    received.request.route, now - received.sent_at
+                )
         self.counts['answered'] += 1
-        self._reply(
-            received,
-            Delivery(
-                Verdict.ANSWERED,
-                answer.status,
-                headers,
-                answer.body,
-                '',
-                self.occupancy(),
-                run_ms=round((now - received.sent_at) * 1000, 1),
-            ),
+
+    def _build_delivery(self, received, answer, now, streamed_bytes=0):
+        """Return the Delivery of an answer.
+
+        :param streamed_bytes: the size of a body that follows, None if that
+            is not known, 0 if the answer is whole.
+        """
+        headers = [item for item in answer.headers if is_end_to_end(item[0])]
+        return Delivery(
+            Verdict.ANSWERED,
+            answer.status,
+            headers,
+            answer.body,
+            '',
+            self.occupancy(),
+            run_ms=round((now - received.sent_at) * 1000, 1),
+            streamed_bytes=-1 if streamed_bytes is None else streamed_bytes,
         )
 
     def _serve_queue(self, now):
@@ -456,6 +571,7 @@
                 'running': self.admission.running,
                 'waiting': len(self.admission.queue),
                 'slots': self.admission.slots,
+                **self._describe_share(received),
                 'room': self.admission.room,
             },
         )
@@ -465,17 +581,49 @@
     def _reply(self, received, delivery):
         if not received.ended:
             self._end(received)
-            if received.request.loads and self.load_reports is not None:
-                loads = self.load_reports.collect(self.clock())
-                delivery = replace(delivery, loads=loads)
-            received.reply(delivery)
+            received.reply(self._add_loads(received, delivery))
+
+    def _add_loads(self, received, delivery):
+        if received.request.loads and self.load_reports is not None:
+            loads = self.load_reports.collect(self.clock())
+            return replace(delivery, loads=loads)
+        return delivery
 
     def _end(self, received):
         received.ended = True
+        self._settle(received)
         if received.timer is not None:
             received.timer.cancel()
         self.received_requests.discard(received)
 
+    def _describe_share(self, received):
+        """Return the inputs of a place in the queue, for the log."""
+        if self.shares is None:
+            return {}
+        request = received.request
+        return {
+            'organisation': request.organisation,
+            'rank': request.rank,
+            'seconds_beyond_share': round(
+                self.shares.beyond_share(request.rank, request.organisation), 3
+            ),
+        }
+
+    def _settle(self, received):
+        """Charge the organisation for what its request took."""
+        if received.ticket is None or self.shares is None:
+            return
+        if received.sent_at:
+            seconds = self.clock() - received.sent_at
+            self.shares.end(received.ticket, seconds)
+        else:
+            self.shares.refund(received.ticket)
+
+    def share_fairly(self, wanted):
+        """Set whether organisations get fair shares of the endpoint."""
+        if wanted != (self.shares is not None):
+            self.shares = FairShares() if wanted else None
+
     def cancel(self, received):
         """Cancel a request whose sender no longer waits for it."""
         if received.ended:
--- a/poplarrack/senders.py
+++ b/poplarrack/senders.py
@@ -9,12 +9,15 @@
 import asyncio
 from collections import Counter
 
+from poplarrack.body_pipes import WholeBody
+from poplarrack.call_limits import CallLimits
 from poplarrack.candidates import common_regions
 from poplarrack.candidates import explain_exclusion
 from poplarrack.candidates import filter_group
 from poplarrack.carried_calls import Call
 from poplarrack.carried_calls import log_ended
 from poplarrack.carried_calls import log_internal_error
+from poplarrack.carried_calls import log_over_limit
 from poplarrack.carried_calls import log_retried
 from poplarrack.carried_calls import log_retry_over_budget
 from poplarrack.destination_states import Tier
@@ -30,9 +33,11 @@
 from poplarrack.header_names import HeaderNames
 from poplarrack.histograms import Histogram
 from poplarrack.http_messages import build_answer
+from poplarrack.http_messages import build_answer_head
 from poplarrack.http_messages import build_error
 from poplarrack.load_reports import LoadReports
 from poplarrack.offers import build_routed_request
+from poplarrack.organisations import rank_of
 from poplarrack.organisations import read_key
 from poplarrack.organisations import StaleKeys
 from poplarrack.placements import choose_destination
@@ -53,6 +58,10 @@
 RETRY_AFTER_SECONDS = 0.15
 # Part of their time left that callers wait for a Retry-After.
 CALLERS_PATIENCE_FRACTION = 1 / 3
+# Answers after which callers come back.
+RETRIED_STATUSES = (429, 503)
+# Organisations in the state dump.
+DUMPED_ORGANISATIONS = 10
 # A deadline header with more digits is ignored as invalid.
 MAX_DEADLINE_DIGITS = 9
 # Part of its route's timeout that a call must have left for a trial.
@@ -73,6 +82,9 @@
     :param random: a ``random.Random``.
     """
 
+    # Long bodies of requests may still be coming when a call starts.
+    takes_uploads = True
+
     def __init__(
         self, settings, header_names, receiver, streams, clock, random
     ):
@@ -89,8 +101,10 @@
         self.splitter = TrafficSplitter(random)
         self.evidence = EvidenceCounter()
         self.budgets = {}
+        self.call_limits = CallLimits(random, settings.limit_window_seconds)
         self.counts = Counter()
         self.counts_by_service = {}
+        self.counts_by_organisation = {}
         self.latencies = Histogram()
         self.calls = set()
         self.draining = False
@@ -114,6 +128,13 @@
             for budget in self.budgets.values():
                 budget.keep_only(names)
             self.run_times.keep_only(names)
+            for name in (
+                self.counts_by_organisation.keys() - table.organisations.keys()
+            ):
+                del self.counts_by_organisation[name]
+        self.call_limits.set_organisations(
+            table.organisations, table.node_count
+        )
         self.table = table
         self.receiver.door = derive_door(self.settings, table)
 
@@ -160,8 +181,7 @@
             return False
         call.route = route
         call.rank = route.queue_rank
-        needs_key = self.table.organisations and not route.public
-        if needs_key and not self._identify(call, now):
+        if self.table.organisations and not self._identify(call, now):
             return False
         call.service = self.splitter.choose_service(route)
         requested_ms = _parse_milliseconds(
@@ -188,7 +208,13 @@
         return True
 
     def _identify(self, call, now):
-        """Find the organisation of a call by its key; refuse it without."""
+        """Find the organisation of a call by its key; refuse it without.
+
+        A public route asks for no key.
+        """
+        if call.route.public:
+            call.rank = rank_of(None, call.route)
+            return True
         stale_keys = self.settings.stale_keys
         if stale_keys is StaleKeys.REFUSED and self.keys_are_stale(now):
             self._refuse(call, ErrorKind.NO_ENDPOINT, 'keys may be revoked')
@@ -201,8 +227,22 @@
             self._refuse(call, ErrorKind.UNAUTHENTICATED, 'no known key')
             return False
         call.organisation = organisation
-        if organisation.rank is not None:
-            call.rank = organisation.rank
+        call.rank = rank_of(organisation, call.route)
+        now = self.clock()
+        retry_after = self.call_limits.admit(organisation, now)
+        counts = self.counts_by_organisation.setdefault(
+            organisation.name, Counter()
+        )
+        counts['calls'] += 1
+        if retry_after is not None:
+            counts['over_limit'] += 1
+            log_over_limit(
+                call, self.call_limits.describe(organisation, now), retry_after
+            )
+            self._refuse(
+                call, ErrorKind.RATE_LIMITED, organisation.name, retry_after
+            )
+            return False
         return True
 
     def _service_counts(self, service):
@@ -251,6 +291,9 @@
         state.in_flight += 1
         sent_at = now
         try:
+            await self._prepare_upload(call, placement, now)
+            if call.ended:
+                return
             delivery = await self._offer(call, placement, now)
         finally:
             state.in_flight -= 1
@@ -351,9 +394,12 @@
         loop = asyncio.get_running_loop()
         future = loop.create_future()
 
-        def done(delivery):
+        def done(delivery, body=None):
             if not future.done():
+                call.answer_body = body
                 future.set_result(delivery)
+            elif body is not None:
+                body.close()
 
         destination = placement.state.destination
         loads = ()
@@ -368,22 +414,46 @@
             loads,
             bool(self.table.organisations),
         )
-        if destination.tier is Tier.OWN:
-            received = self.receiver.receive(routed, done)
-
-            def cancel():
-                self.receiver.cancel(received)
-
-        else:
-            cancel = self.streams.deliver(
-                destination.peer_address, routed, call.deadline - now, done
-            )
+        cancel = self._deliver(call, destination, routed, now, done)
         try:
             return await future
         except asyncio.CancelledError:
             cancel()
+            if call.answer_body is not None:
+                call.answer_body.close()
             raise
 
+    def _deliver(self, call, destination, routed, now, done):
+        """Hand over an offer; return a function that cancels it."""
+        upload = call.request.upload
+        if destination.tier is Tier.OWN:
+            received = self.receiver.receive(routed, done, upload, True)
+            return lambda: self.receiver.cancel(received)
+        return self.streams.deliver(
+            destination.peer_address,
+            routed,
+            call.deadline - now,
+            done,
+            *(() if upload is None else (upload,)),
+        )
+
+    async def _prepare_upload(self, call, placement, now):
+        """Read a long body whole for a node that takes none in pieces."""
+        upload = call.request.upload
+        destination = placement.state.destination
+        if upload is None or destination.tier is Tier.OWN:
+            return
+        takes_pieces = await self.streams.takes_pieces(
+            destination.peer_address, call.deadline - now
+        )
+        if not takes_pieces:
+            body = await WholeBody(upload).read()
+            if body is None:
+                self._refuse(call, ErrorKind.OVERLOADED, 'memory')
+                return
+            call.request.body = body
+            call.request.upload = None
+
     # Outcomes of an attempt, by verdict.
 
     def _on_answered(self, call, state, delivery, sent_at, now):
@@ -400,7 +470,10 @@
             )
         if failed and self._may_retry(call, now):
             call.may_have_run = True
-            call.last_failure = delivery
+            if call.answer_body is None:
+                call.last_failure = delivery
+            else:
+                call.answer_body.close()
             log_retried(call, state, delivery)
             call.tried_instances.add(state.destination.endpoint.instance_id)
             return
@@ -417,6 +490,8 @@
             cold_seconds = delivery.occupancy.cold_ms / 1000
             call.cold_seconds = max(call.cold_seconds, cold_seconds)
         self.counts[f'offer {delivery.reason}'] += 1
+        if call.is_spent:
+            self._refuse(call, ErrorKind.OVERLOADED, delivery.reason)
 
     def _on_refused(self, call, state, delivery, sent_at, now):
         call.arrivals += 1
@@ -446,7 +521,7 @@
         self._refuse(call, ErrorKind.DEADLINE_EXCEEDED, delivery.reason)
 
     def _has_attempts_left(self, call):
-        return call.arrivals < call.route.max_attempts
+        return call.arrivals < call.route.max_attempts and not call.is_spent
 
     def _spend_retry(self, call, now):
         taken = self.budget_of(call.service).try_acquire(
@@ -518,11 +593,15 @@
             detail = f'{call.service}: {excluded}'
             self._refuse(call, ErrorKind.NO_ENDPOINT, detail)
         elif group:
-            self._refuse(call, ErrorKind.OVERLOADED, call.service)
+            detail = call.service
+            if call.cold_seconds:
+                self.counts['met_cold'] += 1
+                detail = f'{call.service}: cold'
+            self._refuse(call, ErrorKind.OVERLOADED, detail)
         else:
             self._refuse(call, ErrorKind.NO_ENDPOINT, call.service)
 
-    def _refuse(self, call, kind, detail):
+    def _refuse(self, call, kind, detail, retry_after=None):
         if call.ended:
             return
         kind = resolve_error_kind(kind, call.may_have_run)
@@ -531,12 +610,11 @@
         log_ended(call, self.table.revision, kind.value, detail, now)
         self._end(call)
         keep_alive = call.request.keep_alive and not self.draining
-        retry_after = None
-        if ANSWERS[kind].http_status == 503:
+        if ANSWERS[kind].http_status in RETRIED_STATUSES:
             # Callers retry on a new connection; this one would stay idle,
             # unless it carries other requests.
             keep_alive = keep_alive and call.request.is_pipelined
-            retry_after = self._retry_after(call, now)
+            retry_after = retry_after or self._retry_after(call, now)
         raw = build_error(
             kind, detail, call.request_id, keep_alive, retry_after
         )
@@ -568,6 +646,9 @@
         )
         self._end(call)
         keep_alive = call.request.keep_alive and not self.draining
+        if delivery.streamed_bytes:
+            self._respond_in_pieces(call, delivery, keep_alive)
+            return
         raw = build_answer(
             delivery.status,
             delivery.headers,
@@ -577,6 +658,15 @@
         )
         call.respond(raw, keep_alive)
 
+    def _respond_in_pieces(self, call, delivery, keep_alive):
+        length = call.answer_body.length
+        chunked = length is None and call.request.takes_chunks
+        keep_alive = keep_alive and (chunked or length is not None)
+        head = build_answer_head(
+            delivery.status, delivery.headers, length, keep_alive, chunked
+        )
+        call.respond(head, keep_alive, call.answer_body, chunked)
+
     def _end(self, call):
         call.ended = True
         self.calls.discard(call)
@@ -608,6 +698,17 @@
         """Return the numbers of calls in flight by service and version."""
         return self.destinations.busy()
 
+    def dump_organisations(self):
+        """Return those nearest to their limits, for the state dump."""
+        shared = self.table.keys.shared.values()
+        return {
+            'number': len(self.table.organisations),
+            'holders_of_shared_keys': sorted(set().union(*shared)),
+            'nearest_to_limits': self.call_limits.nearest(
+                DUMPED_ORGANISATIONS, self.clock()
+            ),
+        }
+
     def dump_servers(self):
         """Return the state of each endpoint for the state dump."""
         return self.destinations.dump()
--- a/tests/test_learned_rooms.py
+++ b/tests/test_learned_rooms.py
@@ -100,6 +100,6 @@
     admission.learned.room = 4
     runs = [admission.begin('r', 0.0) for _ in range(4)]
     assert admission.free_slots == 0
-    assert admission.expected_wait(0) > 0
+    assert admission.expected_wait(0, 1.0) > 0
     admission.end(runs[0], 0.1, True)
     assert admission.free_slots == 1
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -38,7 +38,7 @@
         self.requests = []
         self.cancelled = asyncio.Event()
 
-    def receive(self, routed, reply):
+    def receive(self, routed, reply, upload=None, in_pieces=False):
         self.requests.append(routed)
         if not self.never_answers:
             reply(Delivery(Verdict.ANSWERED, 200, [], routed.body))
@@ -80,10 +80,12 @@
 
     async def serve(reader, writer):
         with suppress(OSError, asyncio.IncompleteReadError):
-            size, _, message_id = FRAME_HEADER.unpack(
-                await reader.readexactly(FRAME_HEADER.size)
-            )
-            await reader.readexactly(size)
+            kind = None
+            while kind != FrameKind.REQUEST:
+                size, kind, message_id = FRAME_HEADER.unpack(
+                    await reader.readexactly(FRAME_HEADER.size)
+                )
+                await reader.readexactly(size)
             writer.write(
                 FRAME_HEADER.pack(
                     MAX_FRAME_BYTES, FrameKind.ANSWER, message_id
