Tell senders the wait of all ranks

Cause: the wait that an endpoint's node tells counted requests up to a rank of the queue's length. Ranks of organisations are greater, so that senders took full endpoints for free ones.

Change: in a mesh of organisations all ranks are counted.

--- a/poplarrack/receivers.py
+++ b/poplarrack/receivers.py
@@ -154,7 +154,9 @@
     def occupancy(self):
         """Return the Occupancy of the endpoint."""
         admission = self.admission
-        wait = admission.expected_wait(len(admission.queue))
+        # Ranks of organisations are far greater than those of routes.
+        lowest_rank = inf if self.shares else len(admission.queue)
+        wait = admission.expected_wait(lowest_rank)
         return Occupancy(
             admission.running,
             len(admission.queue),
--- a/tests/test_receivers.py
+++ b/tests/test_receivers.py
@@ -5,6 +5,7 @@
 from dataclasses import replace
 from types import SimpleNamespace
 
+from poplarrack.admissions import Admission
 from poplarrack.exchanges import RoutedRequest
 from poplarrack.exchanges import Verdict
 from poplarrack.header_names import HeaderNames
@@ -295,6 +296,18 @@
     assert refused.reason == 'busy'
 
 
+# Senders were told that nothing waits: ranks of organisations are greater than
+# the length of the queue, up to which requests were counted.
+def test_the_wait_that_is_told_counts_all_ranks():
+    receiver = Receiver(HEADER_NAMES, lambda: 1.0, 1000)
+    receiver.share_fairly(True)
+    receiver.admission = Admission(1)
+    receiver.admission.running = 1
+    for number in range(3):
+        receiver.admission.enqueue(number, 1002, 9.0, 9.0)
+    assert receiver.occupancy().wait_ms >= 4 * 50
+
+
 def test_a_draining_endpoint_gets_nothing_new():
     async def run():
         server = GatedServer()
