--- a/poplarrack/senders.py
+++ b/poplarrack/senders.py
@@ -28,6 +28,7 @@
 from poplarrack.doors import derive_door
 from poplarrack.errors import ANSWERS
 from poplarrack.errors import ErrorKind
+from poplarrack.errors import Ran
 from poplarrack.errors import resolve_error_kind
 from poplarrack.evidence import EvidenceCounter
 from poplarrack.evidence import Side
@@ -231,6 +232,7 @@
             self._refuse(call, ErrorKind.UNAUTHENTICATED, 'no known key')
             return False
         call.organisation = organisation
+        call.is_counted = True
         call.rank = rank_of(organisation, call.route)
         now = self.clock()
         retry_after = self.call_limits.admit(organisation, now)
@@ -239,6 +241,7 @@
         )
         counts['calls'] += 1
         if retry_after is not None:
+            call.is_counted = False
             counts['over_limit'] += 1
             log_over_limit(
                 call, self.call_limits.describe(organisation, now), retry_after
@@ -616,6 +619,8 @@
         if call.ended:
             return
         kind = resolve_error_kind(kind, call.may_have_run)
+        if call.is_counted and ANSWERS[kind].ran is Ran.NO:
+            self.call_limits.give_back(call.organisation, self.clock())
         self.counts[f'refused_{kind.value}'] += 1
         now = self.clock()
         log_ended(call, self.table.revision, kind.value, detail, now)
--- a/tests/test_call_limits.py
+++ b/tests/test_call_limits.py
@@ -132,3 +132,24 @@
     waits = sorted(wait for wait in waits if wait is not None)
     assert waits and waits[0] >= 0.5 and waits[-1] <= 4.5
     assert waits[-1] - waits[0] > 1.0
+
+
+# Endpoints with too little room refused most calls, which came back and
+# counted again: an organisation within its limit got 429.
+def test_calls_that_have_not_run_do_not_count():
+    acme = Organisation('acme', calls_per_second=10.0, burst=10.0)
+    limits = CallLimits(Random(1))
+    limits.set_organisations({'acme': acme}, 1)
+    limits.step(True, (), 100.0)
+    limits.step(True, (), 105.0)
+    now, refused = 105.0, 0
+    for _ in range(300):
+        now += 0.02
+        limits.step(True, (), now)
+        if limits.admit(acme, now) is None:
+            limits.give_back(acme, now)
+        else:
+            refused += 1
+    assert not refused, refused
+    passed = sum(limits.admit(acme, now) is None for _ in range(50))
+    assert 1 <= passed <= 25, passed
