Explain where a request would go, without sending

Cause: an operator could see what was decided on a request, in the log, but not what would be decided now, nor which endpoints are weighed with which figures.

Change: `poplarrack-ctl explain` and the page `/explain` of a sidecar. The exit code is that of the refusal.

--- a/poplarrack/commands.py
+++ b/poplarrack/commands.py
@@ -2,6 +2,7 @@
 
 from json import dumps
 import time
+from urllib.parse import urlencode
 
 from fire.decorators import SetParseFn
 import json5
@@ -11,6 +12,8 @@
 from poplarrack.editors import Edit
 from poplarrack.errors import ErrorKind
 from poplarrack.errors import PoplarrackError
+from poplarrack.explanations import describe_explanation
+from poplarrack.explanations import exit_code_of
 from poplarrack.move_commands import MoveCommands
 from poplarrack.operator_sessions import DEFAULT_SETTINGS
 from poplarrack.operator_sessions import read_json_argument
@@ -258,6 +261,38 @@
         text = self._fetch(address, '/dump').decode()
         print(text, file=self._session.out)
 
+    @SetParseFn(str, 'address', 'path', 'host', 'method', 'organisation')
+    def explain(
+        self,
+        address,
+        path,
+        host='',
+        method='GET',
+        organisation='',
+        deadline_ms='',
+    ):
+        """Show where a request would go now, and why; nothing is sent.
+
+        :param address: the metrics address of the sidecar that is asked.
+        :param path: the path of the request.
+        :param organisation: the name of the caller's organisation.
+        :param deadline_ms: how long the caller would wait.
+        """
+        fields = {
+            'path': path,
+            'host': host,
+            'method': method,
+            'organisation': organisation,
+            'deadline_ms': deadline_ms,
+        }
+        query = urlencode({key: item for key, item in fields.items() if item})
+        answer = json5.loads(self._fetch(address, f'/explain?{query}'))
+        if 'error' in answer:
+            raise PoplarrackError(ErrorKind.USAGE, answer['error'])
+        self._session.print_result(answer, describe_explanation(answer))
+        if exit_code_of(answer):
+            raise SystemExit(exit_code_of(answer))
+
     def _find_node(self, node):
         for zone in self._session.editor.read_zone_summaries():
             if not zone.operator_address:
--- a/poplarrack/placements.py
+++ b/poplarrack/placements.py
@@ -176,7 +176,7 @@
             if best is not None:
                 return Placement(
                     best,
-                    _max_wait(best, remaining),
+                    wait_bound(best, remaining),
                     SPARE_SLOT_FRACTION[tiers[0]],
                 )
         if any_usable:
@@ -194,7 +194,7 @@
         seconds = state.expected_latency(now, remaining.run_factor)
         if seconds > remaining.target_seconds:
             continue
-        if state.expected_wait(now) > _max_wait(state, remaining):
+        if state.expected_wait(now) > wait_bound(state, remaining):
             continue
         if fastest is None or seconds < least_seconds:
             fastest, least_seconds = state, seconds
@@ -204,7 +204,7 @@
     return fastest
 
 
-def _max_wait(state, remaining):
+def wait_bound(state, remaining):
     """Return the seconds that a request may wait to be answered in time."""
     spare_seconds = (
         remaining.target_seconds
--- a/poplarrack/sidecar_servers.py
+++ b/poplarrack/sidecar_servers.py
@@ -19,6 +19,8 @@
 from poplarrack.dumps import dump_node
 from poplarrack.errors import ErrorKind
 from poplarrack.errors import PoplarrackError
+from poplarrack.explanations import explain
+from poplarrack.explanations import parse_question
 from poplarrack.fetchers import build_fetcher
 from poplarrack.header_names import HeaderNames
 from poplarrack.http_messages import build_answer
@@ -316,4 +318,15 @@
         return build_metrics_page(server)
     if path == '/dump':
         return json_page(dump_node(server.node, server.traffic))
+    if path == '/explain':
+        return _serve_explanation(server, request)
     return json_page({'error': f'no page {path}'}, 404)
+
+
+def _serve_explanation(server, request):
+    """Return where the request that a query tells of would go now."""
+    try:
+        question = parse_question(request.target.partition('?')[2])
+    except PoplarrackError as error:
+        return json_page({'error': str(error)}, error.answer.http_status)
+    return json_page(explain(server.sender, question, server.clock()))
