--- a/poplarrack/moves.py
+++ b/poplarrack/moves.py
@@ -31,6 +31,9 @@
 
 # Evidence against a new version, to 1, from which its move goes no further.
 SUSPICION_FACTOR = 20.0
+# The same where the old servers stop with the completion, which can't be taken
+# back: answers that are due within the last stage are not in yet.
+LAST_SUSPICION_FACTOR = 5.0
 
 # Fraction of the window from which a wait for evidence is recorded.
 RECORDED_WAIT_FRACTION = 0.1
@@ -342,8 +345,11 @@
 
 def _complete(move, policy, observed, now):
     missing = _missing_evidence(move, policy, observed, move.share, True, now)
-    if policy.stops_old_servers and not observed.calls_at(move.share):
-        missing = missing or 'no calls at the last share'
+    if policy.stops_old_servers and not missing:
+        if not observed.calls_at(move.share):
+            missing = 'no calls at the last share'
+        elif observed.suspicion_factor >= LAST_SUSPICION_FACTOR:
+            missing = 'evidence against the new version'
     if missing:
         return _hold_for_evidence(move, policy, missing, observed, now)
     return change_move(
--- a/tests/test_moves.py
+++ b/tests/test_moves.py
@@ -128,6 +128,21 @@
         assert cleared.state is not MoveState.HOLDING
 
 
+# EXPOSURE: a slow version was completed on evidence of 11 to 1 against it. Its
+# last answers were not in yet, and its old servers stopped.
+def test_less_evidence_keeps_a_move_from_what_can_not_be_taken_back():
+    suspect = replace(observation().findings[0], suspicion_factor=11.0)
+    accused = replace(observation(), findings=(suspect,))
+    record = move(
+        policy='replace_at_end', state=MoveState.ADVANCING, share=1.0
+    )
+    held = decide_move(record, accused, 1060.0)
+    assert held.state is MoveState.HOLDING
+    assert 'evidence against the new version' in held.reason
+    watched = decide_move(replace(record, policy='balanced'), accused, 1060.0)
+    assert watched.state is MoveState.COMPLETED
+
+
 # At the whole share there is only the past to compare with. That comparison is
 # discounted so much that 20 calls, half of which failed, did not keep a move
 # from its completion.
