--- a/tests/test_heartbeats.py
+++ b/tests/test_heartbeats.py
@@ -74,6 +74,7 @@
 
 def test_an_endpoint_is_warm_when_it_says_so():
     record = apply(EndpointRecord(), replace(HEARTBEAT, cold_seconds=2.0))
+    assert record.cold_until == record.heard_at + 2.0
     assert record.endpoint.announced_at + SERVICE.warm_up_seconds == 102.0
 
 
