Count whole bodies that wait at an endpoint's node

Cause: a receiving node didn't count the bodies of complete requests. A transport that resumed was closed within its own callback, which asyncio doesn't allow.

Change: they are in the budget; one that waits gives way as not run. What goes on after a pause does so in the next turn of the loop.

Measured: tests.test_body_pipes, an exception of the loop at an answer that breaks off before, none now.

--- a/poplarrack/callers.py
+++ b/poplarrack/callers.py
@@ -339,9 +339,12 @@
         self.is_write_paused = True
 
     def resume_writing(self):
-        """Go on with the answers."""
+        """Go on with the answers.
+
+        Not at once: the transport must not be closed within this call.
+        """
         self.is_write_paused = False
-        self._send_answers()
+        asyncio.get_running_loop().call_soon(self._send_answers)
 
     def write(self, data):
         """Write a part of an answer."""
--- a/poplarrack/receivers.py
+++ b/poplarrack/receivers.py
@@ -469,6 +469,17 @@
         self.admission.discard(received.queue_entry)
         self._end(received)
 
+    def give_up(self, received):
+        """End a request that the budget has no room for.
+
+        One that waits was not run.
+        """
+        if received.exchange is not None:
+            received.exchange.pool.cancel(received.exchange, Outcome.TOO_LARGE)
+        elif not received.ended:
+            self.admission.discard(received.queue_entry)
+            self._reply_not_run(received, 'memory')
+
     def close_idle(self, now):
         """Close idle connections to the endpoint."""
         if self.pool is not None:
--- a/poplarrack/stream_servers.py
+++ b/poplarrack/stream_servers.py
@@ -30,7 +30,8 @@
     def __init__(self, server):
         super().__init__(server.budget)
         self.server = server
-        self.received_requests = {}
+        # The Reply of each request that is not complete, by message id.
+        self.replies = {}
 
     def connection_made(self, transport):
         """Register with the server."""
@@ -42,18 +43,18 @@
         self.budget.release(self)
         self.bodies.lose()
         self.server.streams.discard(self)
-        received_requests, self.received_requests = self.received_requests, {}
-        for received in received_requests.values():
-            self.server.receiver.cancel(received)
+        replies, self.replies = self.replies, {}
+        for reply in replies.values():
+            reply.cancel()
 
     def on_frame(self, kind, message_id, payload):
         """Handle a request, a cancellation, a control message or a probe."""
         if kind == FrameKind.REQUEST:
             self._on_request(message_id, payload)
         elif kind == FrameKind.CANCEL:
-            received = self.received_requests.pop(message_id, None)
-            if received is not None:
-                self.server.receiver.cancel(received)
+            reply = self.replies.pop(message_id, None)
+            if reply is not None:
+                reply.cancel()
             self.bodies.forget(message_id)
         elif kind == FrameKind.CONTROL:
             self.server.serve_control(self, message_id, payload)
@@ -95,17 +96,20 @@
         if request.streamed_bytes:
             upload = self.bodies.receive(message_id, request.streamed_bytes)
         reply = Reply(self, message_id, upload)
-        received = self.server.receiver.receive(
+        reply.received = self.server.receiver.receive(
             request, reply, upload, bool(self.knows_pieces)
         )
         if not reply.is_complete:
-            self.received_requests[message_id] = received
+            self.replies[message_id] = reply
+            if request.body:
+                self.budget.hold(reply, len(request.body))
 
 
 class Reply:
     """Passes the outcome of a request to the other node.
 
-    ``is_complete`` says that nothing of it is still to be sent.
+    ``is_complete`` says that nothing of it is still to be sent, ``received``
+    is what the Receiver made of the request. A holder of the request's body.
     """
 
     def __init__(self, stream, message_id, upload):
@@ -113,6 +117,16 @@
         self.message_id = message_id
         self.upload = upload
         self.is_complete = False
+        self.received = None
+
+    def cancel(self):
+        """Cancel the request, whose outcome is not wanted any more."""
+        self.stream.budget.release(self)
+        self.stream.server.receiver.cancel(self.received)
+
+    def give_up(self):
+        """End the request, whose body the budget has no room for."""
+        self.stream.server.receiver.give_up(self.received)
 
     def __call__(self, delivery, body=None):
         """Send a Delivery, and the BodyPipe of its body if that is long."""
@@ -128,7 +142,8 @@
 
     def _end(self):
         self.is_complete = True
-        self.stream.received_requests.pop(self.message_id, None)
+        self.stream.replies.pop(self.message_id, None)
+        self.stream.budget.release(self)
 
 
 class StreamServer:
--- a/poplarrack/streams.py
+++ b/poplarrack/streams.py
@@ -109,10 +109,17 @@
         self.is_write_paused = True
 
     def resume_writing(self):
-        """Go on with the bodies."""
+        """Go on with the bodies.
+
+        Not at once: the transport must not be closed within this call.
+        """
         self.is_write_paused = False
-        self.bodies.resume()
-        self.count_held()
+        asyncio.get_running_loop().call_soon(self._resume_bodies)
+
+    def _resume_bodies(self):
+        if not self.transport.is_closing():
+            self.bodies.resume()
+            self.count_held()
 
     def give_up(self):
         """Skip the frame whose start is buffered.
--- a/poplarrack/upstreams.py
+++ b/poplarrack/upstreams.py
@@ -6,6 +6,7 @@
 id, an answer with another id is skipped.
 """
 
+from asyncio import get_running_loop
 from dataclasses import dataclass
 from enum import Enum
 import logging
@@ -195,9 +196,13 @@
         self.is_write_paused = True
 
     def resume_writing(self):
-        """Go on with the request's body."""
+        """Go on with the request's body.
+
+        Not at once: the transport must not be closed within this call.
+        """
         self.is_write_paused = False
-        self._send_upload()
+        if self.upload is not None:
+            get_running_loop().call_soon(self._send_upload)
 
     def _send_upload(self):
         upload = self.upload
--- a/tests/test_body_pipes.py
+++ b/tests/test_body_pipes.py
@@ -19,6 +19,8 @@
 from tests.support import build_load_tests
 from tests.support import fixture
 from tests.test_callers import ManualClock
+from tests.test_calls import GatedServer
+from tests.test_receivers import receiver_of
 from tests.test_receivers import request
 from tests.test_streams import connected
 from tests.test_streams import deliver
@@ -29,6 +31,7 @@
 LONG = MAX_WHOLE_BODY_BYTES * 4
 # More than the kernel holds between two ends.
 ENDLESS = 64 * LONG
+WAITS = {'max_wait_ms': 400, 'time_left_ms': 500}
 UPLOAD = b'POST / HTTP/1.1\r\nhost: a\r\ncontent-length: %d\r\n' % LONG
 
 
@@ -232,6 +235,33 @@
     asyncio.run(run())
 
 
+# LOST: bodies that waited whole at an endpoint's node were not counted.
+def test_a_whole_body_that_waits_gives_way_as_not_run():
+    async def run():
+        server = GatedServer()
+        async with receiver_of(server) as receiver:
+            budget = ByteBudget(3 * PIECE_BYTES)
+            peers = connected(receiver, (budget, None))
+            async with peers as (streams, address):
+                body = bytes(PIECE_BYTES)
+                offers = [
+                    asyncio.ensure_future(
+                        deliver(streams, address, 5.0, body=body, **WAITS)
+                    )
+                    for _ in range(5)
+                ]
+                done, _ = await asyncio.wait(
+                    offers, timeout=5, return_when=asyncio.FIRST_COMPLETED
+                )
+                verdicts = {item.result().verdict for item in done}
+                assert verdicts <= {Verdict.NOT_RUN, Verdict.LOST}, verdicts
+                assert budget.total_bytes <= budget.max_bytes
+                server.gate.set()
+                await asyncio.gather(*offers)
+
+    asyncio.run(run())
+
+
 class Callers:
     """A dispatcher that keeps what it starts, and its server."""
 
@@ -257,15 +287,21 @@
 
     @asynccontextmanager
     async def connected(self):
+        errors = []
         loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _, error: errors.append(error))
         port = await self.server.listen(loop, '127.0.0.1', 0)
         reader, writer = await asyncio.open_connection('127.0.0.1', port)
         try:
             yield reader, writer
         finally:
-            writer.transport.abort()
+            if not writer.is_closing():
+                writer.transport.abort()
             self.server.listener.close()
             self.server.socket.close()
+            await asyncio.sleep(0)
+            # Such as a transport that is closed within its own callback.
+            assert not errors, errors
 
     async def begin(self, writer, raw):
         """Send the start of a request; return it and its ``respond``."""
