--- a/poplarrack/receivers.py
+++ b/poplarrack/receivers.py
@@ -83,6 +83,11 @@
     exchange: object = None
     sent_at: float = 0.0
     ended: bool = False
+    receiver: object = None
+
+    def give_up(self):
+        """End it, since the budget has no room for its body."""
+        self.receiver.give_up(self)
 
 
 class RunningRepeats:
@@ -316,6 +321,10 @@
         if body is None:
             self._reply_not_run(received, 'body not fetched')
             return
+        received.receiver = self
+        self.budget.hold(received, len(body))
+        if received.ended:
+            return
         late_ms = int((now - received.received_at) * 1000)
         request = received.request = replace(
             received.request,
@@ -675,6 +684,7 @@
 
     def _end(self, received):
         received.ended = True
+        self.budget.release(received)
         self._settle(received)
         if received.timer is not None:
             received.timer.cancel()
@@ -722,6 +732,17 @@
         self.admission.discard(received.queue_entry)
         self._end(received)
 
+    def give_up(self, received):
+        """End a request that the budget has no room for.
+
+        One that waits was not run.
+        """
+        if received.exchange is not None:
+            received.exchange.pool.cancel(received.exchange, Outcome.TOO_LARGE)
+        elif not received.ended:
+            self.admission.discard(received.queue_entry)
+            self._reply_not_run(received, 'memory')
+
     def close_idle(self, now):
         """Close idle connections to the endpoint."""
         if self.pool is not None:
