--- a/poplarrack/call_limits.py
+++ b/poplarrack/call_limits.py
@@ -80,7 +80,10 @@
 
 
 class CallCount(Struct, frozen=True, array_like=True):
-    """Calls of an organisation since the last message: made and passed."""
+    """Calls of an organisation since the last message: made and passed.
+
+    Those that were given back are taken off, also from earlier messages.
+    """
 
     organisation: str
     made: int
@@ -132,7 +135,7 @@
     def at(self, now):
         """Return the rate, which decays while nothing is counted."""
         elapsed = max(0.0, now - self.counted_at)
-        return self.value * exp(-elapsed / self.seconds)
+        return max(0.0, self.value * exp(-elapsed / self.seconds))
 
 
 @dataclass(slots=True)
@@ -293,6 +296,22 @@
         state.passed += 1
         return None
 
+    def give_back(self, organisation, now):
+        """Take back a call that passed and has not run.
+
+        While endpoints have too little room, most calls come back several
+        times; the limit is on those that run.
+        """
+        state = self.states.get(organisation.name)
+        if state is None or not organisation.calls_per_second:
+            return
+        state.made -= 1
+        state.passed -= 1
+        state.own.add(-1, now)
+        state.slow.add(-1, now)
+        state.tokens += 1
+        state.credit = min(2.0, state.credit + 1)
+
     def _fraction(self, organisation, state):
         """Return the fraction of calls that the limit has room for."""
         made = state.made_per_second
@@ -523,7 +542,7 @@
         """Return the CallCounts since the last message and begin anew."""
         counts = []
         for name, state in self.states.items():
-            if state.made:
+            if state.made or state.passed:
                 counts.append(CallCount(name, state.made, state.passed))
                 if self.is_lead:
                     state.taken += state.passed
--- a/poplarrack/senders.py
+++ b/poplarrack/senders.py
@@ -9,6 +9,8 @@
 import asyncio
 from collections import Counter
 
+from msgspec.structs import replace
+
 from poplarrack.body_pipes import WholeBody
 from poplarrack.call_limits import CallLimits
 from poplarrack.candidates import common_regions
@@ -26,10 +28,13 @@
 from poplarrack.doors import derive_door
 from poplarrack.errors import ANSWERS
 from poplarrack.errors import ErrorKind
+from poplarrack.errors import Ran
 from poplarrack.errors import resolve_error_kind
 from poplarrack.evidence import EvidenceCounter
 from poplarrack.evidence import Side
 from poplarrack.exchanges import Verdict
+from poplarrack.fetched_bodies import build_held_pipe
+from poplarrack.fetched_bodies import MIN_FETCHED_BYTES
 from poplarrack.header_names import HeaderNames
 from poplarrack.histograms import Histogram
 from poplarrack.http_messages import build_answer
@@ -227,6 +232,7 @@
             self._refuse(call, ErrorKind.UNAUTHENTICATED, 'no known key')
             return False
         call.organisation = organisation
+        call.is_counted = True
         call.rank = rank_of(organisation, call.route)
         now = self.clock()
         retry_after = self.call_limits.admit(organisation, now)
@@ -235,6 +241,7 @@
         )
         counts['calls'] += 1
         if retry_after is not None:
+            call.is_counted = False
             counts['over_limit'] += 1
             log_over_limit(
                 call, self.call_limits.describe(organisation, now), retry_after
@@ -429,6 +436,13 @@
         if destination.tier is Tier.OWN:
             received = self.receiver.receive(routed, done, upload, True)
             return lambda: self.receiver.cancel(received)
+        if (
+            upload is None
+            and len(routed.body) >= MIN_FETCHED_BYTES
+            and self.streams.knows_pieces(destination.peer_address)
+        ):
+            upload = build_held_pipe(routed.body)
+            routed = replace(routed, body=b'', streamed_bytes=upload.length)
         return self.streams.deliver(
             destination.peer_address,
             routed,
@@ -605,6 +619,8 @@
         if call.ended:
             return
         kind = resolve_error_kind(kind, call.may_have_run)
+        if call.is_counted and ANSWERS[kind].ran is Ran.NO:
+            self.call_limits.give_back(call.organisation, self.clock())
         self.counts[f'refused_{kind.value}'] += 1
         now = self.clock()
         log_ended(call, self.table.revision, kind.value, detail, now)
