--- a/poplarrack/call_limits.py
+++ b/poplarrack/call_limits.py
@@ -296,22 +296,6 @@
         state.passed += 1
         return None
 
-    def give_back(self, organisation, now):
-        """Take back a call that passed and has not run.
-
-        While endpoints have too little room, most calls come back several
-        times; the limit is on those that run.
-        """
-        state = self.states.get(organisation.name)
-        if state is None or not organisation.calls_per_second:
-            return
-        state.made -= 1
-        state.passed -= 1
-        state.own.add(-1, now)
-        state.slow.add(-1, now)
-        state.tokens += 1
-        state.credit = min(2.0, state.credit + 1)
-
     def _fraction(self, organisation, state):
         """Return the fraction of calls that the limit has room for."""
         made = state.made_per_second
--- a/poplarrack/carried_calls.py
+++ b/poplarrack/carried_calls.py
@@ -24,8 +24,7 @@
     the share in thousandths by which the version was chosen: that of the move
     or, if all calls went to one version, 0 or FULL_SHARE_STAGE.
     ``inherited_repeat`` is the probability that a repeated run made the call,
-    if the local endpoint did. ``organisation`` is that of the caller's key;
-    ``is_counted`` says that the call counts towards its limit;
+    if the local endpoint did. ``organisation`` is that of the caller's key,
     ``rank`` orders the call where it waits; 0 is served first.
     ``cold_seconds`` is how much longer endpoints that refused it are cold.
     ``answer_body`` is the BodyPipe of the last answer, if that is long.
@@ -45,7 +44,6 @@
     arrivals: int = 0
     inherited_repeat: float = 0.0
     organisation: Organisation | None = None
-    is_counted: bool = False
     rank: int = 0
     tried_instances: set = field(default_factory=set)
     busy_instances: set = field(default_factory=set)
--- a/poplarrack/senders.py
+++ b/poplarrack/senders.py
@@ -232,7 +232,6 @@
             self._refuse(call, ErrorKind.UNAUTHENTICATED, 'no known key')
             return False
         call.organisation = organisation
-        call.is_counted = True
         call.rank = rank_of(organisation, call.route)
         now = self.clock()
         retry_after = self.call_limits.admit(organisation, now)
@@ -241,7 +240,6 @@
         )
         counts['calls'] += 1
         if retry_after is not None:
-            call.is_counted = False
             counts['over_limit'] += 1
             log_over_limit(
                 call, self.call_limits.describe(organisation, now), retry_after
@@ -619,8 +617,6 @@
         if call.ended:
             return
         kind = resolve_error_kind(kind, call.may_have_run)
-        if call.is_counted and ANSWERS[kind].ran is Ran.NO:
-            self.call_limits.give_back(call.organisation, self.clock())
         self.counts[f'refused_{kind.value}'] += 1
         now = self.clock()
         log_ended(call, self.table.revision, kind.value, detail, now)
--- a/tests/test_call_limits.py
+++ b/tests/test_call_limits.py
@@ -147,7 +147,7 @@
         now += 0.02
         limits.step(True, (), now)
         if limits.admit(acme, now) is None:
-            limits.give_back(acme, now)
+            limits.take_back(acme, now)
         else:
             refused += 1
     assert not refused, refused
