Count only calls that run against a limit

Change: a call that is refused and has not run is taken back, in the node's bucket and in the counts that it tells.

--- a/poplarrack/call_limits.py
+++ b/poplarrack/call_limits.py
@@ -172,7 +172,7 @@
 
     def made_per_second(self, organisation):
         """Return the calls of an organisation."""
-        return self.rates.get(organisation, (0.0, 0.0))[0]
+        return max(0.0, self.rates.get(organisation, (0.0, 0.0))[0])
 
 
 @dataclass(slots=True)
@@ -293,6 +293,20 @@
         state.passed += 1
         return None
 
+    def take_back(self, organisation, now):
+        """Take back a call that passed and was refused without being run.
+
+        Only calls that run count against a limit.
+        """
+        organisation = self.organisations.get(organisation.name)
+        if organisation is None or not organisation.calls_per_second:
+            return
+        state = self._state(organisation, now)
+        state.made -= 1
+        state.passed -= 1
+        state.tokens += 1
+        state.credit += 1
+
     def _fraction(self, organisation, state):
         """Return the fraction of calls that the limit has room for."""
         made = state.made_per_second
@@ -523,7 +537,7 @@
         """Return the CallCounts since the last message and begin anew."""
         counts = []
         for name, state in self.states.items():
-            if state.made:
+            if state.made or state.passed:
                 counts.append(CallCount(name, state.made, state.passed))
                 if self.is_lead:
                     state.taken += state.passed
--- a/poplarrack/carried_calls.py
+++ b/poplarrack/carried_calls.py
@@ -25,6 +25,7 @@
     ``inherited_repeat`` is the probability that a repeated run made the call,
     if the local endpoint did. ``organisation`` is that of the caller's key,
     ``rank`` orders the call where it waits; 0 is served first.
+    ``is_within_limit`` says that it was counted against a limit.
     """
 
     request: HttpRequest
@@ -42,6 +43,7 @@
     inherited_repeat: float = 0.0
     organisation: Organisation | None = None
     rank: int = 0
+    is_within_limit: bool = False
     tried_instances: set = field(default_factory=set)
     busy_instances: set = field(default_factory=set)
     has_queued: bool = False
--- a/poplarrack/senders.py
+++ b/poplarrack/senders.py
@@ -21,6 +21,7 @@
 from poplarrack.destinations import DestinationTable
 from poplarrack.errors import ANSWERS
 from poplarrack.errors import ErrorKind
+from poplarrack.errors import Ran
 from poplarrack.errors import resolve_error_kind
 from poplarrack.evidence import EvidenceCounter
 from poplarrack.evidence import Side
@@ -231,6 +232,7 @@
                 call, ErrorKind.RATE_LIMITED, organisation.name, retry_after
             )
             return False
+        call.is_within_limit = True
         return True
 
     def _service_counts(self, service):
@@ -522,6 +524,8 @@
         if call.ended:
             return
         kind = resolve_error_kind(kind, call.may_have_run)
+        if call.is_within_limit and ANSWERS[kind].ran is Ran.NO:
+            self.call_limits.take_back(call.organisation, self.clock())
         self.counts[f'refused_{kind.value}'] += 1
         now = self.clock()
         log_ended(call, self.table.revision, kind.value, detail, now)
--- a/tests/test_call_limits.py
+++ b/tests/test_call_limits.py
@@ -2,6 +2,7 @@
 
 from random import Random
 
+from poplarrack.call_limits import CallCount
 from poplarrack.call_limits import CallLimits
 from poplarrack.resources import Organisation
 from tests.limit_meshes import Mesh
@@ -123,6 +124,18 @@
     assert all(limits.admit(free, 1.0) is None for _ in range(1_000))
 
 
+def test_what_is_taken_back_is_told():
+    limits = CallLimits(Random(1))
+    organisation = Organisation('acme', calls_per_second=9.0, burst=9.0)
+    limits.set_organisations({'acme': organisation}, 1)
+    limits.told_at = 1.0
+    assert limits.admit(organisation, 1.0) is None
+    assert limits.collect_counts() == (CallCount('acme', 1, 1),)
+    limits.take_back(organisation, 1.0)
+    assert limits.collect_counts() == (CallCount('acme', -1, -1),)
+    assert limits.collect_counts() == ()
+
+
 # Callers that come back at the same moment are refused again.
 def test_those_over_the_limit_return_spread_over_time():
     mesh = mesh_of(12, 24.0, 3)
--- a/tests/test_senders.py
+++ b/tests/test_senders.py
@@ -389,6 +389,21 @@
     assert b'retry-after: ' in head
 
 
+# Requests below the limit were refused while the organisation's earlier ones
+# had used it up without being run.
+def test_what_did_not_run_is_not_counted_against_a_limit():
+    limited = replace(ACME, calls_per_second=2.0, burst=2.0)
+
+    async def run():
+        sender, _ = build_sender([STOPPING] * 300)
+        sender.set_table(with_organisations(sender.table, limited))
+        sender.call_limits.told_at = sender.clock()
+        found = [await send(sender, headers=(KEY,)) for _ in range(20)]
+        return {status for status, _, _ in found}
+
+    assert asyncio.run(run()) == {503}
+
+
 def test_a_retry_is_marked_as_a_repeat():
     _, _, streams = answer_to([STOPPING, FAILED, GOOD], '/read/x')
     marks = [request.is_repeat for _, request in streams.sent]
