--- a/poplarrack/carried_calls.py
+++ b/poplarrack/carried_calls.py
@@ -28,6 +28,7 @@
     ``rank`` orders the call where it waits; 0 is served first.
     ``cold_seconds`` is how much longer endpoints that refused it are cold.
     ``answer_body`` is the BodyPipe of the last answer, if that is long.
+    ``is_within_limit`` says that it was counted against a limit.
     """
 
     request: HttpRequest
@@ -45,6 +46,7 @@
     inherited_repeat: float = 0.0
     organisation: Organisation | None = None
     rank: int = 0
+    is_within_limit: bool = False
     tried_instances: set = field(default_factory=set)
     busy_instances: set = field(default_factory=set)
     has_queued: bool = False
