Let one slow answer not stop what was sent ahead

Cause: requests that were sent ahead waited while over 64 KiB of the answers before them had not been taken, less than one answer that is held whole.

Change: they wait from 256 KiB on.

--- a/poplarrack/callers.py
+++ b/poplarrack/callers.py
@@ -110,6 +110,9 @@
         The connection is aborted if there are still too many.
         """
         self.transport = transport
+        # One whole answer that is read slowly does not stop the requests that
+        # were sent ahead.
+        transport.set_write_buffer_limits(MAX_WHOLE_BODY_BYTES)
         self.server.connections.add(self)
         if self.server.is_over_limit:
             self.server.evict_idle(self.last_read)
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -97,6 +97,9 @@
     def is_closing(self):
         return self.closing
 
+    def set_write_buffer_limits(self, high):
+        pass
+
     def get_write_buffer_size(self):
         return 0
 
