--- a/poplarrack/settings.py
+++ b/poplarrack/settings.py
@@ -83,7 +83,7 @@
     drain_seconds: float = 3.0
     announcement_ttl_seconds: float = 3.0
     balancer: str = 'least_loaded'
-    learns_room: bool = True
+    learns_room: bool = False
 
 
 @dataclass(frozen=True)
