--- a/poplarrack/call_limits.py
+++ b/poplarrack/call_limits.py
@@ -175,7 +175,7 @@
 
     def made_per_second(self, organisation):
         """Return the calls of an organisation."""
-        return self.rates.get(organisation, (0.0, 0.0))[0]
+        return max(0.0, self.rates.get(organisation, (0.0, 0.0))[0])
 
 
 @dataclass(slots=True)
@@ -296,21 +296,21 @@
         state.passed += 1
         return None
 
-    def give_back(self, organisation, now):
-        """Take back a call that passed and has not run.
+    def take_back(self, organisation, now):
+        """Take back a call that passed and was refused without being run.
 
-        While endpoints have too little room, most calls come back several
-        times; the limit is on those that run.
+        Only calls that run count against a limit.
         """
-        state = self.states.get(organisation.name)
-        if state is None or not organisation.calls_per_second:
+        organisation = self.organisations.get(organisation.name)
+        if organisation is None or not organisation.calls_per_second:
             return
+        state = self._state(organisation, now)
         state.made -= 1
         state.passed -= 1
         state.own.add(-1, now)
         state.slow.add(-1, now)
         state.tokens += 1
-        state.credit = min(2.0, state.credit + 1)
+        state.credit += 1
 
     def _fraction(self, organisation, state):
         """Return the fraction of calls that the limit has room for."""
--- a/poplarrack/callers.py
+++ b/poplarrack/callers.py
@@ -339,9 +339,12 @@
         self.is_write_paused = True
 
     def resume_writing(self):
-        """Go on with the answers."""
+        """Go on with the answers.
+
+        Not at once: the transport must not be closed within this call.
+        """
         self.is_write_paused = False
-        self._send_answers()
+        asyncio.get_running_loop().call_soon(self._send_answers)
 
     def write(self, data):
         """Write a part of an answer."""
@@ -393,6 +396,9 @@
             return
         while self.exchanges and self._send_answer(self.exchanges[0]):
             exchange = self.exchanges.popleft()
+            if exchange.request.upload is not None:
+                # What the caller still sends of it is dropped.
+                exchange.request.upload.close()
             if self._must_close_after(exchange):
                 self._close_after_answer()
                 return
