Order a queue by targets, and by what each route takes

Cause: once some of a queue could not be in time, the newest ran first. In the order of deadlines, routes whose callers wait longer starved.

Change: of what can be in time, by what its route takes, the one whose target ends next runs first.

--- a/poplarrack/admissions.py
+++ b/poplarrack/admissions.py
@@ -8,6 +8,10 @@
 # Least weight of a new observation in the mean service time: the plain mean
 # of the first observations changes over to a moving average.
 SERVICE_TIME_WEIGHT = 0.05
+# Weight of a new observation in the mean of its route, and the routes that
+# are remembered.
+ROUTE_TIME_WEIGHT = 0.1
+MAX_REMEMBERED_ROUTES = 256
 # Assumed until the first observation.
 INITIAL_SERVICE_SECONDS = 0.05
 # A request with less than this fraction of the mean service time left would
@@ -22,6 +26,7 @@
     ``tag`` is that of FairShares, 0 without organisations. ``received`` is
     the ReceivedRequest, ``expires_at`` when it leaves the queue unserved,
     ``target_at`` when its target latency has passed, 0 if it has none.
+    ``run_seconds`` is how long requests of its route run.
     """
 
     rank: int
@@ -31,7 +36,7 @@
     received: object = field(compare=False, default=None)
     expires_at: float = field(compare=False, default=0.0)
     target_at: float = field(compare=False, default=0.0)
-    organisation: str = field(compare=False, default='')
+    run_seconds: float = field(compare=False, default=0.0)
 
 
 class Admission:
@@ -48,12 +53,22 @@
         self.last_sequence = 0
         self.service_seconds = INITIAL_SERVICE_SECONDS
         self.observations = 0
+        self.route_seconds = {}
 
-    def observe(self, seconds):
+    def observe(self, seconds, route=''):
         """Record the seconds that the endpoint took for a request."""
         self.observations += 1
         weight = max(SERVICE_TIME_WEIGHT, 1 / self.observations)
         self.service_seconds += weight * (seconds - self.service_seconds)
+        if len(self.route_seconds) > MAX_REMEMBERED_ROUTES:
+            self.route_seconds.clear()
+        mean = self.route_seconds.get(route, seconds)
+        mean += ROUTE_TIME_WEIGHT * (seconds - mean)
+        self.route_seconds[route] = mean
+
+    def run_seconds_of(self, route):
+        """Return how long requests of a route run, as far as is known."""
+        return self.route_seconds.get(route, self.service_seconds)
 
     def resize(self, slots):
         """Set the slots that the endpoint tells."""
@@ -113,15 +128,14 @@
         waiting = [item for item in self.queue if item.rank == rank]
         in_time = [item for item in waiting if self._may_be_in_time(item, now)]
         if len(in_time) < len(waiting):
-            # The newest goes first then, if others have no better claim.
+            # There is too much for all. What is late gives way, and a queue
+            # of it must not keep away what could be in time.
             return better + sum(1 for item in in_time if 0 < item.tag < tag)
         return better + sum(1 for item in waiting if item.tag <= tag)
 
     def _may_be_in_time(self, item, now):
         """Return whether an answer can still meet the target latency."""
-        return (
-            not item.target_at or item.target_at - now >= self.service_seconds
-        )
+        return not item.target_at or item.target_at - now >= item.run_seconds
 
     def _wait_behind(self, ahead):
         excess = ahead + 1 + max(0, self.running - self.room)
@@ -148,7 +162,7 @@
         expires_at,
         target_at=0.0,
         tag=0.0,
-        organisation='',
+        route='',
     ):
         """Add a request to the queue.
 
@@ -166,7 +180,7 @@
             received,
             expires_at,
             target_at,
-            organisation,
+            self.run_seconds_of(route),
         )
         insort(self.queue, item)
         return item
@@ -209,30 +223,14 @@
         """Return the queue index of the request to run next.
 
         Of the requests of the best rank, those that can still meet their
-        target latency take precedence over those that can't. While all can,
-        they run in order. Once some can't, the newest runs first: in order,
-        each would wait until it is nearly too late, and most would be late.
+        target latency take precedence over those that can't, the one whose
+        target is the next first, within the organisation whose turn it is.
         """
         rank = self.queue[0].rank
-        in_time, are_all_in_time = [], True
+        in_time = []
         for index, item in enumerate(self.queue):
             if item.rank != rank:
                 break
             if self._may_be_in_time(item, now):
-                in_time.append((index, item))
-            else:
-                are_all_in_time = False
-        if not in_time:
-            return 0
-        first_index, first = in_time[0]
-        if are_all_in_time:
-            return first_index
-        newest_index, _ = max(
-            (
-                pair
-                for pair in in_time
-                if pair[1].organisation == first.organisation
-            ),
-            key=lambda pair: pair[1].sequence,
-        )
-        return newest_index
+                in_time.append((item.tag, item.target_at, index))
+        return min(in_time, default=(0.0, 0.0, 0))[-1]
--- a/poplarrack/receivers.py
+++ b/poplarrack/receivers.py
@@ -415,7 +415,7 @@
             expires_at,
             now + request.target_left_ms / 1000,
             received.ticket.tag if received.ticket else 0.0,
-            request.organisation,
+            request.route,
         )
         received.timer = get_running_loop().call_later(
             expires_at - now, self._expire, received
@@ -608,7 +608,7 @@
         if not failed:
             # Failures are often fast: an endpoint that fails would seem the
             # fastest one.
-            admission.observe(now - received.sent_at)
+            admission.observe(now - received.sent_at, received.request.route)
             if self.shares is not None:
                 self.shares.learn(
                     received.request.route, now - received.sent_at
