Hold the learned room to its goal, and list what is red

Cause: the bound of the test for slowing endpoints, 0.8, came from what was measured; the goal is 0.9 of who knows the curve. The test of a caller that leaves in the middle of an upload sent no more than the kernel holds.

Change: a test a load with the goal as its bound, and one of a caller that leaves bytes behind. Those that fail are listed.

--- a/tests/test_body_pipes.py
+++ b/tests/test_body_pipes.py
@@ -386,6 +386,23 @@
     asyncio.run(run())
 
 
+# GONE: the end of a caller that sent more than is read was only seen once the
+# endpoint read on.
+def test_a_caller_that_leaves_bytes_behind_breaks_its_body_off(callers):
+    async def run():
+        async with callers.connected() as (_, writer):
+            started, _ = await callers.begin(writer, UPLOAD + b'\r\n')
+            writer.write(bytes(LONG - 1))
+            await wait_for(lambda: callers.server.paused)
+            writer.close()
+            await asyncio.sleep(0.1)
+            callers.server.end_abandoned()
+            await wait_for(lambda: started.upload.failed)
+            assert callers.cancelled == [started]
+
+    asyncio.run(run())
+
+
 def respond_in_pieces(respond, length):
     """Begin an answer that the kernel does not hold; return its source."""
     source = SlowSource(ENDLESS)
--- a/tests/test_learned_rooms.py
+++ b/tests/test_learned_rooms.py
@@ -17,6 +17,8 @@
 load_tests = build_load_tests(__name__)
 
 SEEDS = range(100, 106)
+# Of the answers in time of one who knows the curve.
+GOAL = 0.9
 
 
 def served(name, build, seconds=30.0):
@@ -42,11 +44,26 @@
 
 
 # With all slots in use, most answers were late: 16% of what is possible while
-# the endpoint thrashes.
-def test_an_endpoint_that_slows_down_runs_as_many_as_it_runs_well():
-    for name in ('thrashing', 'failing', 'collapse', 'wave'):
-        ratio = served_later(name, 10.0)
-        assert ratio > 0.8, (name, ratio)
+# the endpoint thrashes. The goal is what a known curve gives, less a tenth.
+def check_goal(name):
+    ratio = served_later(name, 10.0)
+    assert ratio >= GOAL, ratio
+
+
+def test_an_endpoint_that_thrashes_runs_as_many_as_it_runs_well():
+    check_goal('thrashing')
+
+
+def test_an_endpoint_that_fails_when_full_runs_as_many_as_it_runs_well():
+    check_goal('failing')
+
+
+def test_an_endpoint_that_collapses_runs_as_many_as_it_runs_well():
+    check_goal('collapse')
+
+
+def test_a_wave_of_load_leaves_an_endpoint_what_it_runs_well():
+    check_goal('wave')
 
 
 def served_later(name, start):
