--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -17,6 +17,7 @@
 from tests.node_processes import build_configuration
 from tests.node_processes import call
 from tests.node_processes import running_nodes
+from tests.node_processes import START_TIMEOUT_SECONDS
 from tests.support import build_load_tests
 
 load_tests = build_load_tests(__name__)
@@ -87,6 +88,13 @@
     return statuses
 
 
+async def wait_until_served(node, service):
+    """Wait until a node knows the service's endpoint."""
+    async with asyncio.timeout(START_TIMEOUT_SECONDS):
+        while await call(node, service) != 200:
+            await asyncio.sleep(PAUSE_SECONDS)
+
+
 async def measure(endpoints, build_attack, seconds):
     """Make calls to the sound endpoint during an attack.
 
@@ -97,9 +105,8 @@
     with TemporaryDirectory(prefix='poplarrack-endless-') as directory:
         endpoints = {'back': serve_sound, **endpoints}
         async with running_nodes(Path(directory), endpoints) as (nodes, store):
-            await asyncio.sleep(1.5)
             for node in nodes.values():
-                assert await call(node, 'back') == 200
+                await wait_until_served(node, 'back')
             end = asyncio.get_running_loop().time() + seconds
             attacks = asyncio.gather(*build_attack(nodes, store, end))
             witnesses = await asyncio.gather(
