Pass the faults on in the store client's test

Cause: the test's double of the translation took one argument; since parts of a configuration are left out and named, it is given two.

Measured: tests.test_store_client, 2 of 7 failing before, all pass.

--- a/tests/test_store_client.py
+++ b/tests/test_store_client.py
@@ -52,12 +52,12 @@
         self.begun = Event()
         self.let_go = Event()
 
-    def __call__(self, item):
+    def __call__(self, item, faults):
         """Translate an item; the first call waits."""
         if not self.begun.is_set():
             self.begun.set()
             assert self.let_go.wait(WAIT_SECONDS)
-        return self.original(item)
+        return self.original(item, faults)
 
 
 def play_beside(first, second):
