Split the modules that had grown large

Change: caller_connections, received_requests, forwarded_requests, limit_messages, limit_states and frame_protocols; regions_of is with the other filters of candidates.

--- a/poplarrack/candidates.py
+++ b/poplarrack/candidates.py
@@ -32,6 +32,23 @@
     return common
 
 
+def regions_of(call, table):
+    """Return the regions that a call may be served in, None: anywhere.
+
+    Those of its start bind, and those that the configuration has now.
+
+    :param call: the Call.
+    :param table: the RoutingTable in force.
+    """
+    route, organisation = call.route, call.organisation
+    now = table.router.by_name.get(route.name, route)
+    regions = common_regions(route.regions, now.regions)
+    if organisation is None:
+        return regions
+    now = table.organisations.get(organisation.name, organisation)
+    return common_regions(regions, organisation.regions, now.regions)
+
+
 def find_exclusion(region, zone, regions, evacuated_zones):
     """Return why an endpoint may not serve a call, or an empty string.
 
--- a/poplarrack/limit_exchanges.py
+++ b/poplarrack/limit_exchanges.py
@@ -1,8 +1,8 @@
 """Exchange the counts and totals of organisations' calls between nodes."""
 
-from poplarrack.call_limits import CallCounts
-from poplarrack.call_limits import CallTotals
 from poplarrack.errors import PoplarrackError
+from poplarrack.limit_messages import CallCounts
+from poplarrack.limit_messages import CallTotals
 
 EXCHANGE_SECONDS = 0.3
 # How often a node without calls asks for the totals.
--- a/poplarrack/messages.py
+++ b/poplarrack/messages.py
@@ -13,13 +13,13 @@
 from msgspec.msgpack import Decoder
 from msgspec.msgpack import Encoder
 
-from poplarrack.call_limits import CallCounts
-from poplarrack.call_limits import CallTotals
 from poplarrack.configurations import Rejection
 from poplarrack.errors import ErrorKind
 from poplarrack.errors import PoplarrackError
 from poplarrack.evidence import Cell
 from poplarrack.evidence import Verdict
+from poplarrack.limit_messages import CallCounts
+from poplarrack.limit_messages import CallTotals
 from poplarrack.members import Member
 from poplarrack.snapshots import Delta
 
--- a/poplarrack/receivers.py
+++ b/poplarrack/receivers.py
@@ -7,7 +7,6 @@
 
 from asyncio import get_running_loop
 from collections import Counter
-from dataclasses import dataclass
 import logging
 from math import inf
 
@@ -21,19 +20,18 @@
 from poplarrack.endpoint_health import FailureRate
 from poplarrack.exchanges import Delivery
 from poplarrack.exchanges import Occupancy
-from poplarrack.exchanges import RoutedRequest
 from poplarrack.exchanges import Verdict
 from poplarrack.fair_queues import FairShares
-from poplarrack.fair_queues import Ticket
 from poplarrack.fetched_bodies import FetchedBody
 from poplarrack.fetched_bodies import is_fetched
-from poplarrack.http_messages import build_request
-from poplarrack.http_messages import HttpRequest
+from poplarrack.forwarded_requests import build_forwarded_request
 from poplarrack.http_messages import is_end_to_end
 from poplarrack.learned_rooms import LearnedRoom
 from poplarrack.link_gates import LinkGate
 from poplarrack.members import EndpointState
 from poplarrack.members import same_start
+from poplarrack.received_requests import ReceivedRequest
+from poplarrack.received_requests import RunningRepeats
 from poplarrack.resources import CallerLimits
 from poplarrack.upstream_pools import UpstreamPool
 from poplarrack.upstreams import Outcome
@@ -55,70 +53,6 @@
 FAILED_OUTCOMES = (Outcome.LOST, Outcome.TIMED_OUT, Outcome.TOO_LARGE)
 
 
-@dataclass(slots=True, eq=False)
-class ReceivedRequest:
-    """A request that is queued or runs at the receiving node.
-
-    ``reply`` is called once with the Delivery, and with the BodyPipe of a long
-    answer if ``in_pieces`` allows for that. ``upload`` is the BodyPipe of a
-    long request, ``fetched`` its FetchedBody while that is under way.
-    ``queue_entry`` and ``timer`` are set while the request is
-    queued, ``exchange`` while it runs, ``ticket`` in a mesh of organisations.
-    ``has_begun`` says that its answer is
-    passed on in pieces or was refused by its head.
-    """
-
-    request: RoutedRequest
-    reply: object
-    deadline: float
-    upload: object = None
-    in_pieces: bool = False
-    has_begun: bool = False
-    answer_body: object = None
-    received_at: float = 0.0
-    fetched: FetchedBody | None = None
-    queue_entry: object = None
-    ticket: Ticket | None = None
-    timer: object = None
-    exchange: object = None
-    sent_at: float = 0.0
-    ended: bool = False
-    receiver: object = None
-
-    def give_up(self):
-        """End it, since the budget has no room for its body."""
-        self.receiver.give_up(self)
-
-
-class RunningRepeats:
-    """Tells which fraction of the running requests are repeats.
-
-    Repeatable requests and others are told apart: nearly all repeats are
-    repeatable, so that one fraction of both would be too low for them.
-    """
-
-    def __init__(self):
-        self.running = {False: 0, True: 0}
-        self.repeats = {False: 0, True: 0}
-
-    def add(self, request):
-        """Count a RoutedRequest that begins to run."""
-        self.running[request.repeatable] += 1
-        self.repeats[request.repeatable] += request.is_repeat
-
-    def remove(self, request):
-        """Count a RoutedRequest that no longer runs."""
-        self.running[request.repeatable] -= 1
-        self.repeats[request.repeatable] -= request.is_repeat
-
-    def fraction(self):
-        """Return the fraction of repeats, that of the greater kind."""
-        return max(
-            self.repeats[kind] / max(1, running)
-            for kind, running in self.running.items()
-        )
-
-
 class Receiver:
     """Admits requests to the local endpoint.
 
@@ -386,7 +320,7 @@
         return '' if self._admits(request, now) else 'busy'
 
     def _link_wait(self, request):
-        """Return the seconds until a body that is to be fetched is here."""
+        """Return the seconds until a body that is to be fetched may come."""
         size = request.streamed_bytes
         if self.link_gate is None or not 0 < size <= MAX_WHOLE_BODY_BYTES:
             return 0.0
@@ -480,7 +414,13 @@
             return self._begin_answer(received, admission, answer, body)
 
         received.exchange = self.pool.start(
-            self._build_request(request, remaining_seconds, received.upload),
+            build_forwarded_request(
+                request,
+                self.endpoint,
+                self.header_names,
+                remaining_seconds,
+                received.upload,
+            ),
             request.method == 'HEAD',
             remaining_seconds,
             done,
@@ -502,35 +442,6 @@
             },
         )
 
-    def _build_request(self, request, remaining_seconds, upload):
-        header_names = self.header_names
-        header_lines = [
-            b'%s: %d\r\n'
-            % (header_names.deadline_ms, max(1, int(remaining_seconds * 1000)))
-        ]
-        if header_names.instance and self.endpoint.instance_id:
-            instance = self.endpoint.instance_id.encode()
-            header_lines.append(
-                b'%s: %s\r\n' % (header_names.instance, instance)
-            )
-        if header_names.caller_service:
-            caller = request.caller_service.encode()
-            header_lines.append(
-                b'%s: %s\r\n' % (header_names.caller_service, caller)
-            )
-        if header_names.organisation and request.organisation:
-            name = request.organisation.encode()
-            header_lines.append(
-                b'%s: %s\r\n' % (header_names.organisation, name)
-            )
-        forwarded = HttpRequest(
-            request.method, request.target, request.headers, request.body
-        )
-        forwarded.upload = upload
-        return build_request(
-            forwarded, self.endpoint.address, b''.join(header_lines)
-        )
-
     def _on_outcome(self, received, admission, outcome, answer):
         now = self.clock()
         received.exchange = None
--- a/poplarrack/senders.py
+++ b/poplarrack/senders.py
@@ -13,9 +13,9 @@
 
 from poplarrack.body_pipes import WholeBody
 from poplarrack.call_limits import CallLimits
-from poplarrack.candidates import common_regions
 from poplarrack.candidates import explain_exclusion
 from poplarrack.candidates import filter_group
+from poplarrack.candidates import regions_of
 from poplarrack.carried_calls import Call
 from poplarrack.carried_calls import log_ended
 from poplarrack.carried_calls import log_internal_error
@@ -366,7 +366,7 @@
         """
         group = filter_group(
             self.destinations.for_service(call.service),
-            self._regions_of(call),
+            regions_of(call, self.table),
             self.table.evacuated_zones,
         )
         split = self.table.moves.get(call.service)
@@ -374,19 +374,6 @@
             return group
         return self.splitter.choose_version(call, group, split)
 
-    def _regions_of(self, call):
-        """Return the regions that a call may be served in, None: anywhere.
-
-        Those of its start bind, and those that the configuration has now.
-        """
-        route, organisation = call.route, call.organisation
-        now = self.table.router.by_name.get(route.name, route)
-        regions = common_regions(route.regions, now.regions)
-        if organisation is None:
-            return regions
-        now = self.table.organisations.get(organisation.name, organisation)
-        return common_regions(regions, organisation.regions, now.regions)
-
     def _record_own_load(self, service, now):
         """Record the load of the local endpoint, which is known exactly."""
         endpoint = self.receiver.endpoint
@@ -597,7 +584,7 @@
     def _refuse_unplaced(self, call):
         group = self.destinations.for_service(call.service)
         excluded = explain_exclusion(
-            group, self._regions_of(call), self.table.evacuated_zones
+            group, regions_of(call, self.table), self.table.evacuated_zones
         )
         if call.last_failure is not None:
             self._respond(call, call.last_failure, self.clock())
--- a/poplarrack/stream_servers.py
+++ b/poplarrack/stream_servers.py
@@ -13,11 +13,11 @@
 from poplarrack.exchanges import Delivery
 from poplarrack.exchanges import REQUEST_CODEC
 from poplarrack.exchanges import Verdict
+from poplarrack.frame_protocols import BODY_HANDLERS
+from poplarrack.frame_protocols import FrameProtocol
 from poplarrack.frames import FRAME_HEADER
 from poplarrack.frames import FrameKind
 from poplarrack.messages import CODECS
-from poplarrack.streams import BODY_HANDLERS
-from poplarrack.streams import FrameProtocol
 
 logger = logging.getLogger(__name__)
 
--- a/tests/retry_meshes.py
+++ b/tests/retry_meshes.py
@@ -18,7 +18,7 @@
 from poplarrack.exchanges import Verdict
 from poplarrack.header_names import HeaderNames
 from poplarrack.http_messages import HttpRequest
-from poplarrack.receivers import RunningRepeats
+from poplarrack.received_requests import RunningRepeats
 from poplarrack.resources import Route
 from poplarrack.routers import Router
 from poplarrack.routing_tables import RoutingTable
--- a/tests/test_call_limits.py
+++ b/tests/test_call_limits.py
@@ -2,8 +2,8 @@
 
 from random import Random
 
-from poplarrack.call_limits import CallCount
 from poplarrack.call_limits import CallLimits
+from poplarrack.limit_messages import CallCount
 from poplarrack.resources import Organisation
 from tests.limit_meshes import Mesh
 from tests.limit_meshes import ZONES
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -3,9 +3,9 @@
 import asyncio
 from contextlib import contextmanager
 
-from poplarrack.callers import CallerConnection
+from poplarrack.caller_connections import CallerConnection
+from poplarrack.caller_connections import MAX_OVERLAPPING_REQUESTS
 from poplarrack.callers import CallServer
-from poplarrack.callers import MAX_OVERLAPPING_REQUESTS
 from poplarrack.http_messages import build_answer
 from tests.support import build_load_tests
 from tests.support import fixture
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -11,9 +11,9 @@
 from tempfile import TemporaryDirectory
 
 from poplarrack.addresses import split_address
-from poplarrack.streams import FRAME_HEADER
-from poplarrack.streams import FrameKind
-from poplarrack.streams import MAX_FRAME_BYTES
+from poplarrack.frames import FRAME_HEADER
+from poplarrack.frames import FrameKind
+from poplarrack.frames import MAX_FRAME_BYTES
 from tests.node_processes import build_configuration
 from tests.node_processes import call
 from tests.node_processes import running_nodes
--- a/tests/test_receivers.py
+++ b/tests/test_receivers.py
@@ -10,8 +10,8 @@
 from poplarrack.exchanges import Verdict
 from poplarrack.header_names import HeaderNames
 from poplarrack.members import EndpointState
+from poplarrack.received_requests import RunningRepeats
 from poplarrack.receivers import Receiver
-from poplarrack.receivers import RunningRepeats
 from tests.samples import endpoint
 from tests.support import build_load_tests
 from tests.test_calls import GatedServer
--- a/tests/test_senders.py
+++ b/tests/test_senders.py
@@ -20,7 +20,7 @@
 from poplarrack.http_messages import HttpRequest
 from poplarrack.organisations import build_key_index
 from poplarrack.organisations import StaleKeys
-from poplarrack.receivers import RunningRepeats
+from poplarrack.received_requests import RunningRepeats
 from poplarrack.resources import digest_key
 from poplarrack.resources import Organisation
 from poplarrack.resources import Route
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -10,14 +10,14 @@
 from poplarrack.errors import PoplarrackError
 from poplarrack.exchanges import Delivery
 from poplarrack.exchanges import Verdict
+from poplarrack.frames import FRAME_HEADER
+from poplarrack.frames import FrameKind
+from poplarrack.frames import MAX_FRAME_BYTES
 from poplarrack.messages import Digests
 from poplarrack.messages import DigestsAnswer
 from poplarrack.messages import ProbeRequest
 from poplarrack.stream_servers import StreamServer
 from poplarrack.streams import AVOID_AFTER_SECONDS
-from poplarrack.streams import FRAME_HEADER
-from poplarrack.streams import FrameKind
-from poplarrack.streams import MAX_FRAME_BYTES
 from poplarrack.streams import PeerStreams
 from poplarrack.streams import PROBE_AFTER_SECONDS
 from poplarrack.streams import PROBE_TIMEOUT_SECONDS
