Order by targets only where there are organisations

Cause: the order of the queue by targets held on every deployment, also on those whose configuration asks for nothing new.

Change: queue orders are a registry (queue_orders); that by targets goes with fair shares, the others keep the order of deadlines, by which a late request counts for new ones as before.

--- a/poplarrack/admissions.py
+++ b/poplarrack/admissions.py
@@ -5,6 +5,8 @@
 from dataclasses import field
 from math import inf
 
+from poplarrack.queue_orders import QUEUE_ORDERS
+
 # Least weight of a new observation in the mean service time: the plain mean
 # of the first observations changes over to a moving average.
 SERVICE_TIME_WEIGHT = 0.05
@@ -43,11 +45,13 @@
     """The room of an endpoint and the queue of requests for it.
 
     :param learned: the LearnedRoom, or None where all slots are used.
+    :param order: the name of the queue order.
     """
 
-    def __init__(self, slots, learned=None):
+    def __init__(self, slots, learned=None, order='deadline'):
         self.slots = slots
         self.learned = learned
+        self.order = QUEUE_ORDERS[order]
         self.running = 0
         self.queue = []
         self.last_sequence = 0
@@ -108,13 +112,17 @@
         """Return the seconds that a request of a rank and tag would wait."""
         if self.free_slots > len(self.queue):
             return 0.0
-        return self._wait_behind(self._count_ahead(rank, tag, now))
+        return self._wait_behind(
+            self.order.count_ahead(self.queue, rank, tag, now)
+        )
 
     def count_ahead_of_new(self, now):
         """Return how many run before a new request of the lowest rank."""
         if not self.queue:
             return 0
-        return self._count_ahead(self.queue[-1].rank, inf, now)
+        return self.order.count_ahead(
+            self.queue, self.queue[-1].rank, inf, now
+        )
 
     def expected_wait_of_new(self, now):
         """Return the seconds that a new one of the lowest rank would wait."""
@@ -122,21 +130,6 @@
             return 0.0
         return self._wait_behind(self.count_ahead_of_new(now))
 
-    def _count_ahead(self, rank, tag, now):
-        """Return how many of those that wait run before a new request."""
-        better = sum(1 for item in self.queue if item.rank < rank)
-        waiting = [item for item in self.queue if item.rank == rank]
-        in_time = [item for item in waiting if self._may_be_in_time(item, now)]
-        if len(in_time) < len(waiting):
-            # There is too much for all. What is late gives way, and a queue
-            # of it must not keep away what could be in time.
-            return better + sum(1 for item in in_time if 0 < item.tag < tag)
-        return better + sum(1 for item in waiting if item.tag <= tag)
-
-    def _may_be_in_time(self, item, now):
-        """Return whether an answer can still meet the target latency."""
-        return not item.target_at or item.target_at - now >= item.run_seconds
-
     def _wait_behind(self, ahead):
         excess = ahead + 1 + max(0, self.running - self.room)
         return excess * self.service_seconds / max(1, self.room)
@@ -212,25 +205,12 @@
         too_late = []
         min_seconds = self.service_seconds * MIN_SERVICE_TIME_FRACTION
         while self.queue and self.free_slots:
-            item = self.queue.pop(self._next_index(now))
+            index = self.order.next_index(
+                self.queue, self.service_seconds, now
+            )
+            item = self.queue.pop(index)
             if now >= item.expires_at or item.deadline - now < min_seconds:
                 too_late.append(item)
                 continue
             return item, too_late
         return None, too_late
-
-    def _next_index(self, now):
-        """Return the queue index of the request to run next.
-
-        Of the requests of the best rank, those that can still meet their
-        target latency take precedence over those that can't, the one whose
-        target is the next first, within the organisation whose turn it is.
-        """
-        rank = self.queue[0].rank
-        in_time = []
-        for index, item in enumerate(self.queue):
-            if item.rank != rank:
-                break
-            if self._may_be_in_time(item, now):
-                in_time.append((item.tag, item.target_at, index))
-        return min(in_time, default=(0.0, 0.0, 0))[-1]
--- a/poplarrack/receivers.py
+++ b/poplarrack/receivers.py
@@ -30,6 +30,7 @@
 from poplarrack.link_gates import LinkGate
 from poplarrack.members import EndpointState
 from poplarrack.members import same_start
+from poplarrack.queue_orders import QUEUE_ORDERS
 from poplarrack.received_requests import ReceivedRequest
 from poplarrack.received_requests import RunningRepeats
 from poplarrack.resources import CallerLimits
@@ -132,7 +133,7 @@
         learned = None
         if self.learns_room:
             learned = LearnedRoom(endpoint.slots, self.clock())
-        self.admission = Admission(endpoint.slots, learned)
+        self.admission = Admission(endpoint.slots, learned, self._order_name)
         self.failure_rate = FailureRate()
         self.pool = UpstreamPool(
             endpoint.address,
@@ -628,6 +629,11 @@
         """Set whether organisations get fair shares of the endpoint."""
         if wanted != (self.shares is not None):
             self.shares = FairShares() if wanted else None
+            self.admission.order = QUEUE_ORDERS[self._order_name]
+
+    @property
+    def _order_name(self):
+        return 'deadline' if self.shares is None else 'target'
 
     def cancel(self, received):
         """Cancel a request whose sender no longer waits for it."""
--- a/tests/test_admissions.py
+++ b/tests/test_admissions.py
@@ -41,7 +41,7 @@
 # More load than room: of two routes, the one whose callers wait longer for an
 # answer that comes late had all of its requests behind those of the other.
 def test_the_next_target_goes_first_whatever_the_deadlines():
-    admission = Admission(1)
+    admission = Admission(1, order='target')
     admission.observe(0.1)
     for name, deadline, target_at in (
         ('lookup 2', 13.5, 10.6),
@@ -57,7 +57,7 @@
 # Brief calls beside long ones were taken for too late at once, by the mean
 # time of all routes.
 def test_a_brief_route_is_late_by_its_own_run_time():
-    admission = Admission(1)
+    admission = Admission(1, order='target')
     for _ in range(50):
         admission.observe(0.4, 'long')
         admission.observe(0.04, 'brief')
@@ -67,7 +67,7 @@
 
 
 def test_a_new_request_does_not_wait_for_those_that_are_late():
-    admission = Admission(1)
+    admission = Admission(1, order='target')
     admission.observe(0.4)
     admission.running = 1
     for _ in range(5):
@@ -80,7 +80,7 @@
 
 
 def test_targets_count_within_the_organisation_whose_turn_it_is():
-    admission = Admission(1)
+    admission = Admission(1, order='target')
     admission.observe(0.4)
     for name, tag, target_at in (
         ('small', 1.0, 10.7),
@@ -98,6 +98,21 @@
     ]
 
 
+# What is new must not change how a mesh without organisations is served.
+def test_without_organisations_the_order_is_that_of_deadlines():
+    admission = Admission(1)
+    admission.observe(0.1)
+    for name, deadline, target_at in (
+        ('lookup', 13.5, 10.6),
+        ('booking', 14.5, 10.5),
+        ('late', 11.0, 10.05),
+    ):
+        admission.enqueue(name, 1, deadline, 99.0, target_at)
+    assert admission.count_ahead_of_new(10.0) == 3
+    order = [admission.dequeue(10.0)[0].received for _ in range(3)]
+    assert order == ['lookup', 'booking', 'late']
+
+
 def test_a_queue_goes_by_rank_then_deadline():
     admission = Admission(1)
     admission.running = 1
--- a/tests/test_fair_queues.py
+++ b/tests/test_fair_queues.py
@@ -30,7 +30,9 @@
     """
 
     def __init__(self, shares):
-        self.admission = Admission(SLOTS)
+        self.admission = Admission(
+            SLOTS, order='deadline' if shares is None else 'target'
+        )
         self.admission.service_seconds = RUN_SECONDS
         self.shares = shares
         self.served = Counter()
