Pass the body of an offer as any other argument

Cause: fakes of the streams took no body, so that it was passed only where there was one.

Change: they take it.

--- a/poplarrack/benches/many_nodes.py
+++ b/poplarrack/benches/many_nodes.py
@@ -164,7 +164,7 @@
         self.mesh = mesh
         self.node_id = node_id
 
-    def deliver(self, address, request, timeout_seconds, done):
+    def deliver(self, address, request, timeout_seconds, done, upload=None):
         """Deliver a request, as ``PeerStreams.deliver`` does."""
         mesh, loop = self.mesh, asyncio.get_running_loop()
         delay = mesh.delay(self.node_id, address)
--- a/poplarrack/senders.py
+++ b/poplarrack/senders.py
@@ -434,7 +434,7 @@
             routed,
             call.deadline - now,
             done,
-            *(() if upload is None else (upload,)),
+            upload,
         )
 
     async def _prepare_upload(self, call, placement, now):
--- a/tests/retry_meshes.py
+++ b/tests/retry_meshes.py
@@ -137,7 +137,7 @@
             for number in known
         ]
 
-    def deliver(self, address, routed, timeout_seconds, done):
+    def deliver(self, address, routed, timeout_seconds, done, upload=None):
         """Run a RoutedRequest at the endpoint of its node."""
         number = int(address.rpartition(':')[2])
         asyncio.get_running_loop().create_task(self._run(number, routed, done))
--- a/tests/test_senders.py
+++ b/tests/test_senders.py
@@ -84,7 +84,7 @@
         self.withdrawn = 0
         self.script_ended = asyncio.Event()
 
-    def deliver(self, address, request, timeout_seconds, done):
+    def deliver(self, address, request, timeout_seconds, done, upload=None):
         self.sent.append((address, request))
         if self.script:
             delivery = self.script.pop(0)
--- a/tests/test_weighted_backends.py
+++ b/tests/test_weighted_backends.py
@@ -43,7 +43,7 @@
         sender.set_table(replace(sender.table, router=Router((ROUTE,))))
         sender.splitter.random = Random(number)
 
-        def deliver(address, routed, timeout_seconds, done):
+        def deliver(address, routed, timeout_seconds, done, upload=None):
             streams.sent.append(routed.service)
             answer = BUSY if routed.service in full else GOOD
             asyncio.get_running_loop().call_soon(done, answer)
