--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,5 +4,5 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 export PYTHONPATH=target/deps
-python3 -m compileall -q review/stand_ins_2.py review/6 review/7
+python3 -m compileall -q review/stand_ins_2.py review/[6-9] review/10
 python3 -c 'import sys; sys.path.insert(0, "review"); import stand_ins_2'
--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -204,12 +204,14 @@
         self.changed = asyncio.Event()
         self.modes = {}
         self.servers = []
+        self.writers = set()
         self.calls = []
 
     async def listen(self, name):
         """Return a new ``host:port`` of the store."""
 
         async def serve(reader, writer):
+            self.writers.add(writer)
             try:
                 while True:
                     await self._serve_call(name, reader, writer)
@@ -219,6 +221,8 @@
                 asyncio.CancelledError,
             ):
                 writer.close()
+            finally:
+                self.writers.discard(writer)
 
         server = await asyncio.start_server(serve, '127.0.0.1', 0)
         self.servers.append(server)
@@ -360,10 +364,13 @@
         item = self.items.get(key)
         return item and json.loads(b64decode(item['value']))
 
-    async def close(self):
-        """Stop listening."""
+    def close(self):
+        """Stop listening and close all connections."""
         for server in self.servers:
             server.close()
+        self.servers = []
+        for writer in list(self.writers):
+            writer.transport.abort()
 
 
 def build_configuration(routes, version='r7'):
@@ -506,7 +513,7 @@
             self._serve, self.node.ip, APP
         )
         if beats:
-            self.beats = asyncio.ensure_future(self._beat())
+            self.beats = asyncio.ensure_future(self.beat())
 
     async def stop(self):
         """End at once."""
@@ -562,7 +569,8 @@
         answer = await exchange(self.node.ip, CONTROL, raw, 1.0)
         return answer.status if answer else 0
 
-    async def _beat(self):
+    async def beat(self):
+        """Send a status report in each heartbeat, until cancelled."""
         while True:
             await self.report()
             await asyncio.sleep(HEARTBEAT_SECONDS)
@@ -677,7 +685,7 @@
         for endpoint in self.endpoints:
             if endpoint.server is not None:
                 await endpoint.stop()
-        await self.store.close()
+        self.store.close()
         for task in asyncio.all_tasks() - {asyncio.current_task()}:
             task.cancel()
         await asyncio.sleep(0.3)
