Show that the answers which a planned stop drops are ready

The first request of the case review/7 is now the slowest, so that answers to those behind it wait at the node. The stand-ins end what they started on SIGTERM.

--- a/review/7/case.py
+++ b/review/7/case.py
@@ -78,6 +78,30 @@
             self.writer = None
 
 
+def check(case, item, stopped_at):
+    """Check a request that was sent to the node that is stopped."""
+    request_id, sent_at, ended_at, status = item
+    runs, answered = 'no endpoint', False
+    for endpoint in case.endpoints:
+        if any(run[0] == request_id for run in endpoint.runs):
+            runs = endpoint.instance
+            answered = request_id in endpoint.answered
+    case.record.add(
+        f'{request_id} sent {sent_at - stopped_at:.3f} s from SIGTERM, '
+        f'ended {ended_at - stopped_at:.3f}, status {status}, ran at {runs}'
+        f'{", which answered" if answered else ""}'
+    )
+    is_counted = ended_at - stopped_at < GRACE_SECONDS + 1
+    if status or runs == 'no endpoint' or not is_counted:
+        return
+    case.violate(
+        f'LOST: {request_id}, sent {sent_at - stopped_at:.3f} s from SIGTERM, '
+        f'was passed on to {runs}{", which answered" if answered else ""}; '
+        f'its connection ended {ended_at - sent_at:.3f} s after it was sent, '
+        'without an answer'
+    )
+
+
 async def play(case):
     """Stop a node while callers call."""
     case.store.write(
@@ -100,7 +124,7 @@
         endpoint = await case.add_endpoint(node, f'i-{number}')
         # The mean of parcel-status, and three times that for a few.
         endpoint.work = lambda request: (
-            0.3 if '/status/3' in request.first_line else 0.1
+            0.3 if '/status/0' in request.first_line else 0.1
         )
         node.start()
     for endpoint in case.endpoints:
@@ -119,27 +143,9 @@
         stopped.signal(signal.SIGTERM)
     await calling
     await asyncio.sleep(1.0)
-    runs = {
-        request_id: endpoint.instance
-        for endpoint in case.endpoints
-        for request_id, _, _ in endpoint.runs
-    }
     for caller in callers:
-        for request_id, sent_at, ended_at, status in caller.sent:
-            case.record.add(
-                f'{request_id} sent {sent_at - stopped_at:.3f} s from SIGTERM'
-                f', ended {ended_at - stopped_at:.3f}, status {status}, '
-                f'ran at {runs.get(request_id)}'
-            )
-            is_counted = ended_at - stopped_at < GRACE_SECONDS + 1
-            if status or request_id not in runs or not is_counted:
-                continue
-            case.violate(
-                f'LOST: {request_id}, sent {sent_at - stopped_at:.3f} s from '
-                f'SIGTERM, was passed on to {runs[request_id]}; its '
-                f'connection ended {ended_at - sent_at:.3f} s after it was '
-                'sent, without an answer'
-            )
+        for item in caller.sent:
+            check(case, item, stopped_at)
     sent = [item for caller in callers for item in caller.sent]
     answered = sum(1 for item in sent if item[3] == 200)
     case.record.add(f'{len(sent)} requests, {answered} with 200')
--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -501,6 +501,8 @@
         self.running = 0
         self.work = lambda request: 0.05
         self.runs = []
+        # The ids of requests that were answered in full.
+        self.answered = set()
         self.stamps = count(1)
         self.server = None
         self.tasks = set()
@@ -616,6 +618,7 @@
         body = f'answer to {request_id}'.encode()
         writer.write(build_message('HTTP/1.1 200 OK', headers, body))
         await writer.drain()
+        self.answered.add(request_id)
         return True
 
 
@@ -703,6 +706,11 @@
     async def run():
         nonlocal case
         case = Case(folder)
+        # What a case started ends with it.
+        task = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM, task.cancel
+        )
         case.record.add(f'TROUBLE={int(case.trouble)}')
         try:
             async with asyncio.timeout(seconds):
@@ -713,7 +721,12 @@
     code = 2
     try:
         asyncio.run(run())
-    except (OSError, TimeoutError, AssertionError) as error:
+    except (
+        OSError,
+        TimeoutError,
+        AssertionError,
+        asyncio.CancelledError,
+    ) as error:
         case.record.add(f'the case could not run: {error!r}')
         print(f'could not run: {error!r}')
     else:
