Hold back an answer that another one may have filled

Cause: whether the body holds the start of another answer was asked only where the parser failed on bytes behind the complete answer. If the read ended there, or within the line ends behind the second head, it did not fail.

Change: a complete answer with such a start is lost if anything follows it. If nothing did yet, it, or its last piece, is held back for 20 ms and its connection is not used again. A body that only ends in "H", "HT", ... is held back if the kernel has more bytes, so that others cost no time.

Test: three tests of tests.test_second_answers failed before (ANSWERED with the filled body; the connection was kept).

--- a/poplarrack/answer_starts.py
+++ b/poplarrack/answer_starts.py
@@ -32,6 +32,6 @@
         self.tail = last[1 - len(ANSWER_START) :]
 
     @property
-    def ends_inside(self):
-        """Return whether the body ends inside what may be a start."""
-        return PARTIAL_START.search(self.tail) is not None
+    def may_have_found(self):
+        """Return whether there is a start, or the body ends inside one."""
+        return self.found or PARTIAL_START.search(self.tail) is not None
--- a/poplarrack/caller_connections.py
+++ b/poplarrack/caller_connections.py
@@ -20,6 +20,7 @@
 from poplarrack.errors import ErrorKind
 from poplarrack.http_messages import build_error
 from poplarrack.http_messages import HttpRequest
+from poplarrack.socket_states import poll_now
 
 # Requests of a connection that wait behind others before it is read on.
 MAX_PIPELINED_REQUESTS = 16
@@ -516,12 +517,7 @@
 
     def has_left(self):
         """Return whether the caller has closed a connection not read from."""
-        caller = self.transport.get_extra_info('socket')
-        if caller is None or caller.fileno() < 0:
-            return False
-        poll = select.poll()
-        poll.register(caller.fileno(), LEFT_EVENTS)
-        return any(event & LEFT_EVENTS for _, event in poll.poll(0))
+        return poll_now(self.transport, LEFT_EVENTS)
 
     @property
     def busy(self):
--- a/poplarrack/upstreams.py
+++ b/poplarrack/upstreams.py
@@ -11,6 +11,7 @@
 from enum import Enum
 import logging
 import re
+import select
 
 from httptools import HttpParserError
 from httptools import HttpParserUpgrade
@@ -25,6 +26,7 @@
 from poplarrack.buffers import SharedBufferProtocol
 from poplarrack.byte_budgets import HEADER_OVERHEAD_BYTES
 from poplarrack.http_messages import HttpAnswer
+from poplarrack.socket_states import poll_now
 
 logger = logging.getLogger(__name__)
 
@@ -36,6 +38,9 @@
 # connection is closed as out of step.
 MAX_MISMATCHED_ANSWERS = 2
 MAX_HEADER_BYTES = 65_536
+# How long a complete answer is held back whose body may hold the start of
+# another one, the rest of which would follow.
+HELD_BACK_SECONDS = 0.02
 # Inside a head, where an answer was cut off and another one follows.
 STATUS_LINE = re.compile(rb'HTTP/\d\.\d \d\d\d')
 
@@ -157,6 +162,8 @@
         self.complete = False
         # Whether bytes came after the complete answer.
         self.followed = False
+        # Set while the complete answer is held back.
+        self.held_back = None
         self.reusable = False
         self.idle_since = 0.0
         self.idle_seconds = MAX_IDLE_SECONDS
@@ -234,24 +241,59 @@
             self._log_out_of_step('bytes without a request')
             self.close()
             return
+        if self.held_back is not None:
+            self._receive_after(data)
+            return
         self.overhead_bytes += len(data)
         try:
             self.parser.feed_data(data)
         except (HttpParserError, HttpParserUpgrade):
             self._note_bytes_after()
-            if not self.complete or self._may_be_cut_off():
+            if not self.complete:
                 self._fail(Outcome.LOST)
                 return
+        if self.exchange is None:
+            return
+        if self.complete:
+            self._end_answer()
+            return
         if self.unchecked:
             self._pass_on()
-        if self.complete and self.exchange is not None:
-            self._succeed()
-        elif self.overhead_bytes > MAX_HEADER_BYTES:
+        self._check_bounds()
+
+    def _check_bounds(self):
+        if self.overhead_bytes > MAX_HEADER_BYTES:
             # The parser keeps an unfinished header, whatever its size.
             self._fail(Outcome.LOST)
         elif self.exchange is not None:
             self.pool.budget.hold(self, self._buffered_bytes())
 
+    def _end_answer(self):
+        """Hand a complete answer on, unless another one may fill it.
+
+        Such an answer is lost if bytes follow. If none did so far, it is held
+        back for a moment.
+        """
+        if not self.starts.may_have_found:
+            self._succeed()
+            return
+        self.reusable = False
+        if self.followed:
+            self._fail(Outcome.LOST)
+        elif self.starts.found or poll_now(self.transport, select.POLLIN):
+            self.held_back = get_running_loop().call_later(
+                HELD_BACK_SECONDS, self._succeed
+            )
+            self.pool.budget.hold(self, self._buffered_bytes())
+        else:
+            self._succeed()
+
+    def _receive_after(self, data):
+        """Lose an answer that is held back, unless a line end follows."""
+        if bytes(data).strip(b'\r\n'):
+            self._note_bytes_after()
+            self._fail(Outcome.LOST)
+
     def _buffered_bytes(self):
         headers = self.answer.headers if self.answer else ()
         return (
@@ -273,13 +315,6 @@
             self.followed = True
             self._log_out_of_step('bytes after the answer')
 
-    def _may_be_cut_off(self):
-        """Return whether the start of another answer may fill the body.
-
-        An answer that is cut off looks complete then.
-        """
-        return self.starts.found or self.starts.ends_inside
-
     def on_status(self, part):
         """Add a part of the reason phrase."""
         if not self.complete:
@@ -416,6 +451,9 @@
 
     def eof_received(self):
         """Complete an answer that is delimited by the connection's end."""
+        if self.held_back is not None:
+            self._succeed()
+            return
         answer = self.answer
         ends_with_connection = (
             self.exchange is not None
@@ -479,6 +517,9 @@
         """
         exchange, self.exchange = self.exchange, None
         self.pool.budget.release(self)
+        if self.held_back is not None:
+            self.held_back.cancel()
+            self.held_back = None
         self.answer = None
         self.body = BodyBuffer()
         self.unchecked = []
@@ -491,6 +532,11 @@
         return exchange
 
     def _succeed(self):
+        if self.unchecked:
+            self._pass_on()
+        if self.exchange is None:
+            # The next hop wants no more of the answer.
+            return
         answer = self.answer
         answer.body = self.body.joined()
         is_sent = self.upload is None
--- a/tests/test_second_answers.py
+++ b/tests/test_second_answers.py
@@ -50,8 +50,8 @@
 async def receive(*segments, settle=False, end=False, **more):
     """Deliver segments to an exchange that takes pieces.
 
-    :returns: its outcome, None while it goes on, the PieceReader and the
-        Caller.
+    :returns: a function that returns its outcome, None while it goes on, the
+        PieceReader and the Caller.
     """
     caller, reader = Caller(), PieceReader()
     done = caller.send(on_begin=reader.begin, **more)
@@ -62,7 +62,7 @@
         caller.end()
     if settle:
         await asyncio.sleep(SETTLE_SECONDS)
-    return done[0][0] if done else None, reader, caller
+    return lambda: done[0][0] if done else None, reader, caller
 
 
 # MIXED: a body of 400 kB was passed on whole with the start of a second
@@ -75,7 +75,7 @@
         cuts = (0, *splits, len(raw))
         segments = [raw[a:b] for a, b in zip(cuts, cuts[1:])]
         outcome, reader, caller = await receive(*segments)
-        assert outcome is Outcome.LOST, (size, splits)
+        assert outcome() is Outcome.LOST, (size, splits)
         assert reader.pipe.failed and not reader.has_whole, (size, splits)
         assert caller.closed
 
@@ -90,7 +90,66 @@
     async def run():
         own = answer(body=LONG_BODY)
         outcome, reader, caller = await receive(own)
-        assert outcome is Outcome.ANSWERED and not caller.closed
+        assert outcome() is Outcome.ANSWERED and not caller.closed
         assert reader.has_whole and reader.taken == LONG_BODY
 
     asyncio.run(run())
+
+
+# MIXED: nothing followed yet when the second answer had filled the first one,
+# and the connection was even used again.
+def test_an_answer_filled_exactly_at_the_end_of_a_read_is_lost():
+    async def run(body, filled_by):
+        own = answer(body=body)
+        second_head = own[: -len(body)]
+        cut = len(own) - len(second_head) + filled_by
+        outcome, reader, caller = await receive(own[:cut], second_head)
+        assert outcome() is None and not reader.has_whole, filled_by
+        caller.receive(body[:9])
+        assert outcome() is Outcome.LOST and caller.closed, filled_by
+        assert not caller.pool.idle and not reader.has_whole
+
+    async def run_end(body):
+        # Its end shows only after the time that it is held back.
+        own = answer(body=body)
+        second_head = own[: -len(body)]
+        cut = len(own) - len(second_head)
+        outcome, reader, caller = await receive(
+            own[:cut], second_head, settle=True
+        )
+        assert outcome() is Outcome.ANSWERED
+        assert caller.closed and not caller.pool.idle
+
+    for body in (b'b' * 300, LONG_BODY):
+        # Line ends behind an answer are no sign of another one.
+        for filled_by in (0, 2, 4):
+            asyncio.run(run(body, filled_by))
+        asyncio.run(run_end(body))
+
+
+def test_a_whole_answer_about_answers_is_delivered_a_little_later():
+    async def run(body, end=False):
+        outcome, reader, caller = await receive(
+            answer(body=body), settle=not end, end=end
+        )
+        assert outcome() is Outcome.ANSWERED and caller.closed
+        assert not caller.pool.idle
+        return reader
+
+    text = b'The status line is HTTP/1.1 200 OK.'
+    asyncio.run(run(text))
+    asyncio.run(run(text, end=True))
+    assert asyncio.run(run(LONG_BODY + text)).has_whole
+
+
+def test_an_answer_that_may_be_filled_is_lost_with_a_reset():
+    async def run():
+        caller = Caller()
+        done = caller.send()
+        caller.receive(answer(body=b'HTTP/1.1 200'))
+        caller.end(ConnectionResetError())
+        assert done[0][0] is Outcome.LOST
+        await asyncio.sleep(SETTLE_SECONDS)
+        assert len(done) == 1 and not caller.pool.budget.held_bytes
+
+    asyncio.run(run())
