Refuse a body without a length that holds an answer

An answer that ends with its connection was passed on whole with a second answer inside its body: 200, the stamp, and foreign bytes from the place where the first one was broken off.

Cause: its end was taken for the answer's, and its body was not searched.

Change: such an answer is lost if its body contains a status line and a header behind it. A mention of "HTTP/1.1" alone is delivered.

Test: test_an_answer_without_a_length_that_holds_another_one_is_lost failed before (ANSWERED).

--- a/poplarrack/upstreams.py
+++ b/poplarrack/upstreams.py
@@ -463,6 +463,8 @@
             and answer.header(b'content-length') is None
             and answer.header(b'transfer-encoding') is None
             and not self._is_mismatched()
+            # With it, nothing tells whether the answer itself was complete.
+            and not self.starts.found_head
         )
         if ends_with_connection:
             self.complete = True
--- a/tests/test_second_answers.py
+++ b/tests/test_second_answers.py
@@ -11,6 +11,7 @@
 from tests.support import build_load_tests
 from tests.test_upstream_answers import answer
 from tests.test_upstream_answers import Caller
+from tests.test_upstream_answers import head
 
 load_tests = build_load_tests(__name__)
 
@@ -153,3 +154,37 @@
         assert len(done) == 1 and not caller.pool.budget.held_bytes
 
     asyncio.run(run())
+
+
+# MIXED: an answer that ends with its connection was passed on with a second
+# answer inside its body.
+def test_an_answer_without_a_length_that_holds_another_one_is_lost():
+    own = head(200, b'r1', b'connection: close') + b'b' * 90
+    long = head(200, b'r1', b'connection: close') + LONG_BODY
+
+    async def run(*segments, echo=True):
+        outcome, reader, _ = await receive(*segments, end=True, echo=echo)
+        assert outcome() is not Outcome.ANSWERED, segments
+        assert reader.pipe is None or not reader.pipe.ended
+
+    for cut in range(len(own) - 80, len(own)):
+        asyncio.run(run(own[:cut] + own))
+        asyncio.run(run(own[:cut], own, echo=False))
+    for cut in range(len(long) - 90_000, len(long), 7_001):
+        asyncio.run(run(long[:cut] + long))
+        asyncio.run(run(long[:cut], long[:40], long[40:]))
+
+
+def test_an_answer_without_a_length_is_delivered_at_its_end():
+    async def run(body):
+        raw = head(200, b'r1', b'connection: close') + body
+        outcome, reader, _ = await receive(raw, end=True)
+        assert outcome() is Outcome.ANSWERED
+        assert reader.pipe is None or reader.taken == body
+
+    for body in (
+        b'b',
+        b'HTTP/1.1 200 is how an answer begins.\r\n',
+        LONG_BODY,
+    ):
+        asyncio.run(run(body))
