Take a cut head for no answer in the own mesh

Cause: a head that is cut off before its length, and then ends for another reason, looks like the head of an answer that ends with its connection. In this mesh servers echo no id, so that no other check applies.

Change: there, an answer without a length is complete only if its head announces that the connection closes, as RFC 9112, 9.6 asks of servers, or is of HTTP/1.0. Otherwise it is lost (502, retried where repeatable).

Test: test_a_cut_head_is_no_answer_without_a_length failed before, first with "HTTP/1.1 200 no answer".

--- a/poplarrack/upstreams.py
+++ b/poplarrack/upstreams.py
@@ -25,6 +25,7 @@
 from poplarrack.buffers import MAX_CHUNK_FRAMING_BYTES
 from poplarrack.buffers import SharedBufferProtocol
 from poplarrack.byte_budgets import HEADER_OVERHEAD_BYTES
+from poplarrack.http_messages import connection_options
 from poplarrack.http_messages import HttpAnswer
 from poplarrack.socket_states import poll_now
 
@@ -454,23 +455,39 @@
         if self.held_back is not None:
             self._succeed()
             return
-        answer = self.answer
-        ends_with_connection = (
+        if (
             self.exchange is not None
             and not self.complete
             and self.has_head
             and not self._is_interim()
-            and answer.header(b'content-length') is None
-            and answer.header(b'transfer-encoding') is None
+            and self._ends_with_connection()
             and not self._is_mismatched()
             # With it, nothing tells whether the answer itself was complete.
             and not self.starts.found_head
-        )
-        if ends_with_connection:
+        ):
             self.complete = True
             self.reusable = False
             self._succeed()
 
+    def _ends_with_connection(self):
+        """Return whether the answer's body ends with the connection.
+
+        A head that says so names no length, and announces that the connection
+        closes (RFC 9112, 9.6). One that does not announce it may have been
+        cut off before the length. Where the server echoes a request's id, the
+        id is enough.
+        """
+        answer = self.answer
+        return (
+            answer.header(b'content-length') is None
+            and answer.header(b'transfer-encoding') is None
+            and (
+                self.exchange.echo is not None
+                or self.parser.get_http_version() == '1.0'
+                or b'close' in connection_options(answer.headers)
+            )
+        )
+
     def connection_lost(self, error):
         """Fail the exchange in flight."""
         self.pool.remove(self)
--- a/tests/test_second_answers.py
+++ b/tests/test_second_answers.py
@@ -188,3 +188,22 @@
         LONG_BODY,
     ):
         asyncio.run(run(body))
+
+
+# MIXED: where answers echo no id, the start of a second answer, "no answer"
+# and the connection's end were taken for an answer without a length.
+def test_a_cut_head_is_no_answer_without_a_length():
+    async def run(raw, expected):
+        outcome, _, _ = await receive(raw, end=True, echo=False)
+        assert outcome() is expected, raw
+
+    second = answer(b'r0', b'x' * 9)
+    for cut in range(1, second.index(b'\r\n\r\n')):
+        raw = second[:cut] + b'no answer\r\n\r\n'
+        asyncio.run(run(raw, Outcome.LOST))
+    for raw in (
+        b'HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nbody',
+        b'HTTP/1.1 200 OK\r\nconnection: Close, x\r\n\r\nbody',
+        b'HTTP/1.0 200 OK\r\n\r\nbody',
+    ):
+        asyncio.run(run(raw, Outcome.ANSWERED))
