Reuse no connection that a second answer may follow

Cause: a connection was used again if nothing had been read behind its answer, though the kernel might hold more, and though the server had answered twice on another connection just before.

Change, where answers echo no id: a connection with bytes to read is closed in place of used. For 60 s after a server sent bytes beyond an answer, each request to it gets a connection of its own. Elsewhere the id tells, and nothing changes.

Test: both new tests failed before (the connection with bytes to read took the request; the one after a second answer was kept).

--- a/poplarrack/upstream_pools.py
+++ b/poplarrack/upstream_pools.py
@@ -2,13 +2,19 @@
 
 from asyncio import get_running_loop
 from asyncio import timeout
+import select
 
 from poplarrack.addresses import split_destination
 from poplarrack.byte_budgets import ByteBudget
+from poplarrack.socket_states import poll_now
 from poplarrack.upstreams import Exchange
 from poplarrack.upstreams import Outcome
 from poplarrack.upstreams import UpstreamConnection
 
+# How long a server that sent bytes beyond an answer gets a connection of its
+# own for each request, if its answers don't say to which one they belong.
+DISTRUST_SECONDS = 60.0
+
 
 class UpstreamPool:
     """A pool of connections to one backend server.
@@ -32,6 +38,7 @@
         self.idle = []
         self.open = 0
         self.connect_tasks = set()
+        self.distrusted_until = 0.0
         self.closed = False
 
     def start(
@@ -74,7 +81,13 @@
 
     def _try_send_on_idle(self, exchange):
         while self.idle:
-            if self.idle.pop().try_send(exchange):
+            connection = self.idle.pop()
+            if exchange.echo is None and poll_now(
+                connection.transport, select.POLLIN
+            ):
+                # They would be taken for the answer.
+                connection.close()
+            elif connection.try_send(exchange):
                 return True
         return False
 
@@ -100,12 +113,30 @@
 
     def release(self, connection):
         """Return a connection to the pool for the next exchange."""
-        if self.closed or connection.transport.is_closing():
+        now = get_running_loop().time()
+        if (
+            self.closed
+            or connection.transport.is_closing()
+            or not self.may_reuse(now)
+        ):
             connection.close()
             return
-        connection.idle_since = get_running_loop().time()
+        connection.idle_since = now
         self.idle.append(connection)
 
+    def distrust(self, now):
+        """Use no connection again for a while.
+
+        :param now: the event loop's time in seconds.
+        """
+        self.distrusted_until = now + DISTRUST_SECONDS
+        for connection in list(self.idle):
+            connection.close()
+
+    def may_reuse(self, now):
+        """Return whether a connection may carry another exchange."""
+        return now >= self.distrusted_until
+
     def remove(self, connection):
         """Remove a closed connection from the pool."""
         if connection in self.idle:
--- a/poplarrack/upstreams.py
+++ b/poplarrack/upstreams.py
@@ -165,6 +165,8 @@
         self.followed = False
         # Set while the complete answer is held back.
         self.held_back = None
+        # Whether answers name the request that they belong to.
+        self.has_echo = True
         self.reusable = False
         self.idle_since = 0.0
         self.idle_seconds = MAX_IDLE_SECONDS
@@ -182,6 +184,7 @@
         """
         self.exchange = exchange
         exchange.connection = self
+        self.has_echo = exchange.echo is not None
         self.parser = HttpResponseParser(self)
         self.answer = None
         self.has_head = False
@@ -239,7 +242,7 @@
     def data_received(self, data):
         """Feed the parser; close on bytes that no exchange asked for."""
         if self.exchange is None:
-            self._log_out_of_step('bytes without a request')
+            self._note_out_of_step('bytes without a request')
             self.close()
             return
         if self.held_back is not None:
@@ -314,7 +317,7 @@
     def _note_bytes_after(self):
         if self.complete and not self.followed:
             self.followed = True
-            self._log_out_of_step('bytes after the answer')
+            self._note_out_of_step('bytes after the answer')
 
     def on_status(self, part):
         """Add a part of the reason phrase."""
@@ -337,7 +340,7 @@
         if self.header_bytes > MAX_HEADER_BYTES:
             self._fail(Outcome.TOO_LARGE)
         elif self._is_spoiled_head():
-            self._log_out_of_step('spoiled head')
+            self._note_out_of_step('spoiled head')
             self._fail(Outcome.LOST)
         elif self.exchange.bodiless and not self._is_interim():
             self._complete_head()
@@ -360,7 +363,7 @@
     def _complete_head(self):
         if self._is_mismatched():
             # It is not known whether a body follows.
-            self._log_out_of_step('answer to another request')
+            self._note_out_of_step('answer to another request')
             self._fail(Outcome.LOST)
         else:
             self.complete = True
@@ -394,7 +397,7 @@
     def _begin_pieces(self, body):
         """Pass an answer on in pieces, unless its head is refused."""
         if self._is_mismatched():
-            self._log_out_of_step('answer to another request')
+            self._note_out_of_step('answer to another request')
             self._fail(Outcome.LOST)
             return
         length = self.answer.header(b'content-length')
@@ -442,7 +445,7 @@
         return self.exchange.is_mismatched(self.answer)
 
     def _skip_mismatched(self):
-        self._log_out_of_step('answer to another request')
+        self._note_out_of_step('answer to another request')
         self.mismatched_answers += 1
         self.body = BodyBuffer()
         if self.mismatched_answers > MAX_MISMATCHED_ANSWERS or (
@@ -502,8 +505,13 @@
         if self.transport is not None:
             self.transport.abort()
 
-    def _log_out_of_step(self, outcome):
-        """Log why the connection's bytes are not one answer to its request."""
+    def _note_out_of_step(self, outcome):
+        """Log why the connection's bytes are not one answer to its request.
+
+        Where answers don't name it, no connection to the server is reused.
+        """
+        if not self.has_echo:
+            self.pool.distrust(get_running_loop().time())
         echo = self.exchange and self.exchange.echo
         name, own = echo or (b'', b'')
         other = self.answer.header(name) if echo and self.answer else None
--- a/tests/test_second_answers.py
+++ b/tests/test_second_answers.py
@@ -5,12 +5,15 @@
 """
 
 import asyncio
+import socket
 
 from poplarrack.body_pipes import MAX_WHOLE_BODY_BYTES
+from poplarrack.upstream_pools import DISTRUST_SECONDS
 from poplarrack.upstreams import Outcome
 from tests.support import build_load_tests
 from tests.test_upstream_answers import answer
 from tests.test_upstream_answers import Caller
+from tests.test_upstream_answers import ECHO
 from tests.test_upstream_answers import head
 
 load_tests = build_load_tests(__name__)
@@ -207,3 +210,48 @@
         b'HTTP/1.0 200 OK\r\n\r\nbody',
     ):
         asyncio.run(run(raw, Outcome.ANSWERED))
+
+
+# MIXED: where answers echo no id, the rest of a second answer was taken for
+# the answer to the next request on the connection.
+def test_a_connection_with_bytes_to_read_is_not_used_again():
+    async def run(echo, expected):
+        caller = Caller()
+        caller.send(echo=echo)
+        caller.receive(answer())
+        [kept] = caller.pool.idle
+        ours, theirs = socket.socketpair()
+        with ours, theirs:
+            kept.transport.get_extra_info = lambda name: ours
+            theirs.send(b'HTTP/1.1 200 OK\r\n')
+            caller.pool.start(
+                b'',
+                False,
+                5.0,
+                lambda *item: None,
+                (ECHO, b'r') if echo else None,
+            )
+        assert (kept.exchange is not None) is expected
+        assert kept.transport.closed is not expected
+
+    asyncio.run(run(echo=False, expected=False))
+    # An answer to another request is told apart there.
+    asyncio.run(run(echo=True, expected=True))
+
+
+def test_a_server_that_answers_twice_gets_a_connection_for_each_request():
+    async def run(echo, expected):
+        caller = Caller()
+        caller.send(echo=echo)
+        caller.receive(answer() + answer())
+        assert caller.closed
+        caller.send(echo=echo)
+        caller.receive(answer(b'r2'))
+        assert (caller.connection in caller.pool.idle) is expected
+        now = asyncio.get_running_loop().time()
+        pool = caller.pool
+        assert pool.may_reuse(now) is expected
+        assert pool.may_reuse(now + DISTRUST_SECONDS)
+
+    asyncio.run(run(echo=False, expected=False))
+    asyncio.run(run(echo=True, expected=True))
