Answer all that was sent ahead before a drain closes

Cause: the first answer that was built after the drain began carried "Connection: close", whatever ran behind it, and the connection then cancelled and dropped the rest.

Change: an answer closes the connection of a draining node only if no other request was started behind it. While a node drains, nothing is started behind a running request, so that a caller that always sends ahead doesn't keep its connection; such requests are not passed on, and count as not read. The same in the product's own mesh. Nor does anything start behind a request whose answer may have to end with the connection (HTTP/1.0) or already closes it.

--- a/poplarrack/caller_connections.py
+++ b/poplarrack/caller_connections.py
@@ -360,7 +360,7 @@
             return False
         if not self.exchanges:
             return True
-        if request.upload is not None:
+        if request.upload is not None or self._may_end_before_next():
             return False
         may_overlap = self.server.dispatcher.may_overlap
         return (
@@ -369,8 +369,20 @@
             and may_overlap(request)
         )
 
+    def _may_end_before_next(self):
+        """Return whether the connection may end with an earlier answer."""
+        last = self.exchanges[-1]
+        return (
+            self.server.draining
+            or not last.keep_alive
+            # An answer of unknown length may end with the connection.
+            or not last.request.takes_chunks
+        )
+
     def _start(self, request):
         exchange = CallerExchange(request)
+        if self.exchanges:
+            self.exchanges[-1].request.is_followed = True
         self.exchanges.append(exchange)
 
         def respond(raw, keep_alive, body=None, chunked=False):
--- a/poplarrack/callers.py
+++ b/poplarrack/callers.py
@@ -83,7 +83,8 @@
             connection.transport.close()
 
     def announce_drain(self):
-        """Have each connection closed after its next answer."""
+        """Have each connection closed after all that was started on it."""
+        self.draining = True
         self.dispatcher.draining = True
 
     async def drain(self, loop):
@@ -95,7 +96,6 @@
         :param loop: the running event loop.
         """
         self.announce_drain()
-        self.draining = True
         self.listener.close()
         while True:
             try:
--- a/poplarrack/dispatchers.py
+++ b/poplarrack/dispatchers.py
@@ -468,7 +468,7 @@
         kind = resolve_error_kind(kind, call.may_have_run)
         self.counts[f'refused_{kind.value}'] += 1
         self._end(call)
-        keep_alive = call.request.keep_alive and not self.draining
+        keep_alive = call.request.stays_open(self.draining)
         call.respond(
             build_error(kind, detail, call.caller_call_id, keep_alive),
             keep_alive,
@@ -479,7 +479,7 @@
             return
         self._end(call)
         self.counts['answers'] += 1
-        keep_alive = call.request.keep_alive and not self.draining
+        keep_alive = call.request.stays_open(self.draining)
         headers = [item for item in answer.headers if is_end_to_end(item[0])]
         bodiless = call.request.method == 'HEAD'
         raw = build_answer(
--- a/poplarrack/http_messages.py
+++ b/poplarrack/http_messages.py
@@ -47,7 +47,8 @@
 
     ``arrived_at`` is when it was complete, on the clock of the server, 0 if
     that is not known. ``is_pipelined`` says that its connection carried other
-    requests at the same time. ``upload`` is the BodyPipe of a body that is not
+    requests at the same time, and ``is_followed`` that one of these was
+    started behind it. ``upload`` is the BodyPipe of a body that is not
     in ``body``, and ``takes_chunks`` whether its caller can read an answer of
     unknown length.
     """
@@ -59,9 +60,18 @@
     keep_alive: bool = True
     arrived_at: float = 0.0
     is_pipelined: bool = False
+    is_followed: bool = False
     upload: BodyPipe | None = None
     takes_chunks: bool = True
 
+    def stays_open(self, draining):
+        """Return whether its connection stays open behind the answer.
+
+        A connection of a node that drains ends with the last request that was
+        started on it, so that no answer is thrown away.
+        """
+        return self.keep_alive and (self.is_followed or not draining)
+
     def header(self, name):
         """Return the first header of a name, or None."""
         for key, value in self.headers:
--- a/poplarrack/senders.py
+++ b/poplarrack/senders.py
@@ -611,7 +611,7 @@
         now = self.clock()
         log_ended(call, self.table.revision, kind.value, detail, now)
         self._end(call)
-        keep_alive = call.request.keep_alive and not self.draining
+        keep_alive = call.request.stays_open(self.draining)
         if ANSWERS[kind].http_status in RETRIED_STATUSES:
             # Callers retry on a new connection; this one would stay idle,
             # unless it carries other requests.
@@ -647,7 +647,7 @@
             call, self.table.revision, f'status {delivery.status}', '', now
         )
         self._end(call)
-        keep_alive = call.request.keep_alive and not self.draining
+        keep_alive = call.request.stays_open(self.draining)
         if delivery.streamed_bytes:
             self._respond_in_pieces(call, delivery, keep_alive)
             return
