Refuse a status that is of no answer from other nodes

Cause: an endpoint's node refuses statuses below 100, but the node that takes its Delivery from a frame checked nothing.

Change: a Delivery that claims an answer without a final status of three digits is a lost answer; a body that follows it is cancelled, so that its endpoint waits for nobody.

--- a/poplarrack/streams.py
+++ b/poplarrack/streams.py
@@ -42,6 +42,8 @@
 # and TCP retransmits a lost packet after 0.2 s or more.
 AVOID_AFTER_SECONDS = 0.1
 PROBE_TIMEOUT_SECONDS = 0.6
+# Those of three digits, but for interim answers.
+FINAL_STATUSES = range(200, 1000)
 
 
 @dataclass(slots=True)
@@ -388,11 +390,19 @@
 
         def on_answer(kind, payload, receive_body):
             delivery = _decode_delivery(kind, payload)
+            body = None
             if delivery.streamed_bytes:
                 body = receive_body(delivery.streamed_bytes)
-                on_done(delivery, body)
-            else:
+            if not _is_sound(delivery):
+                if body is not None:
+                    # Has the other node stop.
+                    body.close()
+                delivery = Delivery(Verdict.LOST, reason='no such status')
+                body = None
+            if body is None:
                 on_done(delivery)
+            else:
+                on_done(delivery, body)
 
         try:
             peer = self.peer(address)
@@ -426,6 +436,18 @@
             peer.close()
 
 
+def _is_sound(delivery):
+    """Return whether an answer has the status of a final answer."""
+    if delivery.verdict is not Verdict.ANSWERED:
+        return True
+    is_sound = delivery.status in FINAL_STATUSES
+    if not is_sound:
+        logger.warning(
+            'delivery_unreadable', extra={'status': delivery.status}
+        )
+    return is_sound
+
+
 def _decode_delivery(kind, payload):
     if kind == FrameKind.CANCEL:
         return Delivery(Verdict.NOT_RUN, reason='unreachable')
