Follow the store after it returns from an older copy

A store that came back from a copy some seconds old gave revisions out again, and no node followed it: with a counter below the old one the configuration was dropped as older, and with one above it a watch went on in another history.

Cause: a revision counted as a place in one history without end.

Change: - A revision of the product begins with the number of the store's history, counted from the first one that nodes know of; before the first return it is the store's own, as earlier builds have it. The platform's client reads the number from each answer. It decides between versions of two histories, so that what the copy brought back is not put in force. - Moves that nodes hold go on; the worker writes its records again once the order is there. The order that is written again is the same move. - A leave is written again, within 5 s at random. - Events store_returned, store_history_changed and others, two metrics, the dump and poplarrack-ctl status show the history.

--- a/poplarrack/blackboards.py
+++ b/poplarrack/blackboards.py
@@ -43,7 +43,8 @@
 
     ``watching`` is set while the node has a fetcher; ``heard_at`` is the
     time of the last successful call or watch event; ``calls`` counts the
-    calls made.
+    calls made; ``history`` is the number of the store's newest history, None
+    if it names none.
     """
 
     watching: bool = False
@@ -51,6 +52,7 @@
     failing_since: float = 0.0
     calls: int = 0
     detail: str = ''
+    history: int | None = None
 
 
 @dataclass(frozen=True)
@@ -67,7 +69,8 @@
     """What the node last sent and when, so that controllers can pace it.
 
     ``moves`` maps a service to the time at which this node last wrote its
-    move.
+    move. ``departure_history`` is the history of the store that the last leave
+    was written in.
     """
 
     report: Report | None = None
@@ -81,6 +84,7 @@
     rejoined_at: float = 0.0
     zones_searched_at: float = 0.0
     moves: Mapping[str, float] = field(default_factory=dict)
+    departure_history: int = 0
 
 
 @dataclass(frozen=True)
--- a/poplarrack/controllers.py
+++ b/poplarrack/controllers.py
@@ -8,13 +8,16 @@
 from poplarrack.decisions import controller
 from poplarrack.decisions import CONTROLLERS
 from poplarrack.decisions import ForgetEndpoint
+from poplarrack.decisions import StoreDeparture
 from poplarrack.decisions import Watch
+from poplarrack.departures import DEPARTURE_TTL_SECONDS
 from poplarrack.detectors import detect_failures
 from poplarrack.detectors import rejoin_others
 from poplarrack.move_controllers import advance_moves
 from poplarrack.move_controllers import halt_bad_versions
 from poplarrack.reporters import send_report
 from poplarrack.reporters import summarize_zone
+from poplarrack.store_histories import history_of
 
 __all__ = (
     'advance_moves',
@@ -27,6 +30,7 @@
     'rejoin_others',
     'run_anti_entropy',
     'send_report',
+    'store_departure_again',
     'summarize_zone',
 )
 
@@ -106,6 +110,22 @@
     return bool(interval) and silence > MAX_SILENT_BEATS * interval
 
 
+@controller('departures')
+def store_departure_again(facts, now):
+    """Write the last leave again after a return of the store.
+
+    Other nodes keep it, too; the store does for when all are restarted.
+    """
+    departure = facts.own.departure
+    history = history_of(facts.knowledge.configuration.revision)
+    if (
+        departure is not None
+        and now - departure.at < DEPARTURE_TTL_SECONDS
+        and history > facts.sent.departure_history
+    ):
+        yield StoreDeparture(history)
+
+
 @controller('fetching')
 def decide_watch(facts, now):
     """Watch the platform while the topology makes this node a fetcher.
--- a/poplarrack/decisions.py
+++ b/poplarrack/decisions.py
@@ -121,6 +121,13 @@
     """Remove the local endpoint, whose announcement expired."""
 
 
+@dataclass(frozen=True)
+class StoreDeparture:
+    """Write the last leave to a store that has returned from a copy."""
+
+    history: int
+
+
 CONTROLLERS = {}
 
 
--- a/poplarrack/departures.py
+++ b/poplarrack/departures.py
@@ -13,7 +13,7 @@
 from poplarrack.errors import ErrorKind
 from poplarrack.errors import PoplarrackError
 from poplarrack.json_values import decode_json
-from poplarrack.leases import renew_lease
+from poplarrack.leases import put_under_lease
 from poplarrack.members import Departure
 from poplarrack.members import latest_departure
 from poplarrack.messages import Updates
@@ -27,6 +27,8 @@
 # Other nodes of the zone, and of other zones, that are asked to keep a leave.
 MAX_NEAR_HOLDERS = 2
 MAX_FAR_HOLDERS = 1
+# Bound of the delay at random before a leave is written again.
+MAX_STORE_DELAY_SECONDS = 5.0
 # A backend server takes an acknowledgement that is later than a second for
 # none.
 HOLD_TIMEOUT_SECONDS = 0.7
@@ -90,16 +92,33 @@
     return True
 
 
+async def store_again(node, history):
+    """Write the own departure to a store that has returned from a copy.
+
+    :param history: the store's history, as revisions begin with it.
+    """
+    # All nodes learn of the return within a second.
+    await asyncio.sleep(node.random.random() * MAX_STORE_DELAY_SECONDS)
+    departure = node.facts.own.departure
+    if await _store(node, departure):
+        node.write_sent(departure_history=history)
+        logger.info(
+            'departure_stored_again',
+            extra={'instance': departure.instance_id},
+        )
+
+
 def _put(node, departure):
-    platform = node.dependencies.platform
-    node.departure_lease = renew_lease(
-        node.departure_lease, platform, DEPARTURE_TTL_SECONDS, node.clock()
-    )
     # A key for each start, so that a late write replaces no other departure.
     prefix = _prefix_of(node)
     key = f'{prefix}{departure.instance_id}/{departure.born or 0}'
-    lease_id = node.departure_lease.lease_id
-    platform.put_unconditionally(Operation(key, encode(departure), lease_id))
+    node.departure_lease = put_under_lease(
+        node.departure_lease,
+        node.dependencies.platform,
+        DEPARTURE_TTL_SECONDS,
+        node.clock(),
+        Operation(key, encode(departure)),
+    )
 
 
 def _prefix_of(node):
--- a/poplarrack/dumps.py
+++ b/poplarrack/dumps.py
@@ -3,6 +3,7 @@
 from msgspec import to_builtins
 
 from poplarrack.moves import effective_share
+from poplarrack.store_histories import describe_revision
 
 
 def dump_node(node, traffic):
@@ -52,6 +53,8 @@
     configuration = knowledge.configuration
     return {
         'revision': configuration.revision,
+        'revision_in_history': describe_revision(configuration.revision),
+        'generation': configuration.snapshot.generation,
         'digest': f'{configuration.snapshot.digest:016x}',
         'settings': len(configuration.snapshot.entries),
         'rejected': to_builtins(knowledge.rejection),
--- a/poplarrack/executors.py
+++ b/poplarrack/executors.py
@@ -13,9 +13,11 @@
 from poplarrack.decisions import Publish
 from poplarrack.decisions import Rejoin
 from poplarrack.decisions import SendReport
+from poplarrack.decisions import StoreDeparture
 from poplarrack.decisions import Watch
 from poplarrack.decisions import WriteMove
 from poplarrack.decisions import WriteSummary
+from poplarrack.departures import store_again
 from poplarrack.errors import PoplarrackError
 from poplarrack.fetchers import HEAD_KEY
 from poplarrack.fetchers import read_configuration
@@ -23,7 +25,7 @@
 from poplarrack.joiners import MAX_JOIN_DELAY_SECONDS
 from poplarrack.joiners import sync
 from poplarrack.joiners import sync_with_some
-from poplarrack.leases import renew_lease
+from poplarrack.leases import put_under_lease
 from poplarrack.messages import DigestsAnswer
 from poplarrack.messages import ProbeRequest
 from poplarrack.messages import Updates
@@ -31,6 +33,7 @@
 from poplarrack.platforms import CONFIGURATION_PREFIX
 from poplarrack.platforms import ZONE_PREFIX
 from poplarrack.resources import encode_resource
+from poplarrack.snapshots import is_newer
 from poplarrack.stores import Compare as CompareKey
 from poplarrack.stores import Operation
 from poplarrack.summaries import encode_summary
@@ -147,7 +150,7 @@
             # Clears the record of sending it, so that it is sent again soon.
             node.write_sent(report=None)
             continue
-        if answer.digests.revision > node.digests().revision:
+        if is_newer(answer.digests, node.digests()):
             address = node.address_of(receiver)
             await sync(node, address, DigestsAnswer(answer.digests))
 
@@ -228,14 +231,14 @@
     """Put a summary under its lease."""
     platform = node.dependencies.platform
     ttl_seconds = node.settings.platform.summary_ttl_seconds
-    if ttl_seconds:
-        node.summary_lease = renew_lease(
-            node.summary_lease, platform, ttl_seconds, node.clock()
-        )
     key = f'{ZONE_PREFIX}{summary.region}/{summary.zone}'
-    value = encode_summary(summary)
-    lease_id = node.summary_lease.lease_id
-    platform.put_unconditionally(Operation(key, value, lease_id))
+    operation = Operation(key, encode_summary(summary))
+    if not ttl_seconds:
+        platform.put_unconditionally(operation)
+        return
+    node.summary_lease = put_under_lease(
+        node.summary_lease, platform, ttl_seconds, node.clock(), operation
+    )
 
 
 @executes(CheckContent)
@@ -281,6 +284,12 @@
     node.blackboard.write('platform', platform=platform)
 
 
+@executes(StoreDeparture)
+async def store_departure(node, decision):
+    """Write the last leave to a store that has returned from a copy."""
+    await store_again(node, decision.history)
+
+
 @executes(ForgetEndpoint)
 async def forget_endpoint(node, decision):
     """Remove the local endpoint, whose announcement expired."""
--- a/poplarrack/fetchers.py
+++ b/poplarrack/fetchers.py
@@ -29,7 +29,7 @@
 HEAD_KEY = CONFIGURATION_PREFIX + '!head'
 
 
-def snapshot_from_items(items):
+def snapshot_from_items(items, generation=0):
     """Build a snapshot from the KeyValues under the prefix."""
     revision = max((item.mod_revision for item in items), default=0)
     entries = [
@@ -37,14 +37,18 @@
         for item in items
         if item.key != HEAD_KEY
     ]
-    return build_snapshot(revision, entries)
+    return build_snapshot(revision, entries, generation)
 
 
-def apply_events(snapshot, events):
+def apply_events(snapshot, events, generation=None):
     """Return the snapshot after some events.
 
     :param events: KeyValues in the order of their revisions.
+    :param generation: that of the configuration after them, None for that of
+        the snapshot.
     """
+    if generation is None:
+        generation = snapshot.generation
     entries = dict(snapshot.entries)
     revision = snapshot.revision
     for event in events:
@@ -54,7 +58,7 @@
         elif event.key != HEAD_KEY:
             path = _path(event)
             entries[path] = Entry(path, event.value, event.mod_revision)
-    return build_snapshot(revision, entries.values())
+    return build_snapshot(revision, entries.values(), generation)
 
 
 def _path(item):
@@ -67,7 +71,8 @@
     :returns: a Snapshot, and the revision of the store from which to watch.
     """
     response = client.read_prefix(CONFIGURATION_PREFIX)
-    return snapshot_from_items(response.items), response.revision
+    snapshot = snapshot_from_items(response.items, response.generation)
+    return snapshot, response.revision
 
 
 class Fetcher:
@@ -156,7 +161,9 @@
             self.failures = 0
             self.on_platform_result(True, '')
             if batch.events:
-                self.snapshot = apply_events(self.snapshot, batch.events)
+                self.snapshot = apply_events(
+                    self.snapshot, batch.events, batch.generation
+                )
                 self.on_snapshot(self.snapshot, 0)
             self.resume_at = max(self.resume_at, batch.revision)
 
--- a/poplarrack/joiners.py
+++ b/poplarrack/joiners.py
@@ -8,6 +8,7 @@
 from poplarrack.messages import SyncRequest
 from poplarrack.messages import Updates
 from poplarrack.platforms import ZONE_PREFIX
+from poplarrack.snapshots import is_newer
 from poplarrack.summaries import decode_summary
 
 logger = logging.getLogger(__name__)
@@ -144,6 +145,7 @@
     :raises PoplarrackError: PEER_UNAVAILABLE without an answer.
     """
     call = node.dependencies.peers.call
+    node.hear_digests(answer.digests)
     own, other = node.digests(), answer.digests
     knowledge = node.knowledge
     differing = ()
@@ -168,7 +170,7 @@
     other = request.digests
     snapshot = knowledge.configuration.snapshot
     delta = None
-    if other.revision < snapshot.revision:
+    if is_newer(snapshot, other):
         delta = node.history.delta_from(
             other.revision, other.configuration, snapshot
         )
--- a/poplarrack/knowledge.py
+++ b/poplarrack/knowledge.py
@@ -17,7 +17,10 @@
 from poplarrack.members import merge_members
 from poplarrack.messages import Digests
 from poplarrack.messages import Updates
+from poplarrack.returned_moves import carry_moves
 from poplarrack.snapshots import apply_delta
+from poplarrack.snapshots import is_newer
+from poplarrack.store_histories import history_of
 
 MAX_VERDICTS = 500
 
@@ -42,6 +45,7 @@
             snapshot.digest,
             self.members.digest,
             verdicts_digest(self.verdicts),
+            snapshot.generation,
         )
 
 
@@ -76,9 +80,14 @@
         the configuration or than the last rejection.
     """
     held = knowledge.configuration.snapshot
-    if snapshot.revision <= held.revision:
+    snapshot = carry_moves(
+        knowledge.configuration, snapshot, knowledge.verdicts
+    )
+    if not is_newer(snapshot, held):
         same = snapshot.digest == held.digest
-        if same or not snapshot.revision or read_at < held.revision:
+        is_older = history_of(read_at) != history_of(held.revision)
+        is_older = is_older or read_at < held.revision
+        if same or not snapshot.revision or is_older:
             return knowledge
         snapshot = replace(snapshot, revision=read_at)
     rejected = knowledge.rejection
@@ -126,7 +135,7 @@
     if delta is None:
         return knowledge, False
     snapshot = knowledge.configuration.snapshot
-    if delta.revision <= snapshot.revision:
+    if not is_newer(delta, snapshot):
         return knowledge, False
     try:
         target = apply_delta(snapshot, delta)
--- a/poplarrack/leases.py
+++ b/poplarrack/leases.py
@@ -1,17 +1,20 @@
 """Keep the platform's leases, under which a node writes keys of its own."""
 
 from dataclasses import dataclass
+from dataclasses import replace
 
 
 @dataclass(frozen=True)
 class Lease:
     """A lease that a node holds.
 
-    ``renew_at`` is in seconds since the epoch.
+    ``renew_at`` is in seconds since the epoch, ``history`` the number of the
+    store's history that has the lease, None if the store numbers none.
     """
 
     lease_id: int = 0
     renew_at: float = 0.0
+    history: int | None = None
 
 
 def renew_lease(held, platform, ttl_seconds, now):
@@ -22,9 +25,32 @@
     :param held: the Lease so far.
     :raises PoplarrackError: if the platform does not renew or grant it.
     """
+    if held.history != platform.histories.newest:
+        # Its id may be that of another node's lease by now.
+        held = Lease()
     if now < held.renew_at:
         return held
     lease_id = held.lease_id
     if not lease_id or not platform.renew_lease(lease_id):
         lease_id = platform.grant_lease(ttl_seconds)
-    return Lease(lease_id, now + ttl_seconds / 3)
+    history = platform.histories.newest
+    return Lease(lease_id, now + ttl_seconds / 3, history)
+
+
+def put_under_lease(held, platform, ttl_seconds, now, operation):
+    """Put a value under a lease of the node; return the Lease.
+
+    This blocks. If the answer tells that the store has returned from an older
+    copy, the lease was not the node's own, and the value is put again.
+
+    :param held: the Lease so far.
+    :param operation: the Operation, without a lease.
+    :raises PoplarrackError: if the platform takes the lease or value not.
+    """
+    lease = renew_lease(held, platform, ttl_seconds, now)
+    platform.put_unconditionally(replace(operation, lease_id=lease.lease_id))
+    if lease.history != platform.histories.newest:
+        lease = renew_lease(lease, platform, ttl_seconds, now)
+        operation = replace(operation, lease_id=lease.lease_id)
+        platform.put_unconditionally(operation)
+    return lease
--- a/poplarrack/messages.py
+++ b/poplarrack/messages.py
@@ -31,13 +31,19 @@
 
 @dataclass(frozen=True)
 class Digests:
-    """Digests of a node's knowledge, for comparison with another node's."""
+    """Digests of a node's knowledge, for comparison with another node's.
+
+    ``generation`` is that of the configuration, ``first_history`` the first
+    history of the store that the node knows of.
+    """
 
     node_id: str
     revision: int
     configuration: int
     members: int
     verdicts: int
+    generation: int = 0
+    first_history: int | None = None
 
 
 @dataclass(frozen=True)
--- a/poplarrack/metrics.py
+++ b/poplarrack/metrics.py
@@ -10,6 +10,7 @@
 
 from poplarrack.evidence import ENTIRE_STAGE
 from poplarrack.pages import Page
+from poplarrack.store_histories import history_of
 
 # Keys of a Sender's counts of one service, which are labelled with it.
 SERVICE_COUNTS = (
@@ -70,6 +71,10 @@
             'is_fetcher': int(facts.topology.is_fetcher),
             'is_worker': int(facts.topology.is_worker),
             'platform_watching': int(facts.platform.watching),
+            'configuration_history': history_of(
+                facts.knowledge.configuration.revision
+            ),
+            'store_history': facts.platform.history or 0,
             'evacuated_zones': len(
                 facts.knowledge.configuration.evacuated_zones
             ),
--- a/poplarrack/move_controllers.py
+++ b/poplarrack/move_controllers.py
@@ -65,6 +65,13 @@
             < MIN_MOVE_WRITE_INTERVAL_SECONDS
         ):
             continue
+        if move.outdated:
+            # Without its order, the store has no place for its record.
+            if move.order_id:
+                yield _write_move(
+                    configuration, service, replace(move, outdated=False)
+                )
+            continue
         observed = observe_move(facts, move, now)
         changed = decide_move(move, observed, now)
         if changed is not None:
--- a/poplarrack/nodes.py
+++ b/poplarrack/nodes.py
@@ -38,6 +38,8 @@
 from poplarrack.moves import is_live
 from poplarrack.snapshots import SnapshotHistory
 from poplarrack.spreaders import Spreader
+from poplarrack.store_histories import describe_revision
+from poplarrack.store_histories import history_of
 from poplarrack.topologies import derive_topology
 from poplarrack.topologies import REMOTE_REGION
 
@@ -145,7 +147,13 @@
 
     def digests(self):
         """Return the digests of the node's knowledge."""
-        return self.knowledge.digests(self.settings.node_id)
+        digests = self.knowledge.digests(self.settings.node_id)
+        first = self.dependencies.platform.histories.first
+        return replace(digests, first_history=first)
+
+    def hear_digests(self, other):
+        """Learn of the store's histories from another node's Digests."""
+        self.dependencies.platform.histories.hear_first(other.first_history)
 
     def address_of(self, node_id):
         """Return another node's peer address.
@@ -309,6 +317,7 @@
             heard_at=now if succeeded else state.heard_at,
             failing_since=failing_since,
             calls=self.dependencies.platform.calls,
+            history=self.dependencies.platform.histories.newest,
             detail=detail,
         )
         self.blackboard.write('platform', platform=state)
@@ -366,6 +375,7 @@
 
         :param other: the other node's Digests.
         """
+        self.hear_digests(other)
         own, now = self.digests(), self.clock()
         differs = (
             other.revision == own.revision
@@ -458,7 +468,11 @@
             self._rebuild()
         if knowledge.configuration is not before.configuration:
             revision = knowledge.configuration.revision
-            logger.info('version_applied', extra={'revision': revision})
+            logger.info(
+                'version_applied',
+                extra={'revision': describe_revision(revision)},
+            )
+            _log_return(before.configuration, knowledge.configuration)
             _log_evacuations(before.configuration, knowledge.configuration)
 
     def _schedule_rebuild(self):
@@ -559,6 +573,27 @@
         return lifecycle.joined and revision > 0 and not lifecycle.draining
 
 
+def _log_return(before, after):
+    """Log that the store had returned from an older copy, and what is kept."""
+    if not before.revision or (
+        history_of(before.revision) == history_of(after.revision)
+    ):
+        return
+    logger.warning(
+        'store_history_changed',
+        extra={
+            'before': describe_revision(before.revision),
+            'after': describe_revision(after.revision),
+            'generation': after.snapshot.generation,
+            'moves_kept': sorted(
+                service
+                for service, move in after.moves.items()
+                if move.outdated
+            ),
+        },
+    )
+
+
 def _log_evacuations(before, after):
     """Log a change of which zones are evacuated."""
     if before.evacuated_zones != after.evacuated_zones:
--- a/poplarrack/platform/configurations.py
+++ b/poplarrack/platform/configurations.py
@@ -8,6 +8,8 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 from dataclasses import field
+from dataclasses import replace
+from json import loads
 import logging
 
 from msgspec.json import encode
@@ -35,6 +37,7 @@
 from poplarrack.resources import Route
 from poplarrack.resources import Service
 from poplarrack.resources import WeightedService
+from poplarrack.store_histories import store_revision
 from poplarrack.stores import KeyValue
 
 logger = logging.getLogger(__name__)
@@ -53,6 +56,7 @@
 MOVES_PREFIX = f'{CONFIGURATION_PREFIX}{TEAM}/moves/'
 EVACUATIONS_PREFIX = f'{CONFIGURATION_PREFIX}{TEAM}/evacuations/'
 MOVE_POLICY = 'replace_at_end'
+VERSION_PREFIX = 'r'
 # A 'download' is a route with large answers.
 REPEATABLE_ROUTE_TYPES = frozenset(('safe', 'download'))
 
@@ -82,7 +86,8 @@
     revision and the fault of each item that was left out, by key, and of each
     part of the configuration that could not be read, by key and path.
     ``configuration`` is the store's item that ``resources`` and ``services``
-    were last derived from, whether or not it could be used.
+    were last derived from, whether or not it could be used. ``generation`` is
+    the number of the version in ``resources``.
     """
 
     configuration: KeyValue | None = None
@@ -90,9 +95,10 @@
     services: frozenset[str] = frozenset()
     translated: Mapping[str, KeyValue] = field(default_factory=dict)
     rejected: Mapping[str, tuple[int, str]] = field(default_factory=dict)
+    generation: int = 0
 
 
-def translate(items, previous):
+def translate(items, previous, oldest_record=0):
     """Return the Translation of the store's items.
 
     The configuration is translated again only after a change. An item that
@@ -103,15 +109,19 @@
     :param items: the store's KeyValues under the watched prefix, by key.
     :param previous: the Translation of the items before them; it is not
         changed, so that threads may share it.
+    :param oldest_record: the number of the history from which on a move's
+        record is up to date; an earlier one came with an older copy.
     """
-    return _TranslationPass(items, previous).run()
+    return _TranslationPass(items, previous, oldest_record).run()
 
 
 class _TranslationPass:
     """One translation of the store's items, while it is under way."""
 
-    def __init__(self, items, previous):
+    def __init__(self, items, previous, oldest_record):
         self.items = items
+        self.oldest_record = oldest_record
+        self.generation = 0
         self.previous = previous
         self.present = {
             key: item for key, item in items.items() if item.value is not None
@@ -144,12 +154,14 @@
             self.services,
             translated,
             self.rejected,
+            self.generation,
         )
 
     def _read_configuration(self, item):
         previous = self.previous
         self.resources = previous.resources
         self.services = previous.services
+        self.generation = previous.generation
         if item == previous.configuration:
             self.rejected.update(
                 (key, fault)
@@ -167,6 +179,7 @@
         else:
             self.resources = resources
             self.services = frozenset(configuration.services)
+            self.generation = _read_generation(item)
             for path, fault in faults.items():
                 self._reject(item, fault, path)
 
@@ -210,13 +223,19 @@
         """
         key = MOVES_PREFIX + service
         path = f'{TEAM}/moves/{service}'
-        move_id = f'{service}-{order.mod_revision}'
+        # The same in each history that holds this writing of the order.
+        move_id = f'{service}-{store_revision(order.mod_revision)}'
         if record is not None:
             try:
                 recorded = decode_resource(path, record.value)
-                if recorded.move_id == move_id:
+                if move_id == (recorded.order_id or recorded.move_id):
                     self._check_move(recorded)
-                    return KeyValue(key, record.value, 0, record.mod_revision)
+                    value = record.value
+                    if recorded.recorded_in < self.oldest_record:
+                        value = encode_resource(
+                            replace(recorded, order_id=move_id, outdated=True)
+                        )
+                    return KeyValue(key, value, 0, record.mod_revision)
             except PoplarrackError as error:
                 self._reject(record, error.detail)
         try:
@@ -238,6 +257,15 @@
             )
 
 
+def _read_generation(item):
+    """Return the number of a configuration's version, 0 if it has none."""
+    version = loads(item.value).get('version')
+    if not isinstance(version, str):
+        return 0
+    number = version.removeprefix(VERSION_PREFIX)
+    return int(number) if number.isascii() and number.isdigit() else 0
+
+
 def _translate_configuration(item, faults):
     raw = decode_json(item.value, ErrorKind.INVALID_CONFIGURATION, item.key)
     try:
--- a/poplarrack/platforms.py
+++ b/poplarrack/platforms.py
@@ -26,6 +26,7 @@
 from poplarrack.etcd_json import prefix_end
 from poplarrack.retries import Backoff
 from poplarrack.retries import CircuitBreaker
+from poplarrack.store_histories import StoreHistories
 from poplarrack.stores import Compare
 from poplarrack.stores import KeyValue
 from poplarrack.stores import Operation
@@ -63,25 +64,35 @@
 
 @dataclass(frozen=True)
 class Response:
-    """The body of a response."""
+    """The body of a response, and the number of the store's history."""
 
     data: bytes
+    history: int = 0
 
 
 @dataclass(frozen=True)
 class RangeResponse:
-    """The keys found and the store's revision when they were read."""
+    """The keys found and the store's revision when they were read.
+
+    ``generation`` is the operator's own number of the configuration among
+    them, 0 if it has none.
+    """
 
     revision: int
     items: tuple[KeyValue, ...]
+    generation: int = 0
 
 
 @dataclass(frozen=True)
 class WatchBatch:
-    """Events up to a revision; a progress notification has none."""
+    """Events up to a revision; a progress notification has none.
+
+    ``generation`` is that of the configuration after them.
+    """
 
     revision: int
     events: tuple[KeyValue, ...]
+    generation: int = 0
 
 
 def build_timeout(read_seconds):
@@ -95,14 +106,18 @@
 class StoreClient:
     """Make HTTP calls to the store, guarded by a circuit breaker.
 
-    Several threads may use a client at once.
+    Several threads may use a client at once. ``history_header`` is the name
+    of the header by which the store numbers its histories, if it does.
     """
 
+    history_header = None
+
     def __init__(self, addresses, random=None, clock=time.monotonic):
         self.addresses = tuple(addresses)
         self.random = random or Random()
         self.clock = clock
         self.circuit = CircuitBreaker()
+        self.histories = StoreHistories()
         self.calls = 0
         self.bytes = 0
         # The shortest call so far bounds the network's round trip from above.
@@ -174,6 +189,11 @@
                 timeout=timeout,
                 preload_content=False,
             )
+            history = 0
+            if self.history_header is not None:
+                history = self.histories.hear(
+                    response.headers.get(self.history_header)
+                )
             if streams and response.status == 200:
                 return response
             data = self._read_body(path, response, timeout)
@@ -186,7 +206,7 @@
                 ErrorKind.OUTCOME_UNKNOWN, f'{path}: {error}'
             ) from error
         raise_for_status(path, response.status)
-        return Response(data)
+        return Response(data, history)
 
     def _read_body(self, path, response, timeout):
         """Return the body of a response, if it ends.
--- a/poplarrack/reports.py
+++ b/poplarrack/reports.py
@@ -12,6 +12,8 @@
 from poplarrack.evidence import format_factor
 from poplarrack.moves import planned_share
 from poplarrack.snapshots import Snapshot
+from poplarrack.store_histories import describe_revision
+from poplarrack.store_histories import history_of
 from poplarrack.summaries import ZoneSummary
 
 STALE_SUMMARY_SECONDS = 30
@@ -66,7 +68,8 @@
 
     :param status: a Status.
     """
-    lines = [f'configuration: revision {status.snapshot.revision}', '']
+    revision = describe_revision(status.snapshot.revision)
+    lines = [f'configuration: revision {revision}', '']
     heading = ('region', 'zone', 'nodes', 'in force', 'behind', 'state')
     rows = [heading, *(_zone_row(zone, status) for zone in status.zones)]
     lines += _align_columns(rows)
@@ -84,7 +87,7 @@
 
 def _zone_row(zone, status):
     age = status.now - zone.written_at
-    behind = max(0, zone.highest_revision - zone.lowest_revision)
+    behind = _describe_lag(zone)
     state = f'silent for {age:.0f} s' if age > STALE_SUMMARY_SECONDS else 'ok'
     if zone.rejections:
         state = f'rejected revision {zone.rejections[0].revision}'
@@ -93,15 +96,23 @@
         zone.region,
         zone.zone,
         nodes,
-        str(zone.lowest_revision),
-        str(behind),
+        describe_revision(zone.lowest_revision),
+        behind,
         state,
     )
 
 
+def _describe_lag(zone):
+    lowest, highest = zone.lowest_revision, zone.highest_revision
+    if history_of(lowest) != history_of(highest):
+        return 'history'
+    return str(max(0, highest - lowest))
+
+
 def _zone_problem_lines(zone):
     for lag in zone.lags:
-        yield f'  {lag.node_id} is at revision {lag.revision}'
+        revision = describe_revision(lag.revision)
+        yield f'  {lag.node_id} is at revision {revision}'
     for rejection in zone.rejections:
         for reason in rejection.reasons:
             yield (
--- a/poplarrack/resources.py
+++ b/poplarrack/resources.py
@@ -257,6 +257,11 @@
     is the time at which the current share was set. ``ordered_seconds`` is
     the duration of a move that its worker has not started yet, and 0
     afterwards.
+
+    ``order_id`` is the id of the order that the move stands for, if that was
+    written again under another one. ``recorded_in`` is the number of the
+    store's history in which the record was written, 0 in the first one. An
+    ``outdated`` record is of an earlier history than the store is in.
     """
 
     service: str
@@ -275,6 +280,9 @@
     evidence: tuple[RouteEvidence, ...] = ()
     log: tuple[str, ...] = field(default=())
     ordered_seconds: float = 0.0
+    order_id: str = newer_field('')
+    recorded_in: int = newer_field(0)
+    outdated: bool = newer_field(False)
 
     @property
     def needed_services(self):
--- a/poplarrack/snapshots.py
+++ b/poplarrack/snapshots.py
@@ -10,6 +10,7 @@
 
 from poplarrack.errors import ErrorKind
 from poplarrack.errors import PoplarrackError
+from poplarrack.store_histories import history_of
 
 MAX_SNAPSHOTS = 64
 
@@ -27,8 +28,9 @@
 class Snapshot:
     """The whole configuration at a revision of the platform's store.
 
-    ``digest`` is the XOR of the entries' 64-bit hashes, so that it can be
-    updated from a delta without hashing the unchanged entries.
+    ``generation`` is the operator's own number of the version, 0 if it has
+    none. ``digest`` is the XOR of the entries' 64-bit hashes, so that it can
+    be updated from a delta without hashing the unchanged entries.
     """
 
     revision: int = 0
@@ -36,6 +38,7 @@
         default_factory=lambda: MappingProxyType({})
     )
     digest: int = 0
+    generation: int = 0
 
 
 @dataclass(frozen=True)
@@ -43,6 +46,7 @@
     """The difference between two snapshots.
 
     A delta whose ``base_revision`` is 0 contains the whole configuration.
+    ``generation`` is that of the target.
     """
 
     base_revision: int
@@ -51,6 +55,27 @@
     digest: int
     changed: tuple[Entry, ...] = ()
     removed: tuple[str, ...] = ()
+    generation: int = 0
+
+
+def is_newer(one, other):
+    """Return whether one version of the configuration replaces another.
+
+    A store that returned from an older copy may hold an earlier version than
+    the one in force, until the operator has written that again. The
+    operator's own numbers tell, where both versions have one.
+
+    :param one: what has a revision and a generation, such as a Snapshot, a
+        Delta or Digests.
+    """
+    if (
+        history_of(one.revision) != history_of(other.revision)
+        and one.generation != other.generation
+        and one.generation
+        and other.generation
+    ):
+        return one.generation > other.generation
+    return one.revision > other.revision
 
 
 def entry_digest(entry):
@@ -59,13 +84,13 @@
     return xxh64_intdigest(head + entry.value)
 
 
-def build_snapshot(revision, entries):
+def build_snapshot(revision, entries, generation=0):
     """Build a snapshot from an iterable of entries."""
     by_path = {entry.path: entry for entry in entries}
     digest = 0
     for entry in by_path.values():
         digest ^= entry_digest(entry)
-    return Snapshot(revision, MappingProxyType(by_path), digest)
+    return Snapshot(revision, MappingProxyType(by_path), digest, generation)
 
 
 def diff_snapshots(base, target):
@@ -85,6 +110,7 @@
         target.digest,
         changed,
         removed,
+        target.generation,
     )
 
 
@@ -122,7 +148,9 @@
             f'revision {delta.revision}: expected digest {delta.digest:x}, '
             f'got {digest:x}',
         )
-    return Snapshot(delta.revision, MappingProxyType(entries), digest)
+    return Snapshot(
+        delta.revision, MappingProxyType(entries), digest, delta.generation
+    )
 
 
 class SnapshotHistory:
--- a/poplarrack/spreaders.py
+++ b/poplarrack/spreaders.py
@@ -5,6 +5,7 @@
 
 from poplarrack.errors import PoplarrackError
 from poplarrack.messages import Updates
+from poplarrack.snapshots import is_newer
 
 logger = logging.getLogger(__name__)
 
@@ -83,7 +84,7 @@
         :raises PoplarrackError: PEER_UNAVAILABLE without an answer.
         """
         snapshot = self.node.knowledge.configuration.snapshot
-        if other.revision >= snapshot.revision:
+        if not is_newer(snapshot, other):
             return
         delta = self.node.history.delta_from(
             other.revision, other.configuration, snapshot
--- a/tests/store_stand_in.py
+++ b/tests/store_stand_in.py
@@ -1,6 +1,7 @@
 """Stand-in for the platform's store: its published protocol over HTTP."""
 
 from contextlib import contextmanager
+from copy import deepcopy
 from http.server import BaseHTTPRequestHandler
 from http.server import ThreadingHTTPServer
 from json import dumps
@@ -25,6 +26,7 @@
     A ``failure_status`` other than 0 is the answer to every call;
     ``page_size`` limits the items of a range answer. ``endless``, if set, is
     what is answered in place of the rest: its start, and what is repeated.
+    ``era`` is the value of the header Store-Era, None for none.
     """
 
     def __init__(self):
@@ -35,6 +37,20 @@
         self.now = 0.0
         self.page_size = 500
         self.calls = []
+        self.era = 1
+        self.saved = None
+
+    def save(self):
+        """Keep a copy, to which ``go_back`` returns."""
+        with self.changed:
+            self.saved = deepcopy(self.store)
+
+    def go_back(self):
+        """Lose what was written since the copy, and begin the next era."""
+        with self.changed:
+            self.store = deepcopy(self.saved)
+            self.era += 1
+            self.changed.notify_all()
 
     def put(self, key, value):
         """Write a value, encoded as JSON, as an operator does."""
@@ -90,6 +106,8 @@
     def _watch(self, query):
         after, prefix = int(query['after']), query['prefix']
         timeout = int(query['wait_ms']) / 1000
+        if after > self.store.revision:
+            raise PoplarrackError(ErrorKind.COMPACTED, 'not given out yet')
         self.changed.wait_for(
             lambda: self.store.events_after(after, prefix), timeout
         )
@@ -150,6 +168,8 @@
         raw = dumps(value).encode()
         self.send_response(status)
         self.send_header('Content-Length', str(len(raw)))
+        if stand_in.era is not None:
+            self.send_header('Store-Era', str(stand_in.era))
         self.end_headers()
         self.wfile.write(raw)
 
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -402,7 +402,7 @@
 
     def __init__(self, items):
         self.items = tuple(items.values())
-        self.revision = 1
+        self.revision, self.generation = 1, 0
 
     def read_prefix(self, prefix):
         """Return itself as the response."""
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -2,6 +2,7 @@
 
 import ast
 from dataclasses import dataclass
+from dataclasses import field
 from dataclasses import replace
 from json import dumps
 from json import loads
@@ -120,6 +121,7 @@
 class Answer:
     status: int
     data: bytes
+    headers: dict = field(default_factory=dict)
 
     def stream(self, size):
         yield self.data
--- a/tests/test_store_client.py
+++ b/tests/test_store_client.py
@@ -182,7 +182,8 @@
     assert set(client.rejected_entries) >= {'op/config'}
     watch = client.watch(CONFIGURATION_PREFIX, revision)
     stand_in.put('op/config', config(timeout='7s'))
-    snapshot = apply_events(snapshot, next(watch).events)
+    batch = next(watch)
+    snapshot = apply_events(snapshot, batch.events, batch.generation)
     assert snapshot == read_configuration(client_of(address))[0]
     assert not client.rejected_entries
 
