Have the soak's store return from an older copy

A new fault of the platform's mesh: the store is away for a moment and comes back from a copy of up to 4 s before; then the operator writes its last version again. The checks are unchanged. The product's own store never returns.

--- a/tests/soak_faults.py
+++ b/tests/soak_faults.py
@@ -14,6 +14,7 @@
 MAX_FREEZE_SECONDS = 3.0
 MAX_STORE_FAILURE_SECONDS = 3.0
 MAX_GAP_SECONDS = 0.7
+MAX_COPY_AGE_SECONDS = 4.0
 MAX_LATE_SECONDS = 3.0
 # How often a zone's nodes are restarted in turn.
 MAX_ROUNDS = 2
@@ -134,6 +135,20 @@
             soak.mesh.restore_store()
 
 
+@fault(1)
+async def return_store(soak, host):
+    """Have the store come back from a copy that is some seconds old."""
+    async with soak.store_lock:
+        soak.mesh.save_store()
+        await pause(soak, MAX_COPY_AGE_SECONDS)
+        with disturbed(soak, STORE):
+            soak.mesh.fail_store(soak.random)
+            await pause(soak, MAX_GAP_SECONDS)
+            soak.mesh.restore_store()
+            seconds = soak.random.random() * MAX_GAP_SECONDS
+            await asyncio.to_thread(soak.mesh.return_store, seconds)
+
+
 @fault(4)
 async def replace_endpoint(soak, host):
     """Replace an endpoint that leaves gracefully by a new instance."""
--- a/tests/soak_meshes.py
+++ b/tests/soak_meshes.py
@@ -9,7 +9,9 @@
 from json import dumps
 import os
 import sys
+from threading import Lock
 from threading import Thread
+from time import sleep
 
 from poplarrack.addresses import split_address
 from poplarrack.fetchers import HEAD_KEY
@@ -60,6 +62,9 @@
 
     def __init__(self, store, store_address):
         self.store, self.store_address = store, store_address
+        self.written = None
+        # Held while the operator writes.
+        self.operator = Lock()
 
     @classmethod
     @contextmanager
@@ -73,7 +78,23 @@
 
     def write(self, number, routes):
         """Write a version of the configuration; return when confirmed."""
-        self.store.put('op/config', build_configuration(number, routes))
+        with self.operator:
+            self.written = build_configuration(number, routes)
+            self.store.put('op/config', self.written)
+
+    def save_store(self):
+        """Keep a copy of the store."""
+        self.store.save()
+
+    def return_store(self, seconds):
+        """Return the store from its copy; then write what is lost again.
+
+        :param seconds: until the operator writes.
+        """
+        with self.operator:
+            self.store.go_back()
+            sleep(seconds)
+            self.store.put('op/config', self.written)
 
     def fail_store(self, random):
         """Make the store answer every call with a failure."""
@@ -153,8 +174,10 @@
     name = 'own'
     deadline_header = 'poplarrack-deadline-ms'
     # SIGHUP ends a program that has no settings to read again. Announcements
-    # have no order, and name no service to check them by.
+    # have no order, and name no service to check them by. Its store never
+    # returns from an older copy.
     unknown_faults = (
+        'return_store',
         'reload_node',
         'kill_after_leave',
         'delay_report',
