Carry evacuations over a return, and count its calls

A zone that was evacuated got requests again after the store had returned from a copy without the order, until the operator wrote that again.

Cause: only moves were carried over.

Change: one registry of what is carried over, by kind; an evacuation that the copy lacks is held until the store has it. One that the copy has though it had been taken back holds until the operator's removal comes again: the node can't tell it from a new one, and sends nothing to the zone meanwhile. Exchange, Mark and Outcome have a module of their own.

--- a/poplarrack/benches/many_nodes.py
+++ b/poplarrack/benches/many_nodes.py
@@ -41,7 +41,7 @@
 from poplarrack.snapshots import build_snapshot
 from poplarrack.snapshots import Entry
 from poplarrack.stand_ins.fakes import run_on_virtual_clock
-from poplarrack.upstreams import Outcome
+from poplarrack.upstream_exchanges import Outcome
 
 ZONE_DELAY_SECONDS = 0.0002
 REGION_DELAY_SECONDS = 0.0015
--- a/poplarrack/departures.py
+++ b/poplarrack/departures.py
@@ -28,7 +28,7 @@
 MAX_NEAR_HOLDERS = 2
 MAX_FAR_HOLDERS = 1
 # Bound of the delay at random before a leave is written again.
-MAX_STORE_DELAY_SECONDS = 5.0
+MAX_STORE_DELAY_SECONDS = 10.0
 # A backend server takes an acknowledgement that is later than a second for
 # none.
 HOLD_TIMEOUT_SECONDS = 0.7
--- a/poplarrack/dispatchers.py
+++ b/poplarrack/dispatchers.py
@@ -37,9 +37,9 @@
 from poplarrack.retries import Failure
 from poplarrack.retries import may_retry
 from poplarrack.retries import RetryBudget
+from poplarrack.upstream_exchanges import Mark
+from poplarrack.upstream_exchanges import Outcome
 from poplarrack.upstream_pools import UpstreamPool
-from poplarrack.upstreams import Mark
-from poplarrack.upstreams import Outcome
 
 # Calls that are queued for one service.
 MAX_QUEUED_CALLS = 200
--- a/poplarrack/knowledge.py
+++ b/poplarrack/knowledge.py
@@ -17,10 +17,10 @@
 from poplarrack.members import merge_members
 from poplarrack.messages import Digests
 from poplarrack.messages import Updates
-from poplarrack.returned_moves import carry_moves
 from poplarrack.snapshots import apply_delta
 from poplarrack.snapshots import is_newer
 from poplarrack.store_histories import history_of
+from poplarrack.store_returns import carry_over
 
 MAX_VERDICTS = 500
 
@@ -80,7 +80,7 @@
         the configuration or than the last rejection.
     """
     held = knowledge.configuration.snapshot
-    snapshot = carry_moves(
+    snapshot = carry_over(
         knowledge.configuration, snapshot, knowledge.verdicts
     )
     if not is_newer(snapshot, held):
--- a/poplarrack/platform/configurations.py
+++ b/poplarrack/platform/configurations.py
@@ -9,9 +9,11 @@
 from dataclasses import dataclass
 from dataclasses import field
 from dataclasses import replace
-from json import loads
 import logging
 
+from msgspec import MsgspecError
+from msgspec import Struct
+from msgspec.json import decode
 from msgspec.json import encode
 
 from poplarrack.configurations import load_configuration
@@ -257,10 +259,17 @@
             )
 
 
+class _Numbered(Struct):
+    """The part of a configuration that numbers it."""
+
+    version: str = ''
+
+
 def _read_generation(item):
     """Return the number of a configuration's version, 0 if it has none."""
-    version = loads(item.value).get('version')
-    if not isinstance(version, str):
+    try:
+        version = decode(item.value, type=_Numbered).version
+    except MsgspecError:
         return 0
     number = version.removeprefix(VERSION_PREFIX)
     return int(number) if number.isascii() and number.isdigit() else 0
--- a/poplarrack/receivers.py
+++ b/poplarrack/receivers.py
@@ -34,8 +34,8 @@
 from poplarrack.received_requests import ReceivedRequest
 from poplarrack.received_requests import RunningRepeats
 from poplarrack.resources import CallerLimits
+from poplarrack.upstream_exchanges import Outcome
 from poplarrack.upstream_pools import UpstreamPool
-from poplarrack.upstreams import Outcome
 
 logger = logging.getLogger(__name__)
 
--- a/poplarrack/resources.py
+++ b/poplarrack/resources.py
@@ -204,11 +204,13 @@
     """An order to send nothing to the backend servers of a zone.
 
     ``name`` is the zone's. It holds until the setting is removed. ``since`` is
-    when it was ordered, in seconds since the epoch, or 0 if not known.
+    when it was ordered, in seconds since the epoch, or 0 if not known. An
+    ``outdated`` one is held though the store has returned without it.
     """
 
     name: str
     since: float = 0.0
+    outdated: bool = newer_field(False)
 
     @property
     def needed_services(self):
--- a/poplarrack/returned_moves.py
+++ b/poplarrack/store_returns.py
@@ -1,13 +1,14 @@
-"""Carry moves over a return of the store from an older copy.
+"""Carry over what a store lost that returned from an older copy.
 
-What was written last is gone then: steps and ends of moves, and orders until
-the operator has written them again. What the nodes hold goes on, and the
-worker writes its records again: a move that has ended isn't started again,
-and a version that was withdrawn gets no more calls.
+What was written last is gone then: steps and ends of moves, and orders and
+evacuations until the operator has written them again. What the nodes hold goes
+on, and the worker writes its records again: a move that has ended isn't
+started again, and a version that was withdrawn gets no more calls.
 """
 
 from dataclasses import replace
 
+from poplarrack.errors import PoplarrackError
 from poplarrack.resources import decode_resource
 from poplarrack.resources import encode_resource
 from poplarrack.resources import split_path
@@ -15,9 +16,13 @@
 from poplarrack.snapshots import Entry
 from poplarrack.store_histories import history_of
 
+CARRIERS = {}
 
-def carry_moves(configuration, snapshot, verdicts):
-    """Return a snapshot with the moves that nodes are to go by.
+
+def carry_over(configuration, snapshot, verdicts):
+    """Return a snapshot with what nodes are to go by.
+
+    One with an entry that can't be read stays as it is: it is rejected.
 
     :param configuration: the Configuration that is held.
     :param snapshot: the Snapshot that may replace it.
@@ -25,22 +30,26 @@
     """
     if not history_of(snapshot.revision):
         return snapshot
+    try:
+        return _carry_over(configuration, snapshot, verdicts)
+    except PoplarrackError:
+        return snapshot
+
+
+def _carry_over(configuration, snapshot, verdicts):
     returned = history_of(snapshot.revision) > history_of(
         configuration.revision
     )
-    changed = {}
-    for path, entry in snapshot.entries.items():
-        if split_path(path)[1] == 'moves':
-            renamed = _tell_apart(path, entry, configuration, verdicts)
-            if renamed is not entry:
-                changed[path] = renamed
-    for service, held in configuration.moves.items():
-        path = configuration.move_paths[service]
-        if (returned or held.outdated) and _has_service(snapshot, path):
-            found = changed.get(path, snapshot.entries.get(path))
-            revision = configuration.snapshot.entries[path].revision
-            changed[path] = _carry(path, held, revision, found)
-    entries = {**snapshot.entries, **changed}
+    entries = dict(snapshot.entries)
+    for path, entry in _entries_of(snapshot, ('moves',)):
+        entries[path] = _tell_apart(path, entry, configuration, verdicts)
+    for path, held_entry in _entries_of(configuration.snapshot, CARRIERS):
+        held = decode_resource(path, held_entry.value)
+        if returned or held.outdated:
+            carry = CARRIERS[split_path(path)[1]]
+            carried = carry(held_entry, held, entries)
+            if carried is not None:
+                entries[path] = carried
     if entries == snapshot.entries:
         return snapshot
     return build_snapshot(
@@ -48,9 +57,36 @@
     )
 
 
-def _has_service(snapshot, path):
-    team, _, service = split_path(path)
-    return f'{team}/services/{service}' in snapshot.entries
+def _entries_of(snapshot, kinds):
+    """Return the paths and entries of resources of some kinds."""
+    return [
+        (path, entry)
+        for path, entry in snapshot.entries.items()
+        if split_path(path)[1] in kinds
+    ]
+
+
+def carries(kind):
+    """Register the function that carries resources of a kind.
+
+    It takes the Entry that is held, its resource, and the entries of the new
+    snapshot by path. It returns the Entry that goes on, or None for none.
+    """
+
+    def register(carry):
+        CARRIERS[kind] = carry
+        return carry
+
+    return register
+
+
+@carries('evacuations')
+def _carry_evacuation(held_entry, held, entries):
+    """Keep a zone evacuated whose evacuation the copy doesn't have."""
+    if held_entry.path in entries:
+        return None
+    value = encode_resource(replace(held, outdated=True))
+    return replace(held_entry, value=value)
 
 
 def _is_fresh(move):
@@ -82,15 +118,17 @@
     return replace(entry, value=encode_resource(renamed))
 
 
-def _carry(path, held, held_revision, found):
-    """Return the Entry of the move that goes on.
-
-    :param held_revision: that of the held move's record.
-    :param found: the Entry in the snapshot, or None.
-    """
+@carries('moves')
+def _carry_move(held_entry, held, entries):
+    """Keep a move that is further than its record in the copy."""
+    path = held_entry.path
+    team, _, service = split_path(path)
+    if f'{team}/services/{service}' not in entries:
+        return None
+    found = entries.get(path)
     if found is None:
         # The order is gone until the operator writes it again.
-        return _build_entry(path, held, '', held_revision)
+        return _build_entry(path, held, '', held_entry.revision)
     move = decode_resource(path, found.value)
     is_recorded = not move.outdated and not _is_fresh(move)
     if is_recorded or _is_fresh(held):
--- a/poplarrack/upstream_pools.py
+++ b/poplarrack/upstream_pools.py
@@ -7,8 +7,8 @@
 from poplarrack.addresses import split_destination
 from poplarrack.byte_budgets import ByteBudget
 from poplarrack.socket_states import poll_now
-from poplarrack.upstreams import Exchange
-from poplarrack.upstreams import Outcome
+from poplarrack.upstream_exchanges import Exchange
+from poplarrack.upstream_exchanges import Outcome
 from poplarrack.upstreams import UpstreamConnection
 
 # How long a server that sent bytes beyond an answer gets a connection of its
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -40,8 +40,8 @@
 from poplarrack.streams import PeerStreams
 from poplarrack.summaries import decode_summary
 from poplarrack.traffic import PeerTraffic
+from poplarrack.upstream_exchanges import Outcome
 from poplarrack.upstream_pools import UpstreamPool
-from poplarrack.upstreams import Outcome
 from tests.samples import move
 from tests.samples import route_json
 from tests.samples import service_json
--- a/tests/test_odd_statuses.py
+++ b/tests/test_odd_statuses.py
@@ -10,7 +10,7 @@
 from poplarrack.body_pipes import MAX_WHOLE_BODY_BYTES
 from poplarrack.exchanges import Delivery
 from poplarrack.exchanges import Verdict
-from poplarrack.upstreams import Outcome
+from poplarrack.upstream_exchanges import Outcome
 from tests.support import build_load_tests
 from tests.test_body_pipes import SlowSource
 from tests.test_calls import call_path_to
--- a/tests/test_second_answers.py
+++ b/tests/test_second_answers.py
@@ -8,8 +8,8 @@
 import socket
 
 from poplarrack.body_pipes import MAX_WHOLE_BODY_BYTES
+from poplarrack.upstream_exchanges import Outcome
 from poplarrack.upstream_pools import DISTRUST_SECONDS
-from poplarrack.upstreams import Outcome
 from tests.support import build_load_tests
 from tests.test_upstream_answers import answer
 from tests.test_upstream_answers import Caller
--- a/tests/test_store_returns.py
+++ b/tests/test_store_returns.py
@@ -4,6 +4,7 @@
 header, Store-Era. Its operator and the endpoints write theirs again.
 """
 
+from collections import Counter
 from contextlib import contextmanager
 from dataclasses import replace
 from json import loads
@@ -13,6 +14,7 @@
 from poplarrack.blackboards import Sent
 from poplarrack.controllers import store_departure_again
 from poplarrack.decisions import StoreDeparture
+from poplarrack.departures import MAX_STORE_DELAY_SECONDS
 from poplarrack.errors import ErrorKind
 from poplarrack.errors import PoplarrackError
 from poplarrack.evidence import Verdict
@@ -32,7 +34,9 @@
 from poplarrack.platforms import CONFIGURATION_PREFIX
 from poplarrack.resources import encode_resource
 from poplarrack.resources import MoveState
+from poplarrack.snapshots import build_snapshot
 from poplarrack.snapshots import diff_snapshots
+from poplarrack.snapshots import Entry
 from poplarrack.snapshots import Snapshot
 from poplarrack.store_histories import describe_revision
 from poplarrack.store_histories import history_of
@@ -41,8 +45,10 @@
 from poplarrack.store_histories import StoreHistories
 from poplarrack.stores import Compare
 from poplarrack.stores import Operation
+from poplarrack.topologies import derive_topology
 from poplarrack.topologies import Topology
 from tests.samples import member
+from tests.samples import member_table
 from tests.store_stand_in import running_store
 from tests.support import assert_raises
 from tests.support import build_load_tests
@@ -57,6 +63,8 @@
 MOVE_PATH = 'mesh/moves/front'
 MOVE_KEY = CONFIGURATION_PREFIX + MOVE_PATH
 NOW = 1_000.0
+# Of the smallest installation.
+READS_PER_SECOND, WRITES_PER_SECOND = 2_000, 400
 
 
 def version(number):
@@ -202,6 +210,18 @@
     assert followed.timeout == 13
 
 
+def test_a_snapshot_that_can_not_be_read_is_rejected(followed):
+    start(followed)
+    held = followed.knowledge
+    revision = place_revision(1, 1)
+    for path, value in (('bad', b'1'), (MOVE_PATH, b'1')):
+        entries = [Entry(path, value, revision)]
+        snapshot = build_snapshot(revision, entries, 12)
+        after = apply_snapshot(held, snapshot)
+        assert after.configuration is held.configuration
+        assert after.rejection.revision == revision
+
+
 def test_a_store_may_return_twice(followed):
     start(followed)
     followed.stand_in.save()
@@ -495,6 +515,62 @@
     assert decide(returned, now=NOW + 3_600) == []
 
 
+def count_calls(nodes, zones, random):
+    """Return the most reads and writes in a second after a return.
+
+    All nodes have had a leave in the last minutes, and all notice at once.
+    """
+    regions = ('north', 'south')
+    members = [
+        member(f'n{i}', zone=f'z{i % zones}', region=regions[i % zones % 2])
+        for i in range(nodes)
+    ]
+    table = member_table(*members)
+    reads, writes = 0, Counter()
+    for own in members:
+        topology = derive_topology(own, table, regions[0])
+        # A watch, a range and the next watch.
+        reads += 3 * topology.is_fetcher
+        # A lease and the value that hangs on it.
+        writes[0] += 2 * topology.is_zone_representative
+        writes[int(random.random() * MAX_STORE_DELAY_SECONDS)] += 2
+    return reads, max(writes.values())
+
+
+# 1,000 nodes that notice within a second would get 429.
+def test_a_return_stays_within_the_rates_of_the_store():
+    for nodes, zones in ((10, 4), (75, 4), (195, 8), (1_000, 8)):
+        reads, writes = count_calls(nodes, zones, Random(nodes))
+        assert reads <= READS_PER_SECOND, (nodes, reads)
+        assert writes <= WRITES_PER_SECOND, (nodes, writes)
+        print(f'{nodes} nodes: {reads} reads, {writes} writes in a second')
+
+
+# A zone that was evacuated got requests until it was evacuated again.
+def test_an_evacuation_outlives_its_order(followed):
+    start(followed)
+    followed.stand_in.save()
+    followed.stand_in.put('op/evacuate/a', {})
+    followed.follow()
+
+    def zones():
+        return set(followed.knowledge.configuration.evacuated_zones)
+
+    assert zones() == {'a'}
+    followed.stand_in.go_back()
+    followed.follow_return()
+    assert zones() == {'a'}
+    followed.stand_in.put('op/rollout/front', ORDER)
+    followed.follow()
+    assert zones() == {'a'}
+    followed.stand_in.put('op/evacuate/a', {})
+    followed.follow()
+    assert zones() == {'a'}
+    followed.stand_in.delete('op/evacuate/a')
+    followed.follow()
+    assert zones() == set()
+
+
 # Other stores name no history, and a header may be anything.
 def test_a_header_that_is_no_number_says_nothing(followed):
     followed.stand_in.era = None
--- a/tests/test_upstream_answers.py
+++ b/tests/test_upstream_answers.py
@@ -5,9 +5,9 @@
 from random import Random
 from unittest import TestCase
 
+from poplarrack.upstream_exchanges import Exchange
+from poplarrack.upstream_exchanges import Outcome
 from poplarrack.upstream_pools import UpstreamPool
-from poplarrack.upstreams import Exchange
-from poplarrack.upstreams import Outcome
 from poplarrack.upstreams import UpstreamConnection
 from tests.support import build_load_tests
 
--- a/tests/test_upstreams.py
+++ b/tests/test_upstreams.py
@@ -4,8 +4,8 @@
 from contextlib import suppress
 
 from poplarrack.byte_budgets import ByteBudget
+from poplarrack.upstream_exchanges import Outcome
 from poplarrack.upstream_pools import UpstreamPool
-from poplarrack.upstreams import Outcome
 from tests.support import build_load_tests
 
 load_tests = build_load_tests(__name__)
