Ignore an offer to upgrade in place of aborting

Cause: the parser completes such a request with its head and then ends; the request was started, without its body, and the end taken for a malformed one.

Change: another parser reads the head again without the offer, and the body and what follows behind it. A server may ignore the offer (RFC 9110, 7.8). CONNECT is refused as before.

Test: test_a_request_that_offers_an_upgrade_is_answered_as_any_other failed before (refused_malformed_request), with a body and without, three protocols, reads that end in the head and in the body, and a request behind it.

--- a/poplarrack/caller_connections.py
+++ b/poplarrack/caller_connections.py
@@ -19,6 +19,7 @@
 from poplarrack.byte_budgets import HEADER_OVERHEAD_BYTES
 from poplarrack.errors import ErrorKind
 from poplarrack.http_messages import build_error
+from poplarrack.http_messages import build_head_without_offer
 from poplarrack.http_messages import HttpRequest
 from poplarrack.socket_states import poll_now
 
@@ -143,13 +144,7 @@
             return
         self.last_read = self.server.clock()
         self.overhead_bytes += len(data)
-        try:
-            self.parser.feed_data(data)
-        except HttpParserUpgrade:
-            self._refuse(ErrorKind.MALFORMED_REQUEST, 'upgrade')
-        except HttpParserError as error:
-            if not self.closing:
-                self._refuse(ErrorKind.MALFORMED_REQUEST, str(error))
+        self._parse(data)
         if self.overhead_bytes > (
             self.server.limits.max_header_bytes + READ_BUFFER_BYTES
         ):
@@ -160,6 +155,37 @@
             self._update_reading()
         self._count_held()
 
+    def _parse(self, data):
+        while len(data):
+            try:
+                self.parser.feed_data(data)
+            except HttpParserUpgrade as offer:
+                # The parser ends with the head: another one reads it again
+                # without the offer, and the body.
+                data = data[offer.args[0] :]
+                if self._ignore_offer():
+                    continue
+                self._refuse(ErrorKind.MALFORMED_REQUEST, 'upgrade')
+            except HttpParserError as error:
+                if not self.closing:
+                    self._refuse(ErrorKind.MALFORMED_REQUEST, str(error))
+            return
+
+    def _ignore_offer(self):
+        """Begin the request again without its offer of an upgrade.
+
+        :returns: whether it goes on; one with the method CONNECT can't.
+        """
+        request = self.request
+        if self.closing or request is None or request.method == 'CONNECT':
+            return False
+        head = build_head_without_offer(
+            request, self.parser.get_http_version()
+        )
+        self.parser = HttpRequestParser(self)
+        self.parser.feed_data(head)
+        return True
+
     def _count_held(self):
         """Count what is held for the caller, read or to be written.
 
@@ -210,7 +236,7 @@
     def on_headers_complete(self):
         """Store the method; answer an Expect header with 100 Continue."""
         self.request.method = self.parser.get_method().decode()
-        if self.closing:
+        if self.closing or self.parser.should_upgrade():
             return
         length = self.request.header(b'content-length')
         if length is not None and int(length) > MAX_WHOLE_BODY_BYTES:
@@ -280,7 +306,12 @@
                 self._begin_upload(None)
 
     def on_message_complete(self):
-        """Start the request, or queue it behind those before it."""
+        """Start the request, or queue it behind those before it.
+
+        The parser says so of one that offers an upgrade before its body.
+        """
+        if self.parser.should_upgrade():
+            return
         request, self.request = self.request, None
         self.overhead_bytes = 0
         if self.closing:
--- a/poplarrack/http_messages.py
+++ b/poplarrack/http_messages.py
@@ -138,6 +138,27 @@
     return b''.join(parts)
 
 
+def build_head_without_offer(request, version):
+    """Serialize the head of a caller's request without an offer to upgrade.
+
+    A server may ignore the offer (RFC 9110, 7.8).
+
+    :param version: the version of HTTP, such as ``1.1``.
+    """
+    line = f'{request.method} {request.target} HTTP/{version}\r\n'
+    parts = [line.encode('latin-1')]
+    for name, value in request.headers:
+        if name == b'connection':
+            options = (part.strip() for part in value.split(b','))
+            value = b', '.join(
+                option for option in options if option.lower() != b'upgrade'
+            )
+        if name != b'upgrade':
+            parts += (name, b': ', value, b'\r\n')
+    parts.append(b'\r\n')
+    return b''.join(parts)
+
+
 def connection_options(headers):
     """Return the header names that a Connection header lists.
 
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -185,3 +185,32 @@
     caller.dispatcher.answer('/b')
     caller.connection.connection_lost(None)
     assert caller.dispatcher.cancelled == ['/a', '/c']
+
+
+OFFERS = (
+    b'Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\n'
+    b'HTTP2-Settings: AAMAAABk\r\n',
+    b'Connection: upgrade\r\nUpgrade: websocket\r\n',
+    b'Upgrade: something/1\r\nConnection: keep-alive, Upgrade\r\n',
+)
+
+
+# LOST: a request that offers an upgrade ran, and its connection was aborted
+# without an answer. The offer may be ignored (RFC 9110, 7.8).
+def test_a_request_that_offers_an_upgrade_is_answered_as_any_other(caller):
+    for number, offer in enumerate(OFFERS):
+        for body in (b'', b'whole'):
+            length = b'content-length: %d\r\n' % len(body)
+            target = f'/{number}/{len(body)}'
+            raw = b'POST %b HTTP/1.1\r\nhost: a\r\n' % target.encode()
+            raw += length + offer + b'\r\n' + body
+            behind = b'GET %b/x HTTP/1.1\r\nhost: a\r\n\r\n' % target.encode()
+            for cut in (len(raw), len(raw) - 2, len(raw) + 3):
+                parts = raw + behind
+                caller.connection.data_received(memoryview(parts[:cut]))
+                caller.connection.data_received(memoryview(parts[cut:]))
+                assert caller.started == [target], (offer, body, cut)
+                caller.dispatcher.answer(target)
+                assert caller.started == [f'{target}/x'], (offer, body, cut)
+                caller.dispatcher.answer(f'{target}/x')
+    assert not caller.transport.closing
