Keep an answer whose service has no endpoint left

Cause: the mean failure rate was taken over the group of the service, which was empty, and the ZeroDivisionError ended the call as a defect of the node.

Change: an endpoint of an empty group is not compared. The other divisions and bounds in placements.py, destinations.py, candidates.py and balancers.py are over groups that were just chosen from, or have a floor.

Test: test_a_departure_changes_no_answer, over departures at each answer of a call, failed before at its first kind of case (200 at a failure rate of 0.4).

--- a/poplarrack/placements.py
+++ b/poplarrack/placements.py
@@ -145,7 +145,8 @@
     of them call.
     """
     rate = state.reported_failure_rate
-    if rate < EJECTION_FAILURE_RATE:
+    # The last endpoint may have left before its answer came.
+    if rate < EJECTION_FAILURE_RATE or not group:
         return False
     mean = sum(other.reported_failure_rate for other in group) / len(group)
     return rate >= OUTLIER_FACTOR * mean
