Close quietly where a caller has reset its upload

Cause: write_eof raises OSError on a socket that is not connected any more.

Change: the connection is aborted there.

Test: test_a_caller_that_has_reset_while_it_sent_is_closed_quietly failed before (OSError 107).

--- a/poplarrack/caller_connections.py
+++ b/poplarrack/caller_connections.py
@@ -485,7 +485,11 @@
             self.server.clock() + self.server.limits.idle_timeout_seconds
         )
         self._update_reading()
-        self.transport.write_eof()
+        try:
+            self.transport.write_eof()
+        except OSError:
+            # The caller has reset the connection.
+            self.transport.abort()
 
     def _let_go(self):
         """Abort the connection and cancel its calls."""
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -214,3 +214,25 @@
                 assert caller.started == [f'{target}/x'], (offer, body, cut)
                 caller.dispatcher.answer(f'{target}/x')
     assert not caller.transport.closing
+
+
+class ResetTransport(RecordingTransport):
+    """A transport whose caller has reset the connection."""
+
+    def write_eof(self):
+        raise OSError(107, 'Transport endpoint is not connected')
+
+    def abort(self):
+        self.closing = True
+
+
+# An error of the socket showed as a defect of the node.
+def test_a_caller_that_has_reset_while_it_sent_is_closed_quietly(caller):
+    caller.connection.server.takes_uploads = True
+    caller.transport = caller.connection.transport = ResetTransport()
+    head = b'POST /up HTTP/1.1\r\nhost: a\r\ncontent-length: 900000\r\n\r\n'
+    caller.connection.data_received(head + b'x' * 1000)
+    assert caller.started == ['/up']
+    caller.dispatcher.answer('/up', keep_alive=False)
+    assert b' 200 ' in caller.transport.written
+    assert caller.transport.closing
