Drop the trailers of a caller's request

Trailers of a chunked request were passed on to the endpoint as headers, so that a caller could add or repeat headers behind its body.

Cause: the parser reports them as it does headers.

Change: what comes behind the head counts against the limit and is dropped (RFC 9110, 6.5.1), as trailers of answers are.

Test: test_trailers_of_a_request_are_dropped failed before.

--- a/poplarrack/caller_connections.py
+++ b/poplarrack/caller_connections.py
@@ -72,6 +72,7 @@
         self.transport = None
         self.parser = HttpRequestParser(self)
         self.request = None
+        self.has_head = False
         self.body = BodyBuffer()
         self.header_bytes = 0
         # Bytes of the request that are not part of a body or its framing.
@@ -213,6 +214,7 @@
     def on_message_begin(self):
         """Start a new request."""
         self.request = HttpRequest('', '')
+        self.has_head = False
         self.body = BodyBuffer()
         self.header_bytes = 0
 
@@ -222,10 +224,11 @@
         self._count_header(len(url))
 
     def on_header(self, name, value):
-        """Add a header to the request."""
+        """Add a header to the request; trailers are dropped."""
         if self.closing:
             return
-        self.request.headers.append((name.lower(), value))
+        if not self.has_head:
+            self.request.headers.append((name.lower(), value))
         self._count_header(len(name) + len(value))
 
     def _count_header(self, size):
@@ -235,6 +238,7 @@
 
     def on_headers_complete(self):
         """Store the method; answer an Expect header with 100 Continue."""
+        self.has_head = True
         self.request.method = self.parser.get_method().decode()
         if self.closing or self.parser.should_upgrade():
             return
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -236,3 +236,25 @@
     caller.dispatcher.answer('/up', keep_alive=False)
     assert b' 200 ' in caller.transport.written
     assert caller.transport.closing
+
+
+# Trailers were passed on as headers (RFC 9110, 6.5.1).
+def test_trailers_of_a_request_are_dropped(caller):
+    requests = []
+    start = caller.dispatcher.start
+
+    def record(request, respond):
+        requests.append(request)
+        return start(request, respond)
+
+    caller.dispatcher.start = record
+    caller.connection.data_received(
+        b'POST /a HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n'
+        b'2\r\nok\r\n0\r\nhost: b\r\nx-sum: 1\r\n\r\n'
+    )
+    [request] = requests
+    assert request.body == b'ok'
+    assert request.headers == [
+        (b'host', b'a'),
+        (b'transfer-encoding', b'chunked'),
+    ]
