Hold signals that arrive while a node starts

A SIGHUP or SIGTERM within the first tenths of a second ended a node of the platform with the signal and without a log line; the platform may reload a machine's settings as it starts.

Cause: the handlers were set after the libraries were loaded and the addresses listened at.

--- a/poplarrack/sidecar_servers.py
+++ b/poplarrack/sidecar_servers.py
@@ -17,6 +17,7 @@
 from poplarrack.callers import CallServer
 from poplarrack.clocks import SteadyClock
 from poplarrack.dumps import dump_node
+from poplarrack.early_signals import take_signals
 from poplarrack.errors import ErrorKind
 from poplarrack.errors import PoplarrackError
 from poplarrack.explanations import explain
@@ -184,8 +185,11 @@
         """Serve until a signal asks to stop, then drain."""
         self.loop = asyncio.get_running_loop()
         self.stopping = asyncio.Event()
-        await self._listen()
         self._handle_signals()
+        if self.stopping.is_set():
+            logger.info('node_stopped')
+            return
+        await self._listen()
         self.node.update_own(self.node.facts.own)
         join_task = self.loop.create_task(join(self.node))
         recall_task = self.loop.create_task(
@@ -205,6 +209,11 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             self.loop.add_signal_handler(number, self.stopping.set)
         self.loop.add_signal_handler(signal.SIGHUP, self.reload)
+        arrived = set(take_signals())
+        if signal.SIGHUP in arrived:
+            self.reload()
+        if arrived & {signal.SIGTERM, signal.SIGINT}:
+            self.stopping.set()
 
     def reload(self):
         """Read the settings again; an invalid file changes nothing."""
