Grant a lease anew that the store has dropped

Cause: the node kept the lease until it was due to be renewed, and each write got 404.

Test: test_a_lease_that_the_store_dropped_is_granted_anew failed before (404).

--- a/poplarrack/leases.py
+++ b/poplarrack/leases.py
@@ -3,6 +3,9 @@
 from dataclasses import dataclass
 from dataclasses import replace
 
+from poplarrack.errors import ErrorKind
+from poplarrack.errors import PoplarrackError
+
 
 @dataclass(frozen=True)
 class Lease:
@@ -40,17 +43,27 @@
 def put_under_lease(held, platform, ttl_seconds, now, operation):
     """Put a value under a lease of the node; return the Lease.
 
-    This blocks. If the answer tells that the store has returned from an older
-    copy, the lease was not the node's own, and the value is put again.
+    This blocks. A lease that the store has dropped is granted anew. If the
+    answer tells that the store has returned from an older copy, the lease was
+    not the node's own, and the value is put again.
 
     :param held: the Lease so far.
     :param operation: the Operation, without a lease.
     :raises PoplarrackError: if the platform takes the lease or value not.
     """
     lease = renew_lease(held, platform, ttl_seconds, now)
-    platform.put_unconditionally(replace(operation, lease_id=lease.lease_id))
-    if lease.history != platform.histories.newest:
-        lease = renew_lease(lease, platform, ttl_seconds, now)
-        operation = replace(operation, lease_id=lease.lease_id)
-        platform.put_unconditionally(operation)
+    try:
+        _put(platform, operation, lease)
+    except PoplarrackError as error:
+        if error.kind is not ErrorKind.NOT_FOUND:
+            raise
+    else:
+        if lease.history == platform.histories.newest:
+            return lease
+    lease = renew_lease(Lease(), platform, ttl_seconds, now)
+    _put(platform, operation, lease)
     return lease
+
+
+def _put(platform, operation, lease):
+    platform.put_unconditionally(replace(operation, lease_id=lease.lease_id))
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -7,13 +7,18 @@
 from poplarrack.departures import DEPARTURE_PREFIX
 from poplarrack.departures import hold_departure
 from poplarrack.departures import read_departure
+from poplarrack.leases import Lease
+from poplarrack.leases import put_under_lease
 from poplarrack.members import Departure
 from poplarrack.members import LAST_SEQUENCE
 from poplarrack.members import MemberState
 from poplarrack.messages import CODECS
 from poplarrack.messages import Updates
+from poplarrack.platform.store_client import PlatformStoreClient
+from poplarrack.stores import Operation
 from tests.samples import member
 from tests.samples import member_table
+from tests.store_stand_in import running_store
 from tests.support import build_load_tests
 from tests.test_nodes import on_fakes
 from tests.test_nodes import ZONES
@@ -107,3 +112,17 @@
     codec, _ = CODECS['Push']
     updates = Updates('n', None, (member('n', departure=DEPARTURE),))
     assert codec.decode(codec.encode(updates)) == updates
+
+
+# For up to 200 s no leave reached a store that had dropped the lease.
+def test_a_lease_that_the_store_dropped_is_granted_anew():
+    with running_store() as (stand_in, address):
+        client = PlatformStoreClient([address], sleep=lambda seconds: None)
+        operation = Operation('own/departure', b'1')
+        held = put_under_lease(Lease(), client, 600.0, 100.0, operation)
+        stand_in.store.leases.clear()
+        lease = put_under_lease(held, client, 600.0, 101.0, operation)
+        assert lease.lease_id != held.lease_id
+        found = stand_in.store.get('own/departure')
+        assert found.lease_id == lease.lease_id
+        assert put_under_lease(lease, client, 600.0, 102.0, operation) == lease
