Follow the store to another address on a reload

Cause: the store's client kept the addresses that it was built with.

Change: a reload gives it the new ones, for its next call.

Test: test_a_reload_follows_the_store_to_another_address failed before (the log line names nothing), and takes a version from the new address.

--- a/poplarrack/sidecar_servers.py
+++ b/poplarrack/sidecar_servers.py
@@ -8,6 +8,8 @@
 
 import asyncio
 from dataclasses import dataclass
+from dataclasses import fields
+from dataclasses import replace
 import logging
 from random import Random
 import signal
@@ -56,6 +58,19 @@
 DRAIN_POLL_SECONDS = 0.05
 CONNECTION_EXPIRY_INTERVAL_SECONDS = 1.0
 SETTINGS_RELOAD_INTERVAL_SECONDS = 5.0
+# Beside the addresses of the platform.
+RELOADED_SETTINGS = frozenset(
+    (
+        'grace_seconds',
+        'retry_budget_levels',
+        'retry_budget_ratio',
+        'retry_budget_slack',
+        'retry_budget_window_seconds',
+        'revoke_seconds',
+        'service',
+        'stale_keys',
+    )
+)
 
 
 @dataclass(frozen=True)
@@ -113,6 +128,24 @@
         respond(raw, request.keep_alive)
 
 
+def compare_settings(before, after):
+    """Return the names of the settings that differ.
+
+    :returns: all of them, and those that are followed by a restart only.
+    """
+    changed, needs_restart = [], []
+    for item in fields(after):
+        old, new = getattr(before, item.name), getattr(after, item.name)
+        if old == new:
+            continue
+        changed.append(item.name)
+        if item.name == 'platform':
+            old = replace(old, addresses=new.addresses)
+        if old != new and item.name not in RELOADED_SETTINGS:
+            needs_restart.append(item.name)
+    return changed, needs_restart
+
+
 class SidecarServer:
     """A node with its servers, its Sender and its Receiver.
 
@@ -222,10 +255,16 @@
         except PoplarrackError as error:
             logger.error('settings_rejected', extra={'detail': error.detail})
             return
-        if settings != self.settings:
-            self.settings = settings
-            self.sender.settings = settings
-            logger.info('settings_reloaded')
+        if settings == self.settings:
+            return
+        changed, needs_restart = compare_settings(self.settings, settings)
+        self.settings = settings
+        self.sender.settings = settings
+        self.platform.addresses = settings.platform.addresses
+        logger.info(
+            'settings_reloaded',
+            extra={'changed': changed, 'needs_restart': needs_restart},
+        )
 
     def _tick(self):
         self.node.tick()
--- a/tests/test_sidecar_servers.py
+++ b/tests/test_sidecar_servers.py
@@ -5,6 +5,7 @@
 from dataclasses import replace
 from json import dumps
 import socket
+from unittest import TestCase
 
 from poplarrack.addresses import split_address
 from poplarrack.errors import ErrorKind
@@ -397,3 +398,46 @@
 
 async def refuses_late_requests(server):
     return server.sender.closes_at is not None
+
+
+# CONFIG: nodes said that they had reloaded, and kept to the store's old
+# address for good.
+def test_a_reload_follows_the_store_to_another_address():
+    loaded = []
+
+    def load():
+        if not loaded:
+            raise PoplarrackError(ErrorKind.INVALID_SETTINGS, 'none yet')
+        return loaded[-1]
+
+    async def run(one, other):
+        async with running_node(one[1], load) as (server, settings):
+            loaded.append(settings)
+            one[0].put('op/config', CONFIG)
+            await until(lambda: configured(server))
+            before = server.node.knowledge.configuration.revision
+            other[0].store = one[0].store
+            platform = replace(settings.platform, addresses=(other[1],))
+            loaded.append(
+                replace(settings, platform=platform, seeds=('127.0.0.9:1',))
+            )
+            with TestCase().assertLogs('poplarrack.sidecar_servers') as logs:
+                server.reload()
+            [record] = logs.records
+            assert record.msg == 'settings_reloaded'
+            assert record.changed == ['platform', 'seeds']
+            assert record.needs_restart == ['seeds']
+            one[0].failure_status = 503
+            other[0].put('op/config', {**CONFIG, 'version': 'r99'})
+
+            async def follows():
+                revision = server.node.knowledge.configuration.revision
+                return revision > before
+
+            await until(follows)
+
+    async def configured(server):
+        return server.node.knowledge.configuration.revision
+
+    with running_store() as one, running_store() as other:
+        asyncio.run(run(one, other))
