Take any number for that of the store's first history

A store that numbers its histories from a large number on, such as the time, was taken for one that names none.

Cause: the bound on the number of histories was put to the number itself, not to its distance from the first.

--- a/tests/test_store_returns.py
+++ b/tests/test_store_returns.py
@@ -592,6 +592,22 @@
     assert histories.complaints == MAX_COMPLAINTS
 
 
+def test_histories_may_be_numbered_by_the_time(followed):
+    followed.stand_in.era = 1_796_000_000_000
+    start(followed)
+    followed.stand_in.save()
+    followed.stand_in.put('op/config', version(12))
+    followed.follow()
+    followed.stand_in.go_back()
+    followed.stand_in.era += 10**9
+    followed.follow_return()
+    followed.stand_in.put('op/config', version(13))
+    followed.follow()
+    assert followed.timeout == 13
+    revision = followed.knowledge.configuration.revision
+    assert revision < 2**63
+
+
 # Revisions count histories from the first, so that those of earlier builds,
 # which know of none, compare with them before the first return.
 def test_the_first_history_may_be_told_later(followed):
