Learn of leaves while a node of the own mesh stops

Cause, by a test: a node that stops serves callers with open connections for drain_seconds and a little more. It has left the mesh, so that nobody sends it changes, and its control loop, which would ask for them, has ended. An endpoint that leaves in that time gets requests up to its end.

Change: such a node asks a node of its zone for changes every half second. The soak's message names the sender and the time.

Test: test_a_node_that_leaves_learns_of_the_leaves_of_others fails without the following (SERVING after a second).

--- a/poplarrack/joiners.py
+++ b/poplarrack/joiners.py
@@ -19,6 +19,8 @@
 # and the later ones find the zone representatives that came first. The bound
 # stays under a tenth of the time in which an installation must recover.
 MAX_JOIN_DELAY_SECONDS = 1.0
+# How often a node that leaves asks another one for changes.
+LEAVING_SYNC_SECONDS = 0.5
 
 
 async def join(node):
@@ -45,12 +47,31 @@
     logger.info('node_joined', extra={'peers_asked': synced})
 
 
-async def sync_with_some(node, addresses):
+async def follow_while_leaving(node):
+    """Learn of changes until cancelled, on a node that has left the mesh.
+
+    Other nodes send it nothing any more, but callers with open connections
+    are still served: endpoints that leave meanwhile must get nothing more.
+    """
+    while True:
+        members = node.knowledge.members.members.values()
+        near = [
+            member.peer_address
+            for member in members
+            if member.present and member.zone == node.facts.own.zone
+        ]
+        node.random.shuffle(near)
+        await sync_with_some(node, near[:MAX_JOIN_PEERS], 1)
+        await asyncio.sleep(LEAVING_SYNC_SECONDS)
+
+
+async def sync_with_some(node, addresses, wanted=MAX_JOIN_PEERS):
     """Compare with all addresses at once and sync with the first to answer.
 
     Asking them in sequence would cost a timeout for each that is gone.
 
     :param addresses: peer addresses.
+    :param wanted: the number of nodes to sync with.
     :returns: the number of nodes synced with.
     """
     comparisons = [
@@ -63,7 +84,7 @@
             if answer is None or not await _try_sync(node, address, answer):
                 continue
             synced += 1
-            if synced >= MAX_JOIN_PEERS:
+            if synced >= wanted:
                 break
     finally:
         for task in comparisons:
--- a/poplarrack/node_servers.py
+++ b/poplarrack/node_servers.py
@@ -14,6 +14,7 @@
 from poplarrack.errors import ErrorKind
 from poplarrack.errors import PoplarrackError
 from poplarrack.fetchers import build_fetcher
+from poplarrack.joiners import follow_while_leaving
 from poplarrack.joiners import join
 from poplarrack.metrics import build_metrics_page
 from poplarrack.nodes import Node
@@ -124,9 +125,11 @@
         logger.info('node_draining')
         self.node.leave()
         self.call_server.announce_drain()
+        following = self.loop.create_task(follow_while_leaving(self.node))
         await asyncio.sleep(self.settings.calls.drain_seconds)
         await self.call_server.drain(self.loop)
         await self.call_server.wait_until_drained()
+        following.cancel()
         await self._close()
         logger.info('node_stopped')
 
--- a/tests/soak_checks.py
+++ b/tests/soak_checks.py
@@ -258,7 +258,14 @@
             run.host, max(left_at, bound_from), run.began_at
         )
     ):
-        record.violate('DRAIN', run.key, 'ran after the acknowledged leave')
+        late_seconds = run.began_at - left_at
+        sender = request.headers.get('poplarrack-call', 'not named')
+        record.violate(
+            'DRAIN',
+            run.key,
+            'ran after the acknowledged leave, '
+            f'{late_seconds:.2f} s later, sent as {sender}',
+        )
 
 
 def build_request_body(key, size):
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -7,15 +7,18 @@
 from poplarrack.departures import DEPARTURE_PREFIX
 from poplarrack.departures import hold_departure
 from poplarrack.departures import read_departure
+from poplarrack.joiners import follow_while_leaving
 from poplarrack.leases import Lease
 from poplarrack.leases import put_under_lease
 from poplarrack.members import Departure
+from poplarrack.members import EndpointState
 from poplarrack.members import LAST_SEQUENCE
 from poplarrack.members import MemberState
 from poplarrack.messages import CODECS
 from poplarrack.messages import Updates
 from poplarrack.platform.store_client import PlatformStoreClient
 from poplarrack.stores import Operation
+from tests.samples import endpoint
 from tests.samples import member
 from tests.samples import member_table
 from tests.store_stand_in import running_store
@@ -126,3 +129,28 @@
         found = stand_in.store.get('own/departure')
         assert found.lease_id == lease.lease_id
         assert put_under_lease(lease, client, 600.0, 102.0, operation) == lease
+
+
+# DRAIN, in the product's own mesh: a node that stops, and still serves callers
+# with open connections, sent to an endpoint for seconds after its leave.
+@on_fakes
+async def test_a_node_that_leaves_learns_of_the_leaves_of_others(mesh):
+    own, other = mesh.nodes['a-0'], mesh.nodes['a-4']
+    serving = endpoint('127.0.0.1:5', announced_at=mesh.clock())
+    other.announce(serving)
+    await asyncio.sleep(2)
+
+    def state():
+        found = own.knowledge.members.members['a-4'].endpoint
+        return found and found.state
+
+    assert state() is EndpointState.SERVING
+    own.leave()
+    # As in its process, which only ends its calls.
+    own.tick = lambda: None
+    await asyncio.sleep(1)
+    following = asyncio.ensure_future(follow_while_leaving(own))
+    other.announce(replace(serving, state=EndpointState.DRAINING))
+    await asyncio.sleep(1)
+    following.cancel()
+    assert state() is EndpointState.DRAINING
