--- a/poplarrack/knowledge.py
+++ b/poplarrack/knowledge.py
@@ -85,9 +85,12 @@
     )
     if not is_newer(snapshot, held):
         same = snapshot.digest == held.digest
-        is_older = history_of(read_at) != history_of(held.revision)
-        is_older = is_older or read_at < held.revision
-        if same or not snapshot.revision or is_older:
+        # A read of another history is of an earlier version: see is_newer.
+        repairs = (
+            history_of(read_at) == history_of(held.revision)
+            and read_at >= held.revision
+        )
+        if same or not snapshot.revision or not repairs:
             return knowledge
         snapshot = replace(snapshot, revision=read_at)
     rejected = knowledge.rejection
--- a/poplarrack/nodes.py
+++ b/poplarrack/nodes.py
@@ -470,7 +470,10 @@
             revision = knowledge.configuration.revision
             logger.info(
                 'version_applied',
-                extra={'revision': describe_revision(revision)},
+                extra={
+                    'revision': revision,
+                    'history': history_of(revision),
+                },
             )
             _log_return(before.configuration, knowledge.configuration)
             _log_evacuations(before.configuration, knowledge.configuration)
