Log requests that are refused before they were read

Cause: a node logged nothing of a request that it refused while reading it, so that "request too slow", a limit and a parser's fault could not be told from each other, nor from a 404 of a table without its routes.

Change: an event request_refused_unread with the request's id, the status, how much had come and when the node last read. request_ended tells the number of routes and for how long the node had held the configuration.

Measured: tests.test_callers; the new test fails before, for want of the line.

--- a/poplarrack/caller_connections.py
+++ b/poplarrack/caller_connections.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections import deque
 from dataclasses import dataclass
+import logging
 import select
 
 from httptools import HttpParserError
@@ -17,12 +18,15 @@
 from poplarrack.buffers import READ_BUFFER_BYTES
 from poplarrack.buffers import SharedBufferProtocol
 from poplarrack.byte_budgets import HEADER_OVERHEAD_BYTES
+from poplarrack.errors import ANSWERS
 from poplarrack.errors import ErrorKind
 from poplarrack.http_messages import build_error
 from poplarrack.http_messages import build_head_without_offer
 from poplarrack.http_messages import HttpRequest
 from poplarrack.socket_states import poll_now
 
+logger = logging.getLogger(__name__)
+
 # Requests of a connection that wait behind others before it is read on.
 MAX_PIPELINED_REQUESTS = 16
 # Repeatable requests of a connection that run at once.
@@ -521,6 +525,7 @@
         if self.closing:
             return
         self.closing = True
+        self._log_refused(kind, detail)
         # Freed at once: more is read before the connection's end is handled.
         self.request = HttpRequest('', '')
         self.body = BodyBuffer()
@@ -534,6 +539,29 @@
         else:
             self.transport.abort()
 
+    def _log_refused(self, kind, detail):
+        """Log that a request is refused before all of it was read."""
+        request = self.request or HttpRequest('', '')
+        request_id = request.header(self.server.request_id_header) or b''
+        body_bytes = self.body.size
+        if self.upload is not None:
+            body_bytes = self.upload_bytes
+        logger.info(
+            'request_refused_unread',
+            extra={
+                'request': request_id.decode('latin-1'),
+                'outcome': kind.value,
+                'detail': detail,
+                'status': ANSWERS[kind].http_status,
+                'has_head': self.has_head,
+                'body_bytes': body_bytes,
+                'read_ms_ago': round(
+                    (self.server.clock() - self.last_read) * 1000
+                ),
+                'in_flight': len(self.exchanges),
+            },
+        )
+
     def expire(self, now):
         """Close the connection if its request or idle timeout has passed.
 
--- a/poplarrack/callers.py
+++ b/poplarrack/callers.py
@@ -5,6 +5,7 @@
 
 from poplarrack.byte_budgets import ByteBudget
 from poplarrack.caller_connections import CallerConnection
+from poplarrack.http_messages import CALL_HEADER
 from poplarrack.resources import CallerLimits
 
 MAX_CONNECTIONS = 4_096
@@ -25,6 +26,8 @@
     :param clock: a function that returns monotonic seconds.
     :param max_connections: connections that are served at once.
     :param budget: the ByteBudget of the process.
+    :param request_id_header: the name of the header by which log lines tell
+        requests apart.
     """
 
     def __init__(
@@ -33,11 +36,13 @@
         clock,
         max_connections=MAX_CONNECTIONS,
         budget=None,
+        request_id_header=CALL_HEADER,
     ):
         self.dispatcher = dispatcher
         self.budget = budget or ByteBudget()
         self.max_connections = max_connections
         self.clock = clock
+        self.request_id_header = request_id_header
         self.limits = CallerLimits('callers')
         self.connections = set()
         # Those that are not read from, whose end shows in no other way.
--- a/poplarrack/carried_calls.py
+++ b/poplarrack/carried_calls.py
@@ -122,10 +122,10 @@
     )
 
 
-def log_ended(call, revision, outcome, detail, now):
+def log_ended(call, table, outcome, detail, now):
     """Log the outcome of a call and what the last choice was based on.
 
-    :param revision: revision of the active configuration.
+    :param table: the RoutingTable in force.
     """
     last = {}
     if call.last_state is not None:
@@ -147,7 +147,11 @@
             'arrivals': call.arrivals,
             'inherited_repeat': round(call.inherited_repeat, 3),
             'last': last,
-            'revision': revision,
+            'revision': table.revision,
+            'routes': len(table.router.routes),
+            'configured_ms_ago': round((now - table.configured_at) * 1000)
+            if table.configured_at
+            else None,
             'ms': round((now - call.started_at) * 1000, 1),
         },
     )
--- a/poplarrack/routing_tables.py
+++ b/poplarrack/routing_tables.py
@@ -34,7 +34,8 @@
     Destination of each node with an endpoint that serves. ``services`` and
     ``organisations`` are the configuration's, by name; ``evacuated_zones``
     are the zones whose endpoints get no calls. ``keys`` has the organisations
-    by their keys.
+    by their keys. ``configured_at`` is when the revision came into force here,
+    in seconds since the epoch.
     """
 
     revision: int = 0
@@ -50,6 +51,7 @@
     organisations: dict = field(default_factory=dict)
     evacuated_zones: frozenset[str] = frozenset()
     keys: KeyIndex = field(default_factory=KeyIndex)
+    configured_at: float = 0.0
 
 
 def derive_routing_table(locality, knowledge, now, previous=RoutingTable()):
@@ -74,6 +76,7 @@
         destinations.setdefault(destination.endpoint.service, []).append(
             destination
         )
+    is_new = configuration.revision != previous.revision
     return RoutingTable(
         configuration.revision,
         configuration.router,
@@ -86,6 +89,7 @@
         configuration.organisations,
         configuration.evacuated_zones,
         _derive_keys(configuration.organisations, previous),
+        now if is_new else previous.configured_at,
     )
 
 
--- a/poplarrack/senders.py
+++ b/poplarrack/senders.py
@@ -609,7 +609,7 @@
             self.call_limits.take_back(call.organisation, self.clock())
         self.counts[f'refused_{kind.value}'] += 1
         now = self.clock()
-        log_ended(call, self.table.revision, kind.value, detail, now)
+        log_ended(call, self.table, kind.value, detail, now)
         self._end(call)
         keep_alive = call.request.stays_open(self.draining)
         if ANSWERS[kind].http_status in RETRIED_STATUSES:
@@ -643,9 +643,7 @@
             return
         self.counts['answers'] += 1
         self.latencies.observe(now - call.started_at)
-        log_ended(
-            call, self.table.revision, f'status {delivery.status}', '', now
-        )
+        log_ended(call, self.table, f'status {delivery.status}', '', now)
         self._end(call)
         keep_alive = call.request.stays_open(self.draining)
         if delivery.streamed_bytes:
--- a/poplarrack/sidecar_servers.py
+++ b/poplarrack/sidecar_servers.py
@@ -200,7 +200,11 @@
             self.traffic, self.receiver, bind_handlers(self.node), self.budget
         )
         self.call_server = CallServer(
-            self.sender, self.clock, settings.max_connections, self.budget
+            self.sender,
+            self.clock,
+            settings.max_connections,
+            self.budget,
+            adapter.header_names.request_id,
         )
         self.page_servers = []
         self.local_endpoint = LocalEndpoint(self)
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -1,7 +1,9 @@
 """Test how the call server manages connections of callers."""
 
 import asyncio
+from collections import Counter
 from contextlib import contextmanager
+from unittest import TestCase
 
 from poplarrack.caller_connections import CallerConnection
 from poplarrack.caller_connections import MAX_OVERLAPPING_REQUESTS
@@ -61,7 +63,7 @@
     """A dispatcher that answers when the test says so."""
 
     def __init__(self):
-        self.counts = {}
+        self.counts = Counter()
         self.responses = {}
         self.cancelled = []
 
@@ -258,3 +260,18 @@
         (b'host', b'a'),
         (b'transfer-encoding', b'chunked'),
     ]
+
+
+# Without a line of its own, a request that was refused while it was read could
+# not be found in the logs of its node.
+def test_a_request_that_is_refused_unread_is_logged_with_its_id(caller):
+    caller.connection.server.request_id_header = b'request-id'
+    head = b'POST / HTTP/1.1\r\nrequest-id: r1\r\ncontent-length: 9\r\n\r\n'
+    with TestCase().assertLogs('poplarrack.caller_connections') as logs:
+        caller.connection.data_received(head + b'abc')
+        caller.connection.server.clock.now += 11
+        caller.connection.expire(caller.connection.server.clock())
+    (line,) = logs.records
+    assert line.msg == 'request_refused_unread'
+    shown = line.request, line.has_head, line.body_bytes, line.read_ms_ago
+    assert shown == ('r1', True, 3, 11_000), shown
