Read what waits before a caller is called silent

Callers saw: requests whose bytes came while their node stood still, or was busy in one turn of its event loop, were ended with 400 "request too slow". A request on an idle connection met a reset.

Cause: expire() took the time since the node last read for the caller's silence. Timers run before the bytes that wait in the sockets are read: after SIGCONT epoll returns no events once its timeout has passed, and a long turn may end in _tick.

Change: a caller is silent only if nothing waits in its socket. What waits is read in the event loop's next turn.

Measured: tests.test_paused_nodes, with a node's process (30 callers, SIGSTOP for 4.5 s, header_timeout 3 s): before, 30 of 30 got 400; now 30 of 30 get 200. tests.test_callers, the two new tests: before, 400 "request too slow" and ConnectionResetError; now both pass. test_drains and test_sidecar_servers pass.

--- a/poplarrack/caller_connections.py
+++ b/poplarrack/caller_connections.py
@@ -567,24 +567,34 @@
 
         So is one whose caller takes nothing of what was written.
         """
-        idle_seconds = now - self.last_read
         reading = self.request is not None and self.is_reading
         limits = self.server.limits
         if self._takes_nothing(now):
             self._let_go()
         elif self.lingers_until:
-            if (
-                now > self.lingers_until
-                or idle_seconds > limits.header_timeout_seconds
+            if now > self.lingers_until or self.is_silent(
+                now, limits.header_timeout_seconds
             ):
                 self.transport.abort()
-        elif reading and idle_seconds > limits.header_timeout_seconds:
+        elif reading and self.is_silent(now, limits.header_timeout_seconds):
             self._refuse(ErrorKind.MALFORMED_REQUEST, 'request too slow')
-        elif not self.exchanges and idle_seconds > (
-            IDLE_TIMEOUT_FACTOR * limits.idle_timeout_seconds
+        elif not self.exchanges and self.is_silent(
+            now, IDLE_TIMEOUT_FACTOR * limits.idle_timeout_seconds
         ):
             self.transport.close()
 
+    def is_silent(self, now, seconds):
+        """Return whether the caller has sent nothing for some seconds.
+
+        Bytes that wait in the socket are read in the event loop's next turn.
+        They may be old where this process stood still or was busy.
+        """
+        if now - self.last_read <= seconds:
+            return False
+        return not self.is_reading or not poll_now(
+            self.transport, select.POLLIN
+        )
+
     def _takes_nothing(self, now):
         """Return whether nothing was taken for the idle timeout."""
         unwritten = self.transport.get_write_buffer_size()
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -2,7 +2,9 @@
 
 import asyncio
 from collections import Counter
+from contextlib import asynccontextmanager
 from contextlib import contextmanager
+import socket
 from unittest import TestCase
 
 from poplarrack.caller_connections import CallerConnection
@@ -105,6 +107,9 @@
     def get_write_buffer_size(self):
         return 0
 
+    def get_extra_info(self, name):
+        return None
+
     def pause_reading(self):
         pass
 
@@ -275,3 +280,85 @@
     assert line.msg == 'request_refused_unread'
     shown = line.request, line.has_head, line.body_bytes, line.read_ms_ago
     assert shown == ('r1', True, 3, 11_000), shown
+
+
+# Seconds by which the clocks of these tests go on: more than each timeout.
+LONG_SECONDS = 1000.0
+HALF_HEAD = b'POST /late HTTP/1.1\r\nhost: a\r\n'
+HALF_BODY = HALF_HEAD + b'content-length: 8\r\n\r\nhalf'
+
+
+@asynccontextmanager
+async def serving(dispatcher=None):
+    """Yield a CallServer with a clock that stands, and its address."""
+    server = CallServer(dispatcher or ImmediateDispatcher(), ManualClock())
+    server.dispatcher.counts = Counter()
+    loop = asyncio.get_running_loop()
+    port = await server.listen(loop, '127.0.0.1', 0)
+    try:
+        yield server, ('127.0.0.1', port)
+    finally:
+        for connection in list(server.connections):
+            connection.transport.abort()
+        server.listener.close()
+        server.socket.close()
+        await asyncio.sleep(0)
+
+
+async def until(condition):
+    """Wait until a function returns a true value."""
+    async with asyncio.timeout(10):
+        while not condition():
+            await asyncio.sleep(0.005)
+
+
+def receive(caller):
+    """Return what a caller's socket has received; b'' at its end."""
+    caller.setblocking(True)
+    caller.settimeout(10)
+    return caller.recv(65_536)
+
+
+def ask_in_one_turn(first, second, act):
+    """Return the answer to a request whose second part isn't read in time.
+
+    :param first: what the server reads.
+    :param second: what waits in the socket when ``act`` is called with the
+        server and its clock's time.
+    """
+
+    async def run():
+        async with serving() as (server, address):
+            with socket.create_connection(address) as caller:
+                caller.sendall(first)
+                await until(lambda: len(server.connections) == 1)
+                [connection] = server.connections
+                await until(lambda: has_read(connection, first))
+                caller.sendall(second)
+                server.clock.now += LONG_SECONDS
+                act(server, server.clock())
+                return await asyncio.to_thread(receive, caller)
+
+    return asyncio.run(run())
+
+
+def has_read(connection, part):
+    """Return whether a connection has read the first part of a request."""
+    return not part or connection.request is not None
+
+
+# DENIED: a turn of the event loop that took longer than a limit ended in the
+# check of the limits, before the bytes were read that had come meanwhile.
+def test_bytes_that_wait_to_be_read_are_no_silence():
+    for first, second in (
+        (HALF_BODY, b'half'),
+        (HALF_HEAD, b'content-length: 0\r\n\r\n'),
+    ):
+        answer = ask_in_one_turn(first, second, CallServer.expire)
+        assert answer.startswith(b'HTTP/1.1 200'), answer
+
+
+# LOST: a request that waited in the socket of an idle connection was reset.
+def test_a_request_that_waits_keeps_its_connection_from_the_idle_timeout():
+    answer = ask_in_one_turn(b'', REQUEST, CallServer.expire)
+    assert answer.startswith(b'HTTP/1.1 200'), answer
