Take no order by itself for a configuration

Callers would get 404 for every route where the store holds an evacuation and no configuration that can be used: one that was deleted, or that a node's read of the store rejects.

Cause: the translation made a head, and so a new revision, of the evacuation alone. A node that read it, or had it from another node, put a version without routes in force.

Change: without a usable configuration nothing is translated, so that the nodes keep what they hold until the operator writes one again.

Measured: tests.test_evacuations and tests.test_store_client; the two new tests failed before (evacuation alone translated; 0 of 2 routes left after put_odd, evacuate). test_odd_entries, test_platform_adapter, test_store_returns pass.

--- a/poplarrack/platform/configurations.py
+++ b/poplarrack/platform/configurations.py
@@ -106,7 +106,8 @@
     The configuration is translated again only after a change. An item that
     can't be used is left out, so that the others stay in force: an order
     names no move then, a record none that has begun, and for a configuration
-    the last one that could be used is kept.
+    the last one that could be used is kept. Without one, nothing is
+    translated.
 
     :param items: the store's KeyValues under the watched prefix, by key.
     :param previous: the Translation of the items before them; it is not
@@ -147,6 +148,9 @@
                     translated[move.key] = move
             elif key.startswith(EVACUATION_PREFIX):
                 translated.update(self._translate_evacuation(item))
+        if not self.resources:
+            # By themselves, orders would be a version without routes.
+            translated = {}
         if translated:
             head = max(item.mod_revision for item in self.items.values())
             translated[HEAD_KEY] = KeyValue(HEAD_KEY, b'', head, head)
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -73,6 +73,16 @@
     assert set(translation.rejected) == {'op/evacuate/', 'op/evacuate/b/c'}
 
 
+# DENIED: an evacuation without a configuration that could be used was taken
+# for a newer configuration without routes, so that all requests got 404.
+def test_an_evacuation_without_a_configuration_drops_no_routes():
+    order = {'op/evacuate/a': item('op/evacuate/a', b'{}', 9)}
+    assert not translate(order, Translation()).translated
+    for value in (None, b'7', b'{"routes": {}}'):
+        odd = {**order, 'op/config': item('op/config', value, 8)}
+        assert not translate(odd, Translation()).translated
+
+
 def test_an_order_given_twice_ends_with_its_removal():
     first = items_of(op__evacuate__a=b'{}')
     again = {**first, 'op/evacuate/a': item('op/evacuate/a', b'{}', 9)}
--- a/tests/test_store_client.py
+++ b/tests/test_store_client.py
@@ -13,6 +13,8 @@
 from poplarrack.fetchers import apply_events
 from poplarrack.fetchers import build_fetcher
 from poplarrack.fetchers import read_configuration
+from poplarrack.knowledge import apply_snapshot
+from poplarrack.knowledge import Knowledge
 from poplarrack.platform import configurations
 from poplarrack.platform.store_client import PlatformStoreClient
 from poplarrack.platforms import CONFIGURATION_PREFIX
@@ -188,6 +190,68 @@
     assert not client.rejected_entries
 
 
+def follow(store, *changes):
+    """Return the Knowledge of a node that reads the store, then watches it.
+
+    It holds what the store had first.
+
+    :param changes: functions of the StoreStandIn; the first is called before
+        the node reads.
+    """
+    stand_in, address = store
+    stand_in.put('op/config', CONFIG)
+    held, read_at = read_configuration(client_of(address))
+    knowledge = apply_snapshot(Knowledge(), held, read_at)
+    client = client_of(address)
+    changes[0](stand_in)
+    snapshot, revision = read_configuration(client)
+    knowledge = apply_snapshot(knowledge, snapshot, revision)
+    watch = client.watch(CONFIGURATION_PREFIX, revision)
+    for change in changes[1:]:
+        change(stand_in)
+        batch = next(watch)
+        snapshot = apply_events(snapshot, batch.events, batch.generation)
+        knowledge = apply_snapshot(knowledge, snapshot)
+    return knowledge
+
+
+def put_odd(stand_in):
+    stand_in.put('op/config', 7)
+
+
+def evacuate(stand_in):
+    stand_in.put('op/evacuate/a', {})
+
+
+def delete(stand_in):
+    stand_in.delete('op/config')
+
+
+def put_again(stand_in):
+    stand_in.put('op/config', config(timeout='7s'))
+
+
+# DENIED: where no configuration could be used, an evacuation put one without
+# routes in force, so that all requests got 404.
+def test_a_node_keeps_its_routes_while_the_store_has_none_to_use(store):
+    orders = (
+        (put_odd, evacuate),
+        (evacuate, put_odd),
+        (put_odd, evacuate, delete),
+        (evacuate, delete),
+        (delete, evacuate),
+    )
+    for changes in orders:
+        names = [change.__name__ for change in changes]
+        configuration = follow(store, *changes).configuration
+        assert len(configuration.routes) == 2, names
+        configuration = follow(store, *changes, put_again).configuration
+        timeouts = {route.timeout_seconds for route in configuration.routes}
+        assert 7.0 in timeouts, names
+        assert configuration.evacuated_zones == {'a'}, names
+        store[0].delete('op/evacuate/a')
+
+
 class RecordingNode:
     """Records what a fetcher reports."""
 
