Answer 503 while no route is known

Callers would get 404, which they never retry, from a node that holds a revision but no route; it also said that it was ready for callers.

Cause: a revision was taken for routes (Sender, Dispatcher, explanations, and Node.ready).

Change: Router.explain_mismatch decides by the routes, in one place; a node without routes is not ready.

Measured: tests.test_senders and tests.test_calls failed before (404 in place of 503 at RoutingTable(7) and CallTable(revision=7)); they, test_explanations, test_nodes, test_sidecar_servers, test_organisations, test_routing_tables, test_demo, test_evacuations and test_end_to_end pass.

--- a/poplarrack/dispatchers.py
+++ b/poplarrack/dispatchers.py
@@ -194,10 +194,9 @@
         self.counts['calls'] += 1
         route = self.table.router.match(request.method, request.target)
         if route is None:
-            if self.table.revision:
-                self._refuse(call, ErrorKind.NO_ROUTE, request.target)
-            else:
-                self._refuse(call, ErrorKind.NO_ENDPOINT, 'no configuration')
+            kind, why = self.table.router.explain_mismatch()
+            is_denied = kind is ErrorKind.NO_ROUTE
+            self._refuse(call, kind, request.target if is_denied else why)
             return call
         call.route = route
         call.deadline = self.clock() + self._timeout_seconds(call, route)
--- a/poplarrack/explanations.py
+++ b/poplarrack/explanations.py
@@ -89,9 +89,7 @@
     host = question.host.lower().partition(':')[0]
     route = table.router.match(question.method, question.path, host)
     if route is None:
-        kind = ErrorKind.NO_ROUTE if table.revision else ErrorKind.NO_ENDPOINT
-        why = 'no route matches' if table.revision else 'no configuration'
-        return _refused(answer, kind, why)
+        return _refused(answer, *table.router.explain_mismatch())
     answer['route'] = route.name
     organisation = table.organisations.get(question.organisation)
     if table.organisations and not route.public and organisation is None:
--- a/poplarrack/nodes.py
+++ b/poplarrack/nodes.py
@@ -569,11 +569,11 @@
     def ready(self):
         """Return whether the node can carry calls.
 
-        It must have joined, hold a configuration and not be draining.
+        It must have joined, know routes and not be draining.
         """
         lifecycle = self.facts.lifecycle
-        revision = self.knowledge.configuration.revision
-        return lifecycle.joined and revision > 0 and not lifecycle.draining
+        has_routes = bool(self.knowledge.configuration.routes)
+        return lifecycle.joined and has_routes and not lifecycle.draining
 
 
 def _log_return(before, after):
--- a/poplarrack/routers.py
+++ b/poplarrack/routers.py
@@ -2,6 +2,7 @@
 
 from functools import cached_property
 
+from poplarrack.errors import ErrorKind
 from poplarrack.resources import Route
 
 
@@ -32,6 +33,15 @@
         """Return the routes by their names."""
         return {route.name: route for route in self.routes}
 
+    def explain_mismatch(self):
+        """Return the ErrorKind of calls that match no route, and the reason.
+
+        Without any route, a node can't tell that a route doesn't exist.
+        """
+        if self.routes:
+            return ErrorKind.NO_ROUTE, 'no route matches'
+        return ErrorKind.NO_ENDPOINT, 'no configuration'
+
     def match(self, method, target, host='') -> Route | None:
         """Return the first route that matches a call, or None.
 
--- a/poplarrack/senders.py
+++ b/poplarrack/senders.py
@@ -179,10 +179,9 @@
         request = call.request
         route = self._match(request)
         if route is None:
-            if self.table.revision:
-                self._refuse(call, ErrorKind.NO_ROUTE, request.target)
-            else:
-                self._refuse(call, ErrorKind.NO_ENDPOINT, 'no configuration')
+            kind, why = self.table.router.explain_mismatch()
+            is_denied = kind is ErrorKind.NO_ROUTE
+            self._refuse(call, kind, request.target if is_denied else why)
             return False
         call.route = route
         call.rank = route.queue_rank
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -390,10 +390,12 @@
 @run
 async def test_a_node_without_a_configuration_denies_no_route():
     async with call_path_to(lambda *x: OK) as path:
-        path.dispatcher.set_table(CallTable())
-        status, headers, _ = await path.call('/jars')
-        assert status == 503
-        assert headers['poplarrack-ran'] == 'no'
+        # A revision alone says nothing of routes.
+        for table in (CallTable(), CallTable(revision=7)):
+            path.dispatcher.set_table(table)
+            status, headers, _ = await path.call('/jars')
+            assert status == 503
+            assert headers['poplarrack-ran'] == 'no'
 
 
 @run
--- a/tests/test_nodes.py
+++ b/tests/test_nodes.py
@@ -10,6 +10,7 @@
 from poplarrack.blackboards import Facts
 from poplarrack.blackboards import Lifecycle
 from poplarrack.blackboards import Sent
+from poplarrack.configurations import Configuration
 from poplarrack.configurations import load_configuration
 from poplarrack.controllers import decide_watch
 from poplarrack.decisions import ProbeThrough
@@ -38,6 +39,7 @@
 from poplarrack.reporters import summarize_zone
 from poplarrack.settings import NodeSettings
 from poplarrack.settings import PlatformSettings
+from poplarrack.snapshots import Snapshot
 from poplarrack.stand_ins.fakes import FakeMesh
 from poplarrack.stand_ins.fakes import PEER_TIMEOUT_SECONDS
 from poplarrack.stand_ins.fakes import run_on_virtual_clock
@@ -138,6 +140,16 @@
     await mesh.wait_for_revision(write_change(mesh, 3), 5)
 
 
+# A node that holds a version without routes would be given callers.
+@on_fakes
+async def test_a_node_without_routes_is_not_ready(mesh):
+    node = next(iter(mesh.nodes.values()))
+    assert node.ready
+    empty = Configuration(Snapshot(node.knowledge.configuration.revision + 1))
+    node.apply_knowledge(replace(node.knowledge, configuration=empty))
+    assert not node.ready
+
+
 @on_fakes
 async def test_a_zone_cut_off_serves_on_and_catches_up(mesh):
     zone_a = [name for name in mesh.nodes if name.startswith('a-')]
--- a/tests/test_senders.py
+++ b/tests/test_senders.py
@@ -12,10 +12,13 @@
 from poplarrack.call_tables import VersionSplit
 from poplarrack.destination_states import Destination
 from poplarrack.destination_states import Tier
+from poplarrack.errors import ErrorKind
 from poplarrack.evidence import FULL_SHARE_STAGE
 from poplarrack.exchanges import Delivery
 from poplarrack.exchanges import Occupancy
 from poplarrack.exchanges import Verdict
+from poplarrack.explanations import explain
+from poplarrack.explanations import Question
 from poplarrack.header_names import HeaderNames
 from poplarrack.http_messages import HttpRequest
 from poplarrack.organisations import build_key_index
@@ -268,6 +271,20 @@
     assert asyncio.run(run()) == (404, 503)
 
 
+# DENIED: a revision was taken for routes, so that all requests got 404.
+def test_a_revision_without_routes_denies_no_route():
+    async def run():
+        sender, _ = build_sender([])
+        sender.set_table(RoutingTable(7))
+        explanation = explain(sender, Question('', 'GET', '/read/x'), 0.0)
+        status, head, _ = await send(sender, '/read/x')
+        return status, head, explanation['outcome']
+
+    status, head, explained = asyncio.run(run())
+    assert status == 503 and b'retry-after' in head.lower(), head
+    assert explained == ErrorKind.NO_ENDPOINT.value
+
+
 def test_headers_of_the_mesh_are_set_whatever_was_sent():
     async def run():
         sender, streams = build_sender([GOOD])
