Answer a request that is too slow with 408

Callers saw: 400 for a request that is proper but slow, which is never sent again. A pause within a body, longer than header_timeout, was refused so, and so was a caller that waited for its 100 Continue. Where a request was in flight, a slow one behind it, or a pause in its own body, took its answer away.

Cause: one limit, header_timeout, for the pauses of head and body, and one kind of error for what is wrong and what is slow. expire() looked neither at who waits for whom nor at requests in flight.

Change: a kind request_too_slow (PR211, 408, not run; the connection closes). header_timeout bounds pauses within the head. Pauses within a body are bounded by idle_timeout, while the memory budget bounds what is held; a body that is passed on is bounded by the deadline of its request, which ends at the route's timeout at the latest. No connection is refused for slowness while a request on it is in flight.

--- a/poplarrack/caller_connections.py
+++ b/poplarrack/caller_connections.py
@@ -280,6 +280,7 @@
         """Have the caller send its body, if it waits for that."""
         if self.awaits_continue and pipe is self.upload:
             self.awaits_continue = False
+            self.last_read = self.server.clock()
             self.write(CONTINUE)
 
     def on_pipe_taken(self, pipe):
@@ -567,7 +568,6 @@
 
         So is one whose caller takes nothing of what was written.
         """
-        reading = self.request is not None and self.is_reading
         limits = self.server.limits
         if self._takes_nothing(now):
             self._let_go()
@@ -576,13 +576,33 @@
                 now, limits.header_timeout_seconds
             ):
                 self.transport.abort()
-        elif reading and self.is_silent(now, limits.header_timeout_seconds):
-            self._refuse(ErrorKind.MALFORMED_REQUEST, 'request too slow')
+        elif self._is_too_slow(now):
+            part = 'body' if self.has_head else 'head'
+            self._refuse(ErrorKind.REQUEST_TOO_SLOW, part)
         elif not self.exchanges and self.is_silent(
             now, IDLE_TIMEOUT_FACTOR * limits.idle_timeout_seconds
         ):
             self.transport.close()
 
+    def _is_too_slow(self, now):
+        """Return whether the rest of a request is too long in coming.
+
+        Not while its body is wanted by no one, or a request is in flight on
+        the connection: that one ends at its deadline and takes its body along.
+        """
+        if (
+            self.request is None
+            or not self.is_reading
+            or self.awaits_continue
+            or self.exchanges
+            or self.pipelined
+        ):
+            return False
+        limits = self.server.limits
+        if self.has_head:
+            return self.is_silent(now, limits.idle_timeout_seconds)
+        return self.is_silent(now, limits.header_timeout_seconds)
+
     def is_silent(self, now, seconds):
         """Return whether the caller has sent nothing for some seconds.
 
--- a/poplarrack/errors.py
+++ b/poplarrack/errors.py
@@ -38,6 +38,7 @@
     ANSWER_TOO_LARGE = 'answer_too_large'
     DEADLINE_EXCEEDED = 'deadline_exceeded'
     MALFORMED_REQUEST = 'malformed_request'
+    REQUEST_TOO_SLOW = 'request_too_slow'
     UNAUTHENTICATED = 'unauthenticated'
     MOVE_WITHDRAWN = 'move_withdrawn'
     TIMED_OUT = 'timed_out'
@@ -118,6 +119,9 @@
     ErrorKind.UNAUTHENTICATED: ErrorAnswer(
         'PR210', 401, 'UNAUTHENTICATED', 42, _NO
     ),
+    ErrorKind.REQUEST_TOO_SLOW: ErrorAnswer(
+        'PR211', 408, 'DEADLINE_EXCEEDED', 43, _NO
+    ),
     ErrorKind.MOVE_WITHDRAWN: ErrorAnswer(
         'PR300', 409, 'FAILED_PRECONDITION', 40, _NO
     ),
--- a/poplarrack/senders.py
+++ b/poplarrack/senders.py
@@ -447,7 +447,12 @@
             destination.peer_address, call.deadline - now
         )
         if not takes_pieces:
-            body = await WholeBody(upload).read()
+            try:
+                async with asyncio.timeout(call.deadline - self.clock()):
+                    body = await WholeBody(upload).read()
+            except TimeoutError:
+                self._end_timed_out(call)
+                return
             if body is None:
                 self._refuse(call, ErrorKind.OVERLOADED, 'memory')
                 return
--- a/tests/test_senders.py
+++ b/tests/test_senders.py
@@ -9,6 +9,7 @@
 from hypothesis import settings
 from hypothesis import strategies
 
+from poplarrack.body_pipes import BodyPipe
 from poplarrack.call_tables import VersionSplit
 from poplarrack.destination_states import Destination
 from poplarrack.destination_states import Tier
@@ -576,3 +577,35 @@
     near, far = (asyncio.run(run(tier)) for tier in (Tier.ZONE, Tier.FAR))
     assert 490 <= near < 500
     assert 430 <= far <= near - 60
+
+
+class SilentSource:
+    """The source of a body that doesn't come."""
+
+    def on_pipe_opened(self, pipe):
+        pass
+
+    on_pipe_taken = on_pipe_closed = on_pipe_opened
+
+
+# A request whose body stalled was held without an end where the next
+# node takes none in pieces; no timer of its connection ends it.
+def test_a_stalled_body_that_is_read_whole_ends_at_the_deadline():
+    async def run():
+        sender, streams = build_sender([GOOD])
+
+        async def takes_pieces(address, timeout_seconds):
+            return False
+
+        streams.takes_pieces = takes_pieces
+        answers = []
+        headers = [(b'host', b'shop'), (b'x-deadline', b'300')]
+        request = HttpRequest('POST', '/pay/x', headers)
+        request.upload = BodyPipe(SilentSource(), 900_000)
+        call = sender.start(request, lambda raw, keep: answers.append(raw))
+        await asyncio.wait_for(call.task, 5)
+        return answers, request.upload, streams
+
+    (answer,), upload, streams = asyncio.run(run())
+    assert answer.startswith(b'HTTP/1.1 503'), answer
+    assert upload.closed and not streams.sent
