Read what waits before another node is given up

Callers saw: 502 for requests at a sound node, when their own node stood still for over 0.6 s after it had probed that one, or was as long in one turn of its event loop.

Cause: check_liveness took the time since the probe was sent for the other node's silence, before it read the answer that waited in the socket.

Change: nothing is avoided or aborted while bytes wait in the socket.

Measured: tests.test_streams; the new test fails before (the node is avoided and the request LOST) and passes now.

--- a/poplarrack/streams.py
+++ b/poplarrack/streams.py
@@ -13,6 +13,7 @@
 from dataclasses import dataclass
 from functools import partial
 import logging
+import select
 
 from msgspec import MsgspecError
 
@@ -30,6 +31,7 @@
 from poplarrack.frames import FRAME_HEADER
 from poplarrack.frames import FrameKind
 from poplarrack.messages import CODECS
+from poplarrack.socket_states import poll_now
 
 logger = logging.getLogger(__name__)
 
@@ -123,8 +125,12 @@
         """
         if self.probe_sent_at:
             silent_seconds = now - self.probe_sent_at
-            if silent_seconds > AVOID_AFTER_SECONDS:
-                self.peer.on_unresponsive(self.peer.address)
+            if silent_seconds <= AVOID_AFTER_SECONDS or poll_now(
+                self.transport, select.POLLIN
+            ):
+                # What waits there is read in the event loop's next turn.
+                return
+            self.peer.on_unresponsive(self.peer.address)
             if silent_seconds > PROBE_TIMEOUT_SECONDS:
                 logger.info('peer_silent', extra={'peer': self.peer.address})
                 self.peer.record_failure(now)
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -8,8 +8,10 @@
 from poplarrack.byte_budgets import ByteBudget
 from poplarrack.errors import ErrorKind
 from poplarrack.errors import PoplarrackError
+from poplarrack.exchanges import ANSWER_CODEC
 from poplarrack.exchanges import Delivery
 from poplarrack.exchanges import Verdict
+from poplarrack.frames import build_frame
 from poplarrack.frames import FRAME_HEADER
 from poplarrack.frames import FrameKind
 from poplarrack.frames import MAX_FRAME_BYTES
@@ -239,6 +241,38 @@
     assert delivery.verdict is Verdict.LOST
 
 
+# LOST: a node that stood still after a probe, or was busy in one turn of its
+# event loop, gave a peer up whose answers waited in the socket.
+def test_a_connection_whose_answer_waits_is_not_silent():
+    async def run():
+        writers = []
+        late = await asyncio.start_server(
+            lambda reader, writer: writers.append(writer), '127.0.0.1', 0
+        )
+        port = late.sockets[0].getsockname()[1]
+        address = f'127.0.0.1:{port}'
+        streams = PeerStreams(PeerTraffic(), 9.0)
+        avoided = []
+        streams.on_unresponsive = avoided.append
+        request_task = asyncio.ensure_future(deliver(streams, address, 9.0))
+        while not writers or not streams.peers[address].connected:
+            await asyncio.sleep(0)
+        now = asyncio.get_running_loop().time() + PROBE_AFTER_SECONDS + 0.1
+        streams.check_liveness(now)
+        # In one turn of the event loop: written, and not read.
+        writers[0].write(build_frame(FrameKind.PONG, 0))
+        streams.check_liveness(now + PROBE_TIMEOUT_SECONDS + 0.1)
+        payload = ANSWER_CODEC.encode(Delivery(Verdict.NOT_RUN))
+        writers[0].write(build_frame(FrameKind.ANSWER, 1, payload))
+        delivery = await request_task
+        late.close()
+        writers[0].close()
+        await streams.close()
+        return avoided, delivery.verdict
+
+    assert asyncio.run(run()) == ([], Verdict.NOT_RUN)
+
+
 # LOST: each peer could fill 72 MB, so that a few took a node over its memory.
 def test_answers_of_peers_without_end_share_one_bound():
     async def run():
