Let a refused caller read why while it sends

Callers saw: a reset in place of the answer (413, 408, 400, or 503 for want of memory) when their node refused a request that they were still sending.

Cause: _refuse closed the connection at once. Bytes that waited in its socket, or came later, were answered with a reset, which takes the answer away; so the promise that the request did not run was lost.

Change: as after an early answer to a body that is passed on: the node ends its side, and drops what comes until the caller closes or the limits have passed. Such a connection doesn't count as busy, so that it may be evicted and ends in a drain.

--- a/poplarrack/caller_connections.py
+++ b/poplarrack/caller_connections.py
@@ -485,11 +485,17 @@
         self._cancel_all()
         if self.upload is None:
             self.transport.close()
-            return
-        # The caller is still sending: a reset could take the answer from it.
-        self.upload.close()
-        self.upload = None
-        self.request = None
+        else:
+            self._linger()
+
+    def _linger(self):
+        """Drop what a caller still sends, who then closes the connection.
+
+        A reset could take the answer from it.
+        """
+        if self.upload is not None:
+            self.upload.close()
+            self.upload = None
         self.lingers_until = (
             self.server.clock() + self.server.limits.idle_timeout_seconds
         )
@@ -535,8 +541,9 @@
         is_answered = self.upload is not None and not self.pipelined
         if not self.exchanges and not is_answered:
             raw = build_error(kind, detail, None, False, retry_after)
+            self._cancel_all()
             self.write(raw)
-            self.transport.close()
+            self._linger()
         else:
             self.transport.abort()
 
@@ -634,4 +641,6 @@
     @property
     def busy(self):
         """Return whether a request is being read, queued or in flight."""
+        if self.closing:
+            return False
         return bool(self.exchanges or self.pipelined or self.request)
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -499,3 +499,34 @@
     wait(0)
     assert caller.transport.written.endswith(b' 100 Continue\r\n\r\n')
     assert not caller.transport.closing
+
+
+LARGE_BYTES = 2_000_000
+LARGE_HEAD = (
+    b'POST /large HTTP/1.1\r\nhost: a\r\ncontent-length: %d\r\n\r\n'
+    % LARGE_BYTES
+)
+
+
+# LOST: the answer to a caller that still sent its request was thrown away by
+# a reset, with its promise that the request did not run.
+def test_a_caller_that_still_sends_reads_why_it_is_refused():
+    def ask(address):
+        with socket.create_connection(address) as caller:
+            caller.settimeout(10)
+            caller.sendall(LARGE_HEAD)
+            caller.sendall(bytes(LARGE_BYTES))
+            answer = b''
+            while part := caller.recv(65_536):
+                answer += part
+            return answer
+
+    async def run():
+        async with serving() as (server, address):
+            answer = await asyncio.to_thread(ask, address)
+            await until(lambda: not server.connections)
+            return answer
+
+    answer = asyncio.run(run())
+    assert answer.startswith(b'HTTP/1.1 413'), answer
+    assert answer.endswith(b'}'), answer
