--- a/poplarrack/caller_connections.py
+++ b/poplarrack/caller_connections.py
@@ -280,6 +280,7 @@
         """Have the caller send its body, if it waits for that."""
         if self.awaits_continue and pipe is self.upload:
             self.awaits_continue = False
+            self.last_read = self.server.clock()
             self.write(CONTINUE)
 
     def on_pipe_taken(self, pipe):
@@ -484,11 +485,17 @@
         self._cancel_all()
         if self.upload is None:
             self.transport.close()
-            return
-        # The caller is still sending: a reset could take the answer from it.
-        self.upload.close()
-        self.upload = None
-        self.request = None
+        else:
+            self._linger()
+
+    def _linger(self):
+        """Drop what a caller still sends, who then closes the connection.
+
+        A reset could take the answer from it.
+        """
+        if self.upload is not None:
+            self.upload.close()
+            self.upload = None
         self.lingers_until = (
             self.server.clock() + self.server.limits.idle_timeout_seconds
         )
@@ -534,8 +541,9 @@
         is_answered = self.upload is not None and not self.pipelined
         if not self.exchanges and not is_answered:
             raw = build_error(kind, detail, None, False, retry_after)
+            self._cancel_all()
             self.write(raw)
-            self.transport.close()
+            self._linger()
         else:
             self.transport.abort()
 
@@ -567,7 +575,6 @@
 
         So is one whose caller takes nothing of what was written.
         """
-        reading = self.request is not None and self.is_reading
         limits = self.server.limits
         if self._takes_nothing(now):
             self._let_go()
@@ -576,13 +583,33 @@
                 now, limits.header_timeout_seconds
             ):
                 self.transport.abort()
-        elif reading and self.is_silent(now, limits.header_timeout_seconds):
-            self._refuse(ErrorKind.MALFORMED_REQUEST, 'request too slow')
+        elif self._is_too_slow(now):
+            part = 'body' if self.has_head else 'head'
+            self._refuse(ErrorKind.REQUEST_TOO_SLOW, part)
         elif not self.exchanges and self.is_silent(
             now, IDLE_TIMEOUT_FACTOR * limits.idle_timeout_seconds
         ):
             self.transport.close()
 
+    def _is_too_slow(self, now):
+        """Return whether the rest of a request is too long in coming.
+
+        Not while its body is wanted by no one, or a request is in flight on
+        the connection: that one ends at its deadline and takes its body along.
+        """
+        if (
+            self.request is None
+            or not self.is_reading
+            or self.awaits_continue
+            or self.exchanges
+            or self.pipelined
+        ):
+            return False
+        limits = self.server.limits
+        if self.has_head:
+            return self.is_silent(now, limits.idle_timeout_seconds)
+        return self.is_silent(now, limits.header_timeout_seconds)
+
     def is_silent(self, now, seconds):
         """Return whether the caller has sent nothing for some seconds.
 
@@ -614,4 +641,6 @@
     @property
     def busy(self):
         """Return whether a request is being read, queued or in flight."""
+        if self.closing:
+            return False
         return bool(self.exchanges or self.pipelined or self.request)
