Deny nothing that a newer version may allow

Callers got 404 or 401, which they never retry, from a node that was out of touch with the store, for a route or a key that its version lacked; with 503 and a Retry-After they come back.

Cause: unknown keys and routes were denied whatever the age of the version; only StaleKeys.REFUSED asked for it.

Change: where the node has heard nothing of the store for revoke_seconds, it answers 503 to an unknown route or key (a request without a key gets 401). The predicate asks for versions, not keys, and stands with the facts.

Measured: tests.test_senders failed before with (401, []) in place of (503, []); it, test_organisations, test_explanations, test_sidecar_servers pass.

--- a/poplarrack/blackboards.py
+++ b/poplarrack/blackboards.py
@@ -112,6 +112,22 @@
     sent: Sent = field(default_factory=Sent)
 
 
+def may_have_missed_a_version(facts, bound_seconds, now):
+    """Return whether a node heard nothing of the store for too long.
+
+    A node that reads the store answers for itself, another one is told by
+    the beats of its source.
+
+    :param facts: the Facts of the node.
+    :param bound_seconds: within which a change has to be in force.
+    :param now: seconds on the clock of the facts.
+    """
+    heard_at = facts.source_heard_at
+    if facts.platform.watching:
+        heard_at = max(heard_at, facts.platform.heard_at)
+    return now - heard_at > bound_seconds
+
+
 WRITERS = {
     'own': 'membership',
     'announced_at': 'membership',
--- a/poplarrack/explanations.py
+++ b/poplarrack/explanations.py
@@ -89,7 +89,7 @@
     host = question.host.lower().partition(':')[0]
     route = table.router.match(question.method, question.path, host)
     if route is None:
-        return _refused(answer, *table.router.explain_mismatch())
+        return _refused(answer, *sender.explain_mismatch(now))
     answer['route'] = route.name
     organisation = table.organisations.get(question.organisation)
     if table.organisations and not route.public and organisation is None:
--- a/poplarrack/organisations.py
+++ b/poplarrack/organisations.py
@@ -95,19 +95,3 @@
     if organisation is not None and organisation.rank is not None:
         first = organisation.rank
     return first * RANK_STEP + max(0, min(RANK_STEP - 1, route_rank))
-
-
-def may_have_missed_a_revocation(facts, bound_seconds, now):
-    """Return whether a node heard nothing of the store for too long.
-
-    A node that reads the store answers for itself, another one is told by
-    the beats of its source.
-
-    :param facts: the Facts of the node.
-    :param bound_seconds: within which a revocation has to be in force.
-    :param now: seconds on the clock of the facts.
-    """
-    heard_at = facts.source_heard_at
-    if facts.platform.watching:
-        heard_at = max(heard_at, facts.platform.heard_at)
-    return now - heard_at > bound_seconds
--- a/poplarrack/senders.py
+++ b/poplarrack/senders.py
@@ -115,8 +115,8 @@
         self.draining = False
         # Set while the process stops and only takes requests that end by then.
         self.closes_at = None
-        # Returns whether a revocation of keys may have been missed.
-        self.keys_are_stale = lambda now: False
+        # Returns whether a newer version may have been missed.
+        self.may_be_behind = lambda now: False
 
     def rebuild_table(self, locality, knowledge, now):
         """Derive the routing table from what the node knows and apply it."""
@@ -179,7 +179,7 @@
         request = call.request
         route = self._match(request)
         if route is None:
-            kind, why = self.table.router.explain_mismatch()
+            kind, why = self.explain_mismatch(now)
             is_denied = kind is ErrorKind.NO_ROUTE
             self._refuse(call, kind, request.target if is_denied else why)
             return False
@@ -211,6 +211,16 @@
         self.budget_of(call.service).record_call(route.name, now)
         return True
 
+    def explain_mismatch(self, now):
+        """Return the ErrorKind of calls that match no route, and the reason.
+
+        :param now: seconds on the clock of the Sender.
+        """
+        kind, why = self.table.router.explain_mismatch()
+        if kind is ErrorKind.NO_ROUTE and self.may_be_behind(now):
+            return ErrorKind.NO_ENDPOINT, 'routes may be missing'
+        return kind, why
+
     def _identify(self, call, now):
         """Find the organisation of a call by its key; refuse it without.
 
@@ -220,13 +230,15 @@
             call.rank = rank_of(None, call.route)
             return True
         stale_keys = self.settings.stale_keys
-        if stale_keys is StaleKeys.REFUSED and self.keys_are_stale(now):
+        if stale_keys is StaleKeys.REFUSED and self.may_be_behind(now):
             self._refuse(call, ErrorKind.NO_ENDPOINT, 'keys may be revoked')
             return False
         name = self.header_names.credentials
-        organisation = self.table.keys.find(
-            read_key(call.request.headers, name)
-        )
+        key = read_key(call.request.headers, name)
+        organisation = self.table.keys.find(key)
+        if organisation is None and key and self.may_be_behind(now):
+            self._refuse(call, ErrorKind.NO_ENDPOINT, 'keys may be missing')
+            return False
         if organisation is None:
             self._refuse(call, ErrorKind.UNAUTHENTICATED, 'no known key')
             return False
--- a/poplarrack/sidecar_servers.py
+++ b/poplarrack/sidecar_servers.py
@@ -15,6 +15,7 @@
 import signal
 
 from poplarrack.addresses import split_address
+from poplarrack.blackboards import may_have_missed_a_version
 from poplarrack.byte_budgets import ByteBudget
 from poplarrack.callers import CallServer
 from poplarrack.clocks import SteadyClock
@@ -35,7 +36,6 @@
 from poplarrack.nodes import Node
 from poplarrack.nodes import NodeDependencies
 from poplarrack.nodes import TICK_SECONDS
-from poplarrack.organisations import may_have_missed_a_revocation
 from poplarrack.pages import json_page
 from poplarrack.pages import Page
 from poplarrack.peer_handlers import bind_handlers
@@ -195,7 +195,7 @@
         )
         self.node = Node(settings, dependencies)
         self.limit_exchange = LimitExchange(self.node, self.sender.call_limits)
-        self.sender.keys_are_stale = self._keys_are_stale
+        self.sender.may_be_behind = self._may_be_behind
         self.stream_server = StreamServer(
             self.traffic, self.receiver, bind_handlers(self.node), self.budget
         )
@@ -213,8 +213,8 @@
         self.expiry_checked_at = 0.0
         self.settings_read_at = 0.0
 
-    def _keys_are_stale(self, now):
-        return may_have_missed_a_revocation(
+    def _may_be_behind(self, now):
+        return may_have_missed_a_version(
             self.node.facts, self.settings.revoke_seconds, now
         )
 
--- a/tests/test_organisations.py
+++ b/tests/test_organisations.py
@@ -8,9 +8,9 @@
 from hypothesis import strategies
 
 from poplarrack.blackboards import Facts
+from poplarrack.blackboards import may_have_missed_a_version
 from poplarrack.blackboards import PlatformState
 from poplarrack.organisations import build_key_index
-from poplarrack.organisations import may_have_missed_a_revocation
 from poplarrack.organisations import read_key
 from poplarrack.resources import digest_key
 from poplarrack.resources import Organisation
@@ -96,8 +96,8 @@
 # A node that is cut off from the store can't know that a key was revoked.
 def test_a_node_knows_that_it_may_have_missed_a_revocation():
     facts = Facts(None, None, source_heard_at=100.0)
-    assert not may_have_missed_a_revocation(facts, 5.0, 104.0)
-    assert may_have_missed_a_revocation(facts, 5.0, 106.0)
+    assert not may_have_missed_a_version(facts, 5.0, 104.0)
+    assert may_have_missed_a_version(facts, 5.0, 106.0)
     watching = replace(facts, platform=PlatformState(True, 900.0))
-    assert not may_have_missed_a_revocation(watching, 5.0, 904.0)
-    assert may_have_missed_a_revocation(watching, 5.0, 906.0)
+    assert not may_have_missed_a_version(watching, 5.0, 904.0)
+    assert may_have_missed_a_version(watching, 5.0, 906.0)
--- a/tests/test_senders.py
+++ b/tests/test_senders.py
@@ -324,7 +324,7 @@
         sender.set_table(table or with_organisations(sender.table, ACME))
         if stale_keys is not None:
             sender.settings = replace(SETTINGS, stale_keys=stale_keys)
-            sender.keys_are_stale = lambda now: True
+            sender.may_be_behind = lambda now: True
         status, head, body = await send(sender, path, headers)
         assert b'k1' not in head + body
         return status, [request for _, request in streams.sent]
@@ -383,6 +383,17 @@
     assert send_with_key((), '/open/x', refused)[0] == 200
 
 
+# DENIED: a node that is out of touch denied for good what a newer version may
+# allow: 401 and 404 are never retried.
+def test_a_node_that_may_be_behind_denies_no_key_and_no_route():
+    unknown = (b'authorization', b'Bearer k2')
+    for policy in StaleKeys:
+        assert send_with_key((unknown,), stale_keys=policy) == (503, [])
+        assert send_with_key((KEY,), '/none/', policy) == (503, [])
+    without_key = send_with_key((), stale_keys=StaleKeys.LAST_KNOWN)
+    assert without_key == (401, [])
+
+
 # QUOTA: a call over the limit must be refused at once with a promise that it
 # did not run, and be told when there is room again.
 def test_over_its_limit_an_organisation_is_refused():
