Apply every version that fits into the store

Nodes that start then know no route.

Cause: a version of more than 5,000 settings was rejected, while one value of the store holds 6,000 routes of the usual size: three times 1,400 more on this site's 812 are too many ('5016 settings, at most 5000 are allowed').

Change: the limit is 50,000, which is more than the shortest settings that one value of the store can hold; the limit on bytes stays. Whether a named service exists is looked up, not found by a pass over all services.

Measured: tests.test_platform_adapter; the new test failed before (the version rejected) and passes; test_configurations, test_routing_tables pass.

--- a/poplarrack/configurations.py
+++ b/poplarrack/configurations.py
@@ -26,7 +26,8 @@
 from poplarrack.routers import Router
 from poplarrack.snapshots import Snapshot
 
-MAX_ENTRIES = 5_000
+# More than fit into one value of the platform's store, which may hold all.
+MAX_ENTRIES = 50_000
 MAX_TOTAL_BYTES = 8_000_000
 
 # Maximum number of services in a chain of calls.
@@ -170,11 +171,11 @@
 
 
 def _find_faults(checked, services):
-    known = services.keys()
     for item in checked:
         yield from item.faults
-        for service in item.services - known:
-            yield f'{item.kind} {item.name}: no service {service!r}'
+        for service in item.services:
+            if service not in services:
+                yield f'{item.kind} {item.name}: no service {service!r}'
 
 
 def _size_faults(snapshot):
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -77,6 +77,8 @@
         'idle_timeout': '15s',
     },
 }
+# The greatest value that the platform's store takes.
+STORE_VALUE_BYTES = 1_048_576
 ORDER = {'service': 'front', 'target_version': 'v2', 'duration': '12s'}
 SETTINGS = '''
 node_name = "sidecar-a-1"
@@ -219,6 +221,39 @@
     assert configuration.caller_limits.idle_timeout_seconds == 15
 
 
+def fill_value(kind, entry, **others):
+    """Return a configuration with as many entries as the store may hold."""
+    number = STORE_VALUE_BYTES // len(
+        dumps({'1': entry}, separators=(',', ':'))
+    )
+    config = {**CONFIG, **others, kind: {f'{i}': entry for i in range(number)}}
+    return dumps(config).encode()
+
+
+# DENIED, CONFIG: a version with 5,000 settings or more was rejected though the
+# store held it. The nodes stayed on the one before, and answered 404 on the
+# routes of the new one; one that started knew none.
+def test_every_configuration_that_fits_into_the_store_is_in_force():
+    route = {**ROUTE, 'host': 'h', 'prefix': '/', 'service': 'back'}
+    del route['backends']
+    tenant = {'api_keys': []}
+    for value, kind in (
+        (fill_value('routes', route), 'routes'),
+        (fill_value('tenants', tenant), 'organisations'),
+    ):
+        found = load(value)
+        expected = len(loads(value)[kind.replace('organisations', 'tenants')])
+        assert len(getattr(found, kind)) == expected > 5_000, kind
+
+
+def load(value):
+    item = KeyValue('op/config', value, 3, 3)
+    translation = translate({item.key: item}, Translation())
+    return load_configuration(
+        snapshot_from_items(translation.translated.values())
+    )
+
+
 def translated(tenants):
     """Return the organisations and the faults of a configuration."""
     value = dumps({**CONFIG, 'tenants': tenants}).encode()
