Refuse no request by limits that do not hold

Callers saw: 413 for a request that the configuration allowed: at a node that had no configuration yet, by the defaults of CallerLimits; and for up to a second after each version, by the limits of the one before. A request whose node learnt of lower limits while it was sent was refused, too.

Cause: the limits were copied from the routing table once a second, and the defaults were taken for limits of the operator's.

Change: the limits follow the table. Without a configuration, what is beyond the defaults gets 503 with Retry-After, as all other requests do then. A request may use the larger ones of when it began and of now.

--- a/poplarrack/caller_connections.py
+++ b/poplarrack/caller_connections.py
@@ -96,6 +96,8 @@
         self.is_write_paused = False
         self.is_reading = True
         self.last_read = server.clock()
+        # The limits when the request began that is read.
+        self.first_limits = server.limits
         # Bytes that were written, and those that had been taken by a time.
         self.written_bytes = 0
         self.taken_bytes = 0
@@ -150,11 +152,9 @@
         self.last_read = self.server.clock()
         self.overhead_bytes += len(data)
         self._parse(data)
-        if self.overhead_bytes > (
-            self.server.limits.max_header_bytes + READ_BUFFER_BYTES
-        ):
+        if self.overhead_bytes > self.max_header_bytes + READ_BUFFER_BYTES:
             # The parser keeps an unfinished header, whatever its size.
-            self._refuse(ErrorKind.TOO_LARGE, 'headers')
+            self._refuse_too_large('headers')
         if self.upload is not None:
             self._pass_on()
             self._update_reading()
@@ -218,6 +218,7 @@
     def on_message_begin(self):
         """Start a new request."""
         self.request = HttpRequest('', '')
+        self.first_limits = self.server.limits
         self.has_head = False
         self.body = BodyBuffer()
         self.header_bytes = 0
@@ -235,10 +236,34 @@
             self.request.headers.append((name.lower(), value))
         self._count_header(len(name) + len(value))
 
+    @property
+    def max_header_bytes(self):
+        """Return the larger limit of those of the request's time."""
+        return max(
+            self.first_limits.max_header_bytes,
+            self.server.limits.max_header_bytes,
+        )
+
+    @property
+    def max_body_bytes(self):
+        """Return the larger limit of those of the request's time."""
+        return max(
+            self.first_limits.max_body_bytes,
+            self.server.limits.max_body_bytes,
+        )
+
+    def _refuse_too_large(self, part):
+        if self.server.knows_limits:
+            self._refuse(ErrorKind.TOO_LARGE, part)
+        else:
+            self._refuse(
+                ErrorKind.NO_ENDPOINT, 'no configuration', RETRY_AFTER_SECONDS
+            )
+
     def _count_header(self, size):
         self.header_bytes += size
-        if self.header_bytes > self.server.limits.max_header_bytes:
-            self._refuse(ErrorKind.TOO_LARGE, 'headers')
+        if self.header_bytes > self.max_header_bytes:
+            self._refuse_too_large('headers')
 
     def on_headers_complete(self):
         """Store the method; answer an Expect header with 100 Continue."""
@@ -248,8 +273,8 @@
             return
         length = self.request.header(b'content-length')
         if length is not None and int(length) > MAX_WHOLE_BODY_BYTES:
-            if int(length) > self.server.limits.max_body_bytes:
-                self._refuse(ErrorKind.TOO_LARGE, 'body')
+            if int(length) > self.max_body_bytes:
+                self._refuse_too_large('body')
             elif self.server.takes_uploads:
                 self._begin_upload(int(length))
         if self.closing or self.request.header(b'expect') is None:
@@ -304,8 +329,8 @@
             return
         held = self.body.size if self.upload is None else self.upload_bytes
         size = held + len(body)
-        if size > self.server.limits.max_body_bytes:
-            self._refuse(ErrorKind.TOO_LARGE, 'body')
+        if size > self.max_body_bytes:
+            self._refuse_too_large('body')
         elif self.upload is not None:
             self.upload_bytes = size
             self.body.append(body)
--- a/poplarrack/callers.py
+++ b/poplarrack/callers.py
@@ -44,6 +44,8 @@
         self.clock = clock
         self.request_id_header = request_id_header
         self.limits = CallerLimits('callers')
+        # Whether they are those of a configuration, not what holds before it.
+        self.knows_limits = True
         self.connections = set()
         # Those that are not read from, whose end shows in no other way.
         self.paused = set()
--- a/poplarrack/senders.py
+++ b/poplarrack/senders.py
@@ -100,6 +100,8 @@
         self.clock = clock
         self.random = random
         self.table = RoutingTable()
+        # Called with the CallerLimits of each configuration.
+        self.on_limits = lambda limits: None
         self.destinations = DestinationTable(clock)
         self.load_reports = LoadReports(self.destinations, receiver)
         self.run_times = RunTimes()
@@ -129,6 +131,7 @@
         self.destinations.set_destinations(table.destinations, table.services)
         self.load_reports.keep_only(self.destinations.states.values())
         if table.revision != self.table.revision:
+            self.on_limits(table.limits)
             names = {route.name for route in table.router.routes}
             for budget in self.budgets.values():
                 budget.keep_only(names)
--- a/poplarrack/sidecar_servers.py
+++ b/poplarrack/sidecar_servers.py
@@ -206,6 +206,8 @@
             self.budget,
             adapter.header_names.request_id,
         )
+        self.call_server.knows_limits = False
+        self.sender.on_limits = self._apply_limits
         self.page_servers = []
         self.local_endpoint = LocalEndpoint(self)
         self.loop = None
@@ -284,10 +286,12 @@
             self.settings_read_at = now
             self.reload()
 
-    def _expire(self, now):
-        limits = self.sender.table.limits
+    def _apply_limits(self, limits):
         self.call_server.limits = limits
+        self.call_server.knows_limits = True
         self.receiver.stalled_seconds = limits.idle_timeout_seconds
+
+    def _expire(self, now):
         self.call_server.expire(now)
         self.receiver.share_fairly(bool(self.sender.table.organisations))
         self.receiver.close_idle(self.loop.time())
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -4,6 +4,7 @@
 from collections import Counter
 from contextlib import asynccontextmanager
 from contextlib import contextmanager
+from dataclasses import replace
 from select import select
 import socket
 from unittest import TestCase
@@ -12,6 +13,7 @@
 from poplarrack.caller_connections import MAX_OVERLAPPING_REQUESTS
 from poplarrack.callers import CallServer
 from poplarrack.http_messages import build_answer
+from poplarrack.resources import CallerLimits
 from tests.support import build_load_tests
 from tests.support import fixture
 
@@ -501,13 +503,6 @@
     assert not caller.transport.closing
 
 
-LARGE_BYTES = 2_000_000
-LARGE_HEAD = (
-    b'POST /large HTTP/1.1\r\nhost: a\r\ncontent-length: %d\r\n\r\n'
-    % LARGE_BYTES
-)
-
-
 # LOST: the answer to a caller that still sent its request was thrown away by
 # a reset, with its promise that the request did not run.
 def test_a_caller_that_still_sends_reads_why_it_is_refused():
@@ -530,3 +525,49 @@
     answer = asyncio.run(run())
     assert answer.startswith(b'HTTP/1.1 413'), answer
     assert answer.endswith(b'}'), answer
+
+
+LARGE_BYTES = 2_000_000
+LARGE_HEAD = (
+    b'POST /large HTTP/1.1\r\nhost: a\r\ncontent-length: %d\r\n\r\n'
+    % LARGE_BYTES
+)
+
+
+# DENIED: what the limits of a node without a configuration don't allow got
+# 413, though the configuration that it didn't know yet allowed it.
+def test_no_request_is_too_large_for_limits_that_are_not_known(caller):
+    head = b'GET / HTTP/1.1\r\nx: ' + b'x' * 40_000 + b'\r\n\r\n'
+    for raw in (LARGE_HEAD, head):
+        caller.__init__()
+        caller.connection.server.knows_limits = False
+        caller.connection.data_received(raw)
+        assert caller.transport.written.startswith(b'HTTP/1.1 503'), raw[:50]
+        assert b'\r\nretry-after: ' in caller.transport.written
+        caller.__init__()
+        caller.connection.data_received(raw)
+        assert caller.transport.written.startswith(b'HTTP/1.1 413'), raw[:50]
+
+
+# DENIED: a request was refused by the limits of a version that came while it
+# was sent.
+def test_a_request_may_use_the_limits_of_when_it_began(caller):
+    server = caller.connection.server
+    larger = replace(server.limits, max_body_bytes=LARGE_BYTES)
+    for first, second in (
+        (larger, server.limits),
+        (server.limits, larger),
+    ):
+        caller.__init__()
+        server = caller.connection.server
+        server.limits = first
+        caller.connection.data_received(LARGE_HEAD[:20])
+        server.limits = second
+        caller.connection.data_received(LARGE_HEAD[20:])
+        for _ in range(LARGE_BYTES // 50_000):
+            caller.connection.data_received(bytes(50_000))
+        assert caller.started == ['/large']
+        caller.dispatcher.answer('/large')
+        server.limits = CallerLimits('callers')
+        caller.connection.data_received(LARGE_HEAD)
+        assert b'HTTP/1.1 413' in caller.transport.written
--- a/tests/test_sidecar_servers.py
+++ b/tests/test_sidecar_servers.py
@@ -441,3 +441,38 @@
 
     with running_store() as one, running_store() as other:
         asyncio.run(run(one, other))
+
+
+LARGE_BYTES = 2_000_000
+
+
+# DENIED: the limits on callers were those of the version before for up to a
+# second, and before the first one the defaults.
+def test_limits_hold_as_soon_as_their_configuration():
+    limits = {**CONFIG['limits'], 'max_body_bytes': LARGE_BYTES}
+    body = bytes(LARGE_BYTES)
+    call = b'POST /b/x HTTP/1.1\r\nhost: shop.example\r\nrequest-id: r1\r\n'
+    call += b'connection: close\r\ncontent-length: %d\r\n\r\n' % len(body)
+
+    async def run():
+        with running_store() as (stand_in, store):
+            async with running_node(store) as (server, settings):
+                await until(lambda: joined(server))
+                statuses = [await ask(settings)]
+                for revision in ('r1', 'r2'):
+                    before = server.sender.table.revision
+                    stand_in.put(
+                        'op/config',
+                        {**CONFIG, 'version': revision, 'limits': limits},
+                    )
+                    limits['max_body_bytes'] *= 2
+                    while server.sender.table.revision == before:
+                        await asyncio.sleep(0)
+                    statuses.append(await ask(settings))
+                return statuses
+
+    async def ask(settings):
+        answer = await exchange(settings.call_address, call + body)
+        return int(answer.split()[1])
+
+    assert asyncio.run(run()) == [503, 503, 503]
