Answer those before a request that is refused

Callers saw: the connection closed without the answer to a request in flight, when what came behind it was refused: bytes that are no request, a request that is too large, or anything behind one with "connection: close", which the parser calls an error.

Cause: _refuse aborted the connection if any call was in flight, since its answer would have been taken for the one to that call.

Change: the answer to the refused request waits for those before it; what follows is dropped. A request that closes the connection ends it with its own answer, as RFC 9112, 9.6 has it. As before, the connection is aborted where the refused request's own body is being passed on, since it may have run.

Measured: tests.test_callers; the new test fails before (connection aborted) and passes now; test_drains passes.

--- a/poplarrack/caller_connections.py
+++ b/poplarrack/caller_connections.py
@@ -86,6 +86,9 @@
         self.exchanges = deque()
         self.starting = False
         self.closing = False
+        # The answer to a request that was refused while it was read, which
+        # waits for those before it.
+        self.refusal = None
         # The body of the request that is read, if it is passed on in pieces.
         self.upload = None
         self.upload_bytes = 0
@@ -145,7 +148,7 @@
 
     def data_received(self, data):
         """Feed the parser and refuse malformed requests."""
-        if self.closing:
+        if self.drops_input:
             if self.lingers_until:
                 self.last_read = self.server.clock()
             return
@@ -160,6 +163,11 @@
             self._update_reading()
         self._count_held()
 
+    @property
+    def drops_input(self):
+        """Return whether what the caller sends is of no use any more."""
+        return self.closing or self.refusal is not None
+
     def _parse(self, data):
         while len(data):
             try:
@@ -172,7 +180,7 @@
                     continue
                 self._refuse(ErrorKind.MALFORMED_REQUEST, 'upgrade')
             except HttpParserError as error:
-                if not self.closing:
+                if not self.drops_input:
                     self._refuse(ErrorKind.MALFORMED_REQUEST, str(error))
             return
 
@@ -182,7 +190,7 @@
         :returns: whether it goes on; one with the method CONNECT can't.
         """
         request = self.request
-        if self.closing or request is None or request.method == 'CONNECT':
+        if self.drops_input or request is None or request.method == 'CONNECT':
             return False
         head = build_head_without_offer(
             request, self.parser.get_http_version()
@@ -206,7 +214,7 @@
 
     def _buffered_bytes(self):
         """Return the memory that a request takes that is not complete."""
-        if self.request is None or self.closing:
+        if self.request is None or self.drops_input:
             return 0
         return (
             self.body.size
@@ -230,7 +238,7 @@
 
     def on_header(self, name, value):
         """Add a header to the request; trailers are dropped."""
-        if self.closing:
+        if self.drops_input:
             return
         if not self.has_head:
             self.request.headers.append((name.lower(), value))
@@ -269,7 +277,7 @@
         """Store the method; answer an Expect header with 100 Continue."""
         self.has_head = True
         self.request.method = self.parser.get_method().decode()
-        if self.closing or self.parser.should_upgrade():
+        if self.drops_input or self.parser.should_upgrade():
             return
         length = self.request.header(b'content-length')
         if length is not None and int(length) > MAX_WHOLE_BODY_BYTES:
@@ -277,7 +285,7 @@
                 self._refuse_too_large('body')
             elif self.server.takes_uploads:
                 self._begin_upload(int(length))
-        if self.closing or self.request.header(b'expect') is None:
+        if self.drops_input or self.request.header(b'expect') is None:
             return
         if self.upload is None or self.upload.opened:
             self.write(CONTINUE)
@@ -325,7 +333,7 @@
     def on_body(self, body):
         """Add a chunk to the body, up to the size limit."""
         self._discount(len(body))
-        if self.closing:
+        if self.drops_input:
             return
         held = self.body.size if self.upload is None else self.upload_bytes
         size = held + len(body)
@@ -348,7 +356,7 @@
             return
         request, self.request = self.request, None
         self.overhead_bytes = 0
-        if self.closing:
+        if self.drops_input:
             return
         if self.upload is not None:
             self._pass_on()
@@ -476,7 +484,10 @@
         if self.closing:
             return
         self._start_next()
-        self._update_reading()
+        if self.refusal is None:
+            self._update_reading()
+        elif not self.exchanges and not self.pipelined:
+            self._send_refusal()
         self._count_held()
 
     def _send_answer(self, exchange):
@@ -551,26 +562,33 @@
     def _refuse(self, kind, detail, retry_after=None):
         """Refuse a request that can't be served, and close the connection.
 
-        An error answer is sent only if no call is in flight, since it would
-        be taken for the answer to that one.
+        The requests before it are answered first. One whose body was being
+        passed on may have run, or have its answer.
         """
-        if self.closing:
+        if self.drops_input:
             return
-        self.closing = True
         self._log_refused(kind, detail)
         # Freed at once: more is read before the connection's end is handled.
         self.request = HttpRequest('', '')
         self.body = BodyBuffer()
         self.server.dispatcher.counts[f'refused_{kind.value}'] += 1
-        # The answer to a body that is still read may have been sent.
-        is_answered = self.upload is not None and not self.pipelined
-        if not self.exchanges and not is_answered:
-            raw = build_error(kind, detail, None, False, retry_after)
-            self._cancel_all()
-            self.write(raw)
-            self._linger()
-        else:
-            self.transport.abort()
+        if self.upload is not None and self.upload is not self._next_upload():
+            self._let_go()
+            return
+        if self.upload is not None:
+            self.pipelined.pop()
+        self.refusal = build_error(kind, detail, None, False, retry_after)
+        if not self.exchanges and not self.pipelined:
+            self._send_refusal()
+
+    def _next_upload(self):
+        """Return the body of the last request that was not started."""
+        return self.pipelined[-1].upload if self.pipelined else None
+
+    def _send_refusal(self):
+        self.closing = True
+        self.write(self.refusal)
+        self._linger()
 
     def _log_refused(self, kind, detail):
         """Log that a request is refused before all of it was read."""
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -571,3 +571,33 @@
         server.limits = CallerLimits('callers')
         caller.connection.data_received(LARGE_HEAD)
         assert b'HTTP/1.1 413' in caller.transport.written
+
+
+MALFORMED = b'GET /bad HTTP/1.1\r\nno colon\r\n\r\n'
+
+
+# LOST: what came behind a request in flight, such as bytes that the parser
+# refuses, took its answer away.
+def test_what_is_refused_behind_a_request_leaves_it_its_answer(caller):
+    closing = REQUEST.replace(b'host', b'connection: close\r\nhost')
+    too_large = LARGE_HEAD
+    for first, second, statuses in (
+        (REQUEST, MALFORMED, [200, 400]),
+        (REQUEST, too_large, [200, 413]),
+        (REQUEST * 2, MALFORMED + REQUEST, [200, 200, 400]),
+        (closing, REQUEST, [200]),
+        (closing, b'\r\n', [200]),
+    ):
+        for parts in ((first + second,), (first, second)):
+            caller.__init__()
+            caller.connection.server.takes_uploads = True
+            caller.dispatcher.may_overlap = lambda request: False
+            for part in parts:
+                caller.connection.data_received(part)
+            assert not caller.transport.closing, (first, second)
+            while caller.dispatcher.responses:
+                keep_alive = first is not closing
+                caller.dispatcher.answer('/', keep_alive)
+            lines = caller.transport.written.split(b'HTTP/1.1 ')[1:]
+            assert [int(line[:3]) for line in lines] == statuses, lines
+            assert not caller.dispatcher.cancelled
