Route targets in absolute form

Callers saw: 404 for GET http://host/path, as it is sent to a proxy.

Cause: the target was matched against routes' prefixes as it came. RFC 9112, 3.2.2, has servers accept this form, whose host goes before the Host header.

Change: a target in absolute form becomes its path and a Host header while the request is read.

Measured: tests.test_callers; the new test fails before (the target is kept) and passes now.

--- a/poplarrack/caller_connections.py
+++ b/poplarrack/caller_connections.py
@@ -23,6 +23,7 @@
 from poplarrack.http_messages import build_error
 from poplarrack.http_messages import build_head_without_offer
 from poplarrack.http_messages import HttpRequest
+from poplarrack.http_messages import take_authority
 from poplarrack.socket_states import poll_now
 
 logger = logging.getLogger(__name__)
@@ -279,6 +280,7 @@
         self.request.method = self.parser.get_method().decode()
         if self.drops_input or self.parser.should_upgrade():
             return
+        take_authority(self.request)
         length = self.request.header(b'content-length')
         if length is not None and int(length) > MAX_WHOLE_BODY_BYTES:
             if int(length) > self.max_body_bytes:
--- a/poplarrack/http_messages.py
+++ b/poplarrack/http_messages.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 from http import HTTPStatus
+import re
 
 from msgspec.json import encode
 
@@ -35,6 +36,11 @@
     )
 )
 
+# Its authority, and the rest but for a fragment.
+ABSOLUTE_TARGET = re.compile(
+    r'https?://([^/?#]+)([^#]*)(?:#.*)?', re.IGNORECASE
+)
+
 _STATUS_LINES = {
     status.value: b'HTTP/1.1 %d %s\r\n' % (status, status.phrase.encode())
     for status in HTTPStatus
@@ -138,6 +144,31 @@
     return b''.join(parts)
 
 
+def take_authority(request):
+    """Turn a target in absolute form into a path and a Host header.
+
+    The host of such a target goes before that of the header (RFC 9112, 3.2.2).
+
+    :param request: an HttpRequest, which is changed.
+    """
+    if request.target.startswith('/'):
+        return
+    found = ABSOLUTE_TARGET.fullmatch(request.target)
+    if found is None:
+        return
+    authority, rest = found.groups()
+    if not rest and request.method == 'OPTIONS':
+        rest = '*'
+    elif not rest.startswith('/'):
+        rest = '/' + rest
+    request.target = rest
+    host = authority.rpartition('@')[2].encode('latin-1')
+    request.headers = [
+        (b'host', host),
+        *(item for item in request.headers if item[0] != b'host'),
+    ]
+
+
 def build_head_without_offer(request, version):
     """Serialize the head of a caller's request without an offer to upgrade.
 
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -601,3 +601,40 @@
             lines = caller.transport.written.split(b'HTTP/1.1 ')[1:]
             assert [int(line[:3]) for line in lines] == statuses, lines
             assert not caller.dispatcher.cancelled
+
+
+@fixture
+@contextmanager
+def asked():
+    """Yield a Caller and the list of the requests that it starts."""
+    caller = Caller()
+    requests = []
+
+    def start(request, respond):
+        requests.append(request)
+        keep_alive = request.keep_alive
+        respond(build_answer(200, [], b'ok', keep_alive), keep_alive)
+
+    caller.dispatcher.start = start
+    yield caller, requests
+
+
+# DENIED: the target of a request to a proxy (RFC 9112, 3.2.2) matched no
+# route and got 404.
+def test_a_target_in_absolute_form_is_read_as_host_and_path(asked):
+    caller, requests = asked
+    for target, path, host in (
+        ('http://b.example/x/y?z', '/x/y?z', b'b.example'),
+        ('HTTP://B.example:80?z', '/?z', b'B.example:80'),
+        ('http://b', '/', b'b'),
+        ('http://u@b/x?http://c/', '/x?http://c/', b'b'),
+        ('/x?http://c/', '/x?http://c/', b'a'),
+        ('/http://c/', '/http://c/', b'a'),
+    ):
+        raw = f'GET {target} HTTP/1.1\r\nx: y\r\nhost: a\r\n\r\n'
+        caller.connection.data_received(raw.encode())
+        request = requests.pop()
+        hosts = [value for name, value in request.headers if name == b'host']
+        assert (request.target, hosts) == (path, [host]), request
+    caller.send(('OPTIONS', 'http://b'), ('OPTIONS', '*'))
+    assert [request.target for request in requests] == ['*', '*']
