Take no defect of the node for a wrong request

Callers saw: 400, or a closed connection, if the node's own code raised an exception while it read or started a request, and no line of the log told of the exception.

Cause: httptools wraps an exception in a callback as an HttpParserError, which was taken for bytes that are no request.

Change: such an error is logged with its traceback as request_failed_internally and answered with 500; where a request was being started, the connection is closed, since it may run.

--- a/poplarrack/caller_connections.py
+++ b/poplarrack/caller_connections.py
@@ -6,6 +6,7 @@
 import logging
 import select
 
+from httptools import HttpParserCallbackError
 from httptools import HttpParserError
 from httptools import HttpParserUpgrade
 from httptools import HttpRequestParser
@@ -180,11 +181,25 @@
                 if self._ignore_offer():
                     continue
                 self._refuse(ErrorKind.MALFORMED_REQUEST, 'upgrade')
+            except HttpParserCallbackError:
+                if not self.drops_input:
+                    self._fail_internally()
             except HttpParserError as error:
                 if not self.drops_input:
                     self._refuse(ErrorKind.MALFORMED_REQUEST, str(error))
             return
 
+    def _fail_internally(self):
+        """End the connection: a defect of this code is no fault of a caller.
+
+        A request that it started may run, or not.
+        """
+        logger.exception('request_failed_internally')
+        if self.starting:
+            self._let_go()
+        else:
+            self._refuse(ErrorKind.INTERNAL, 'internal')
+
     def _ignore_offer(self):
         """Begin the request again without its offer of an upgrade.
 
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -638,3 +638,27 @@
         assert (request.target, hosts) == (path, [host]), request
     caller.send(('OPTIONS', 'http://b'), ('OPTIONS', '*'))
     assert [request.target for request in requests] == ['*', '*']
+
+
+# DENIED: an exception in the node's own code, raised while a request was read,
+# was answered with 400.
+def test_a_defect_of_the_node_is_no_fault_of_the_request(caller):
+    def fail(*_):
+        raise ValueError('a defect')
+
+    log = TestCase().assertLogs('poplarrack.caller_connections')
+    with log as logs:
+        caller.dispatcher.start = fail
+        caller.connection.data_received(REQUEST)
+        assert caller.transport.closing and not caller.transport.written
+        caller.__init__()
+        caller.connection._begin_upload = fail
+        caller.connection.server.takes_uploads = True
+        caller.connection.data_received(
+            LARGE_HEAD.replace(b'2000000', b'900000')
+        )
+    assert caller.transport.written.startswith(b'HTTP/1.1 500')
+    failed = [line for line in logs.records if line.exc_info]
+    assert len(failed) == 2
+    shown = [str(line.exc_info[1].__context__) for line in failed]
+    assert shown == ['a defect'] * 2, shown
