Test requests at the edge of the limits

Change: a property test of heads and bodies up to the limits, whole and in chunks of 1 byte and more with an extension, sent ahead of each other and read in pieces of 1,000 to 65,536 bytes, with and without bodies passed on.

--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -9,6 +9,11 @@
 import socket
 from unittest import TestCase
 
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies
+
+from poplarrack.buffers import READ_BUFFER_BYTES
 from poplarrack.caller_connections import CallerConnection
 from poplarrack.caller_connections import MAX_OVERLAPPING_REQUESTS
 from poplarrack.callers import CallServer
@@ -662,3 +667,62 @@
     assert len(failed) == 2
     shown = [str(line.exc_info[1].__context__) for line in failed]
     assert shown == ['a defect'] * 2, shown
+
+
+EDGE_LIMITS = CallerLimits('callers', 2_000, 300_000)
+HEADER_START = b' /edge HTTP/1.1\r\nhost: a\r\n'
+SIZES = strategies.sampled_from((0, 1, 2, 262_144, 262_145, 299_999, 300_000))
+FRAMINGS = strategies.sampled_from((0, 1, 7, 4_096, 100_000))
+CUTS = strategies.sampled_from((1_000, 16_384, READ_BUFFER_BYTES))
+
+
+def build_edge_request(body_bytes, chunk_bytes, head_bytes):
+    """Return a request whose head has a size, as far as that is possible.
+
+    :param chunk_bytes: the size of the body's chunks, or 0 for a length.
+    """
+    body = b'b' * body_bytes
+    framing = b'content-length: %d\r\n' % body_bytes
+    if chunk_bytes:
+        framing = b'transfer-encoding: chunked\r\n'
+        chunks = [
+            body[start : start + chunk_bytes]
+            for start in range(0, body_bytes, chunk_bytes)
+        ]
+        body = b''.join(
+            b'%x;x=1\r\n%b\r\n' % (len(chunk), chunk)
+            for chunk in (*chunks, b'')
+        )
+    head = b'POST' + HEADER_START + framing + b'x: '
+    return head + b'x' * (head_bytes - len(head) - 4) + b'\r\n\r\n' + body
+
+
+# Tiny chunks, bodies that are read late and requests that are sent ahead may
+# not add up to what only a head may have.
+@settings(max_examples=25, deadline=None)
+@given(
+    strategies.lists(
+        strategies.tuples(
+            SIZES, FRAMINGS, strategies.integers(100, 2_000), CUTS
+        ),
+        min_size=1,
+        max_size=2,
+    ),
+    strategies.booleans(),
+)
+def test_no_request_within_the_limits_is_too_large(parts, takes_uploads):
+    caller = Caller()
+    connection = caller.connection
+    connection.server.limits = EDGE_LIMITS
+    connection.server.takes_uploads = takes_uploads
+
+    def start(request, respond):
+        respond(build_answer(200, [], b'', True), True)
+
+    caller.dispatcher.start = start
+    raw = b''.join(build_edge_request(*part[:3]) for part in parts)
+    step = parts[0][3]
+    for start_at in range(0, len(raw), step):
+        connection.data_received(memoryview(raw)[start_at : start_at + step])
+    lines = caller.transport.written.split(b'HTTP/1.1 ')[1:]
+    assert [line[:3] for line in lines] == [b'200'] * len(parts), lines
