--- a/poplarrack/caller_connections.py
+++ b/poplarrack/caller_connections.py
@@ -6,6 +6,7 @@
 import logging
 import select
 
+from httptools import HttpParserCallbackError
 from httptools import HttpParserError
 from httptools import HttpParserUpgrade
 from httptools import HttpRequestParser
@@ -23,6 +24,7 @@
 from poplarrack.http_messages import build_error
 from poplarrack.http_messages import build_head_without_offer
 from poplarrack.http_messages import HttpRequest
+from poplarrack.http_messages import take_authority
 from poplarrack.socket_states import poll_now
 
 logger = logging.getLogger(__name__)
@@ -86,6 +88,9 @@
         self.exchanges = deque()
         self.starting = False
         self.closing = False
+        # The answer to a request that was refused while it was read, which
+        # waits for those before it.
+        self.refusal = None
         # The body of the request that is read, if it is passed on in pieces.
         self.upload = None
         self.upload_bytes = 0
@@ -96,6 +101,8 @@
         self.is_write_paused = False
         self.is_reading = True
         self.last_read = server.clock()
+        # The limits when the request began that is read.
+        self.first_limits = server.limits
         # Bytes that were written, and those that had been taken by a time.
         self.written_bytes = 0
         self.taken_bytes = 0
@@ -143,23 +150,26 @@
 
     def data_received(self, data):
         """Feed the parser and refuse malformed requests."""
-        if self.closing:
+        if self.drops_input:
             if self.lingers_until:
                 self.last_read = self.server.clock()
             return
         self.last_read = self.server.clock()
         self.overhead_bytes += len(data)
         self._parse(data)
-        if self.overhead_bytes > (
-            self.server.limits.max_header_bytes + READ_BUFFER_BYTES
-        ):
+        if self.overhead_bytes > self.max_header_bytes + READ_BUFFER_BYTES:
             # The parser keeps an unfinished header, whatever its size.
-            self._refuse(ErrorKind.TOO_LARGE, 'headers')
+            self._refuse_too_large('headers')
         if self.upload is not None:
             self._pass_on()
             self._update_reading()
         self._count_held()
 
+    @property
+    def drops_input(self):
+        """Return whether what the caller sends is of no use any more."""
+        return self.closing or self.refusal is not None
+
     def _parse(self, data):
         while len(data):
             try:
@@ -171,18 +181,32 @@
                 if self._ignore_offer():
                     continue
                 self._refuse(ErrorKind.MALFORMED_REQUEST, 'upgrade')
+            except HttpParserCallbackError:
+                if not self.drops_input:
+                    self._fail_internally()
             except HttpParserError as error:
-                if not self.closing:
+                if not self.drops_input:
                     self._refuse(ErrorKind.MALFORMED_REQUEST, str(error))
             return
 
+    def _fail_internally(self):
+        """End the connection: a defect of this code is no fault of a caller.
+
+        A request that it started may run, or not.
+        """
+        logger.exception('request_failed_internally')
+        if self.starting:
+            self._let_go()
+        else:
+            self._refuse(ErrorKind.INTERNAL, 'internal')
+
     def _ignore_offer(self):
         """Begin the request again without its offer of an upgrade.
 
         :returns: whether it goes on; one with the method CONNECT can't.
         """
         request = self.request
-        if self.closing or request is None or request.method == 'CONNECT':
+        if self.drops_input or request is None or request.method == 'CONNECT':
             return False
         head = build_head_without_offer(
             request, self.parser.get_http_version()
@@ -206,7 +230,7 @@
 
     def _buffered_bytes(self):
         """Return the memory that a request takes that is not complete."""
-        if self.request is None or self.closing:
+        if self.request is None or self.drops_input:
             return 0
         return (
             self.body.size
@@ -218,6 +242,7 @@
     def on_message_begin(self):
         """Start a new request."""
         self.request = HttpRequest('', '')
+        self.first_limits = self.server.limits
         self.has_head = False
         self.body = BodyBuffer()
         self.header_bytes = 0
@@ -229,30 +254,55 @@
 
     def on_header(self, name, value):
         """Add a header to the request; trailers are dropped."""
-        if self.closing:
+        if self.drops_input:
             return
         if not self.has_head:
             self.request.headers.append((name.lower(), value))
         self._count_header(len(name) + len(value))
 
+    @property
+    def max_header_bytes(self):
+        """Return the larger limit of those of the request's time."""
+        return max(
+            self.first_limits.max_header_bytes,
+            self.server.limits.max_header_bytes,
+        )
+
+    @property
+    def max_body_bytes(self):
+        """Return the larger limit of those of the request's time."""
+        return max(
+            self.first_limits.max_body_bytes,
+            self.server.limits.max_body_bytes,
+        )
+
+    def _refuse_too_large(self, part):
+        if self.server.knows_limits:
+            self._refuse(ErrorKind.TOO_LARGE, part)
+        else:
+            self._refuse(
+                ErrorKind.NO_ENDPOINT, 'no configuration', RETRY_AFTER_SECONDS
+            )
+
     def _count_header(self, size):
         self.header_bytes += size
-        if self.header_bytes > self.server.limits.max_header_bytes:
-            self._refuse(ErrorKind.TOO_LARGE, 'headers')
+        if self.header_bytes > self.max_header_bytes:
+            self._refuse_too_large('headers')
 
     def on_headers_complete(self):
         """Store the method; answer an Expect header with 100 Continue."""
         self.has_head = True
         self.request.method = self.parser.get_method().decode()
-        if self.closing or self.parser.should_upgrade():
+        if self.drops_input or self.parser.should_upgrade():
             return
+        take_authority(self.request)
         length = self.request.header(b'content-length')
         if length is not None and int(length) > MAX_WHOLE_BODY_BYTES:
-            if int(length) > self.server.limits.max_body_bytes:
-                self._refuse(ErrorKind.TOO_LARGE, 'body')
+            if int(length) > self.max_body_bytes:
+                self._refuse_too_large('body')
             elif self.server.takes_uploads:
                 self._begin_upload(int(length))
-        if self.closing or self.request.header(b'expect') is None:
+        if self.drops_input or self.request.header(b'expect') is None:
             return
         if self.upload is None or self.upload.opened:
             self.write(CONTINUE)
@@ -300,12 +350,12 @@
     def on_body(self, body):
         """Add a chunk to the body, up to the size limit."""
         self._discount(len(body))
-        if self.closing:
+        if self.drops_input:
             return
         held = self.body.size if self.upload is None else self.upload_bytes
         size = held + len(body)
-        if size > self.server.limits.max_body_bytes:
-            self._refuse(ErrorKind.TOO_LARGE, 'body')
+        if size > self.max_body_bytes:
+            self._refuse_too_large('body')
         elif self.upload is not None:
             self.upload_bytes = size
             self.body.append(body)
@@ -323,7 +373,7 @@
             return
         request, self.request = self.request, None
         self.overhead_bytes = 0
-        if self.closing:
+        if self.drops_input:
             return
         if self.upload is not None:
             self._pass_on()
@@ -451,7 +501,10 @@
         if self.closing:
             return
         self._start_next()
-        self._update_reading()
+        if self.refusal is None:
+            self._update_reading()
+        elif not self.exchanges and not self.pipelined:
+            self._send_refusal()
         self._count_held()
 
     def _send_answer(self, exchange):
@@ -526,26 +579,33 @@
     def _refuse(self, kind, detail, retry_after=None):
         """Refuse a request that can't be served, and close the connection.
 
-        An error answer is sent only if no call is in flight, since it would
-        be taken for the answer to that one.
+        The requests before it are answered first. One whose body was being
+        passed on may have run, or have its answer.
         """
-        if self.closing:
+        if self.drops_input:
             return
-        self.closing = True
         self._log_refused(kind, detail)
         # Freed at once: more is read before the connection's end is handled.
         self.request = HttpRequest('', '')
         self.body = BodyBuffer()
         self.server.dispatcher.counts[f'refused_{kind.value}'] += 1
-        # The answer to a body that is still read may have been sent.
-        is_answered = self.upload is not None and not self.pipelined
-        if not self.exchanges and not is_answered:
-            raw = build_error(kind, detail, None, False, retry_after)
-            self._cancel_all()
-            self.write(raw)
-            self._linger()
-        else:
-            self.transport.abort()
+        if self.upload is not None and self.upload is not self._next_upload():
+            self._let_go()
+            return
+        if self.upload is not None:
+            self.pipelined.pop()
+        self.refusal = build_error(kind, detail, None, False, retry_after)
+        if not self.exchanges and not self.pipelined:
+            self._send_refusal()
+
+    def _next_upload(self):
+        """Return the body of the last request that was not started."""
+        return self.pipelined[-1].upload if self.pipelined else None
+
+    def _send_refusal(self):
+        self.closing = True
+        self.write(self.refusal)
+        self._linger()
 
     def _log_refused(self, kind, detail):
         """Log that a request is refused before all of it was read."""
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -4,14 +4,21 @@
 from collections import Counter
 from contextlib import asynccontextmanager
 from contextlib import contextmanager
+from dataclasses import replace
 from select import select
 import socket
 from unittest import TestCase
 
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies
+
+from poplarrack.buffers import READ_BUFFER_BYTES
 from poplarrack.caller_connections import CallerConnection
 from poplarrack.caller_connections import MAX_OVERLAPPING_REQUESTS
 from poplarrack.callers import CallServer
 from poplarrack.http_messages import build_answer
+from poplarrack.resources import CallerLimits
 from tests.support import build_load_tests
 from tests.support import fixture
 
@@ -501,13 +508,6 @@
     assert not caller.transport.closing
 
 
-LARGE_BYTES = 2_000_000
-LARGE_HEAD = (
-    b'POST /large HTTP/1.1\r\nhost: a\r\ncontent-length: %d\r\n\r\n'
-    % LARGE_BYTES
-)
-
-
 # LOST: the answer to a caller that still sent its request was thrown away by
 # a reset, with its promise that the request did not run.
 def test_a_caller_that_still_sends_reads_why_it_is_refused():
@@ -530,3 +530,199 @@
     answer = asyncio.run(run())
     assert answer.startswith(b'HTTP/1.1 413'), answer
     assert answer.endswith(b'}'), answer
+
+
+LARGE_BYTES = 2_000_000
+LARGE_HEAD = (
+    b'POST /large HTTP/1.1\r\nhost: a\r\ncontent-length: %d\r\n\r\n'
+    % LARGE_BYTES
+)
+
+
+# DENIED: what the limits of a node without a configuration don't allow got
+# 413, though the configuration that it didn't know yet allowed it.
+def test_no_request_is_too_large_for_limits_that_are_not_known(caller):
+    head = b'GET / HTTP/1.1\r\nx: ' + b'x' * 40_000 + b'\r\n\r\n'
+    for raw in (LARGE_HEAD, head):
+        caller.__init__()
+        caller.connection.server.knows_limits = False
+        caller.connection.data_received(raw)
+        assert caller.transport.written.startswith(b'HTTP/1.1 503'), raw[:50]
+        assert b'\r\nretry-after: ' in caller.transport.written
+        caller.__init__()
+        caller.connection.data_received(raw)
+        assert caller.transport.written.startswith(b'HTTP/1.1 413'), raw[:50]
+
+
+# DENIED: a request was refused by the limits of a version that came while it
+# was sent.
+def test_a_request_may_use_the_limits_of_when_it_began(caller):
+    server = caller.connection.server
+    larger = replace(server.limits, max_body_bytes=LARGE_BYTES)
+    for first, second in (
+        (larger, server.limits),
+        (server.limits, larger),
+    ):
+        caller.__init__()
+        server = caller.connection.server
+        server.limits = first
+        caller.connection.data_received(LARGE_HEAD[:20])
+        server.limits = second
+        caller.connection.data_received(LARGE_HEAD[20:])
+        for _ in range(LARGE_BYTES // 50_000):
+            caller.connection.data_received(bytes(50_000))
+        assert caller.started == ['/large']
+        caller.dispatcher.answer('/large')
+        server.limits = CallerLimits('callers')
+        caller.connection.data_received(LARGE_HEAD)
+        assert b'HTTP/1.1 413' in caller.transport.written
+
+
+MALFORMED = b'GET /bad HTTP/1.1\r\nno colon\r\n\r\n'
+
+
+# LOST: what came behind a request in flight, such as bytes that the parser
+# refuses, took its answer away.
+def test_what_is_refused_behind_a_request_leaves_it_its_answer(caller):
+    closing = REQUEST.replace(b'host', b'connection: close\r\nhost')
+    too_large = LARGE_HEAD
+    for first, second, statuses in (
+        (REQUEST, MALFORMED, [200, 400]),
+        (REQUEST, too_large, [200, 413]),
+        (REQUEST * 2, MALFORMED + REQUEST, [200, 200, 400]),
+        (closing, REQUEST, [200]),
+        (closing, b'\r\n', [200]),
+    ):
+        for parts in ((first + second,), (first, second)):
+            caller.__init__()
+            caller.connection.server.takes_uploads = True
+            caller.dispatcher.may_overlap = lambda request: False
+            for part in parts:
+                caller.connection.data_received(part)
+            assert not caller.transport.closing, (first, second)
+            while caller.dispatcher.responses:
+                keep_alive = first is not closing
+                caller.dispatcher.answer('/', keep_alive)
+            lines = caller.transport.written.split(b'HTTP/1.1 ')[1:]
+            assert [int(line[:3]) for line in lines] == statuses, lines
+            assert not caller.dispatcher.cancelled
+
+
+@fixture
+@contextmanager
+def asked():
+    """Yield a Caller and the list of the requests that it starts."""
+    caller = Caller()
+    requests = []
+
+    def start(request, respond):
+        requests.append(request)
+        keep_alive = request.keep_alive
+        respond(build_answer(200, [], b'ok', keep_alive), keep_alive)
+
+    caller.dispatcher.start = start
+    yield caller, requests
+
+
+# DENIED: the target of a request to a proxy (RFC 9112, 3.2.2) matched no
+# route and got 404.
+def test_a_target_in_absolute_form_is_read_as_host_and_path(asked):
+    caller, requests = asked
+    for target, path, host in (
+        ('http://b.example/x/y?z', '/x/y?z', b'b.example'),
+        ('HTTP://B.example:80?z', '/?z', b'B.example:80'),
+        ('http://b', '/', b'b'),
+        ('http://u@b/x?http://c/', '/x?http://c/', b'b'),
+        ('/x?http://c/', '/x?http://c/', b'a'),
+        ('/http://c/', '/http://c/', b'a'),
+    ):
+        raw = f'GET {target} HTTP/1.1\r\nx: y\r\nhost: a\r\n\r\n'
+        caller.connection.data_received(raw.encode())
+        request = requests.pop()
+        hosts = [value for name, value in request.headers if name == b'host']
+        assert (request.target, hosts) == (path, [host]), request
+    caller.send(('OPTIONS', 'http://b'), ('OPTIONS', '*'))
+    assert [request.target for request in requests] == ['*', '*']
+
+
+# DENIED: an exception in the node's own code, raised while a request was read,
+# was answered with 400.
+def test_a_defect_of_the_node_is_no_fault_of_the_request(caller):
+    def fail(*_):
+        raise ValueError('a defect')
+
+    log = TestCase().assertLogs('poplarrack.caller_connections')
+    with log as logs:
+        caller.dispatcher.start = fail
+        caller.connection.data_received(REQUEST)
+        assert caller.transport.closing and not caller.transport.written
+        caller.__init__()
+        caller.connection._begin_upload = fail
+        caller.connection.server.takes_uploads = True
+        caller.connection.data_received(
+            LARGE_HEAD.replace(b'2000000', b'900000')
+        )
+    assert caller.transport.written.startswith(b'HTTP/1.1 500')
+    failed = [line for line in logs.records if line.exc_info]
+    assert len(failed) == 2
+    shown = [str(line.exc_info[1].__context__) for line in failed]
+    assert shown == ['a defect'] * 2, shown
+
+
+EDGE_LIMITS = CallerLimits('callers', 2_000, 300_000)
+HEADER_START = b' /edge HTTP/1.1\r\nhost: a\r\n'
+SIZES = strategies.sampled_from((0, 1, 2, 262_144, 262_145, 299_999, 300_000))
+FRAMINGS = strategies.sampled_from((0, 1, 7, 4_096, 100_000))
+CUTS = strategies.sampled_from((1_000, 16_384, READ_BUFFER_BYTES))
+
+
+def build_edge_request(body_bytes, chunk_bytes, head_bytes):
+    """Return a request whose head has a size, as far as that is possible.
+
+    :param chunk_bytes: the size of the body's chunks, or 0 for a length.
+    """
+    body = b'b' * body_bytes
+    framing = b'content-length: %d\r\n' % body_bytes
+    if chunk_bytes:
+        framing = b'transfer-encoding: chunked\r\n'
+        chunks = [
+            body[start : start + chunk_bytes]
+            for start in range(0, body_bytes, chunk_bytes)
+        ]
+        body = b''.join(
+            b'%x;x=1\r\n%b\r\n' % (len(chunk), chunk)
+            for chunk in (*chunks, b'')
+        )
+    head = b'POST' + HEADER_START + framing + b'x: '
+    return head + b'x' * (head_bytes - len(head) - 4) + b'\r\n\r\n' + body
+
+
+# Tiny chunks, bodies that are read late and requests that are sent ahead may
+# not add up to what only a head may have.
+@settings(max_examples=25, deadline=None)
+@given(
+    strategies.lists(
+        strategies.tuples(
+            SIZES, FRAMINGS, strategies.integers(100, 2_000), CUTS
+        ),
+        min_size=1,
+        max_size=2,
+    ),
+    strategies.booleans(),
+)
+def test_no_request_within_the_limits_is_too_large(parts, takes_uploads):
+    caller = Caller()
+    connection = caller.connection
+    connection.server.limits = EDGE_LIMITS
+    connection.server.takes_uploads = takes_uploads
+
+    def start(request, respond):
+        respond(build_answer(200, [], b'', True), True)
+
+    caller.dispatcher.start = start
+    raw = b''.join(build_edge_request(*part[:3]) for part in parts)
+    step = parts[0][3]
+    for start_at in range(0, len(raw), step):
+        connection.data_received(memoryview(raw)[start_at : start_at + step])
+    lines = caller.transport.written.split(b'HTTP/1.1 ')[1:]
+    assert [line[:3] for line in lines] == [b'200'] * len(parts), lines
