Take the store for reached once it has answered

No node got a version for six seconds, though about a fifth could reach the store.

Cause: a fetcher that resumed its watch reported success before the call was made. So failing_since began anew with each try, beats went on to all dependents and at most one took over; heard_at was renewed too, so that keys which may be revoked passed for fresh on a node that is turned away.

Change: success is reported after a read or a batch of the watch.

--- a/poplarrack/fetchers.py
+++ b/poplarrack/fetchers.py
@@ -152,7 +152,7 @@
             if self.stopped.is_set():
                 return
             self.on_snapshot(self.snapshot, self.resume_at)
-        self.on_platform_result(True, '')
+            self.on_platform_result(True, '')
         watch = self.client.watch(CONFIGURATION_PREFIX, self.resume_at)
         for batch in watch:
             if self.stopped.is_set():
--- a/tests/test_store_client.py
+++ b/tests/test_store_client.py
@@ -12,6 +12,7 @@
 from poplarrack.configurations import load_configuration
 from poplarrack.fetchers import apply_events
 from poplarrack.fetchers import build_fetcher
+from poplarrack.fetchers import Fetcher
 from poplarrack.fetchers import read_configuration
 from poplarrack.knowledge import apply_snapshot
 from poplarrack.knowledge import Knowledge
@@ -268,6 +269,32 @@
         self.results.append((succeeded, detail))
 
 
+# CONFIG, DENIED: a fetcher that the store turned away said before each try
+# that the store had answered. No other node took over, so that a mesh whose
+# fetchers were turned away stayed on its version; keys that may be revoked
+# passed for fresh.
+def test_a_fetcher_that_is_turned_away_never_says_that_the_store_answers(
+    store,
+):
+    stand_in, address = store
+    stand_in.put('op/config', CONFIG)
+    results, delays = [], []
+
+    def stop_in_time(seconds):
+        delays.append(seconds)
+        if len(delays) == 4:
+            fetcher.stop()
+
+    fetcher = Fetcher(
+        client_of(address),
+        lambda *read: setattr(stand_in, 'failure_status', 503),
+        lambda succeeded, detail: results.append(succeeded),
+    )
+    fetcher.stopped.wait = stop_in_time
+    fetcher.run()
+    assert results == [True] + [False] * 4, results
+
+
 class RecordingLoop:
     """Keeps calls until they are run, as an event loop does."""
 
