Read the configuration again once a watch failed

Callers could get 404 on routes that were added, and be handled as older versions allow, for as long as the store keeps its history (20 s on the sites).

Cause: each version comes whole through the watch, about 520 kB of JSON at 2,200 routes. A fetcher that was turned away or cut off resumed its watch where it had been; an answer of over 8 MB, or longer than its time on a slow link, failed, and the next try had more to bring.

Change: after any failure the newest version is read, which is one value.

Measured: tests.test_store_client; the new test failed before (four tries without the newest version). test_platforms, test_store_returns and test_odd_entries pass.

--- a/poplarrack/fetchers.py
+++ b/poplarrack/fetchers.py
@@ -78,8 +78,8 @@
 class Fetcher:
     """Read the configuration, then watch it for changes.
 
-    It is read again when the watch can't be resumed, because the store has
-    compacted its revision.
+    It is read again when the watch has failed, or can't go on because the
+    store has compacted its revision.
 
     :param on_snapshot: called on the fetcher's thread with each Snapshot and
         the revision of the store at which it was read as a whole, or 0.
@@ -133,12 +133,13 @@
     def on_error(self, error):
         """Report a failure and wait before the next attempt.
 
-        A compacted watch is no failure of the platform: the configuration
-        is read again at once.
+        The configuration is read again: what a watch missed may be too much
+        for one answer. A compacted watch is no failure of the platform, so
+        that this is done at once.
         """
+        resumed_at, self.resume_at = self.resume_at, 0
         if error.kind is ErrorKind.COMPACTED:
-            logger.info('watch_compacted', extra={'at': self.resume_at})
-            self.resume_at = 0
+            logger.info('watch_compacted', extra={'at': resumed_at})
             return
         self.failures += 1
         self.on_platform_result(False, error.detail)
@@ -146,7 +147,7 @@
         self.stopped.wait(delay)
 
     def read_and_watch(self):
-        """Read the configuration unless a watch can be resumed; watch it."""
+        """Read the configuration unless a watch goes on; watch it."""
         if not self.resume_at:
             self.snapshot, self.resume_at = read_configuration(self.client)
             if self.stopped.is_set():
--- a/tests/test_store_client.py
+++ b/tests/test_store_client.py
@@ -6,10 +6,12 @@
 
 from concurrent.futures import ThreadPoolExecutor
 from functools import partial
+from json import dumps
 from threading import Event
 from unittest.mock import patch
 
 from poplarrack.configurations import load_configuration
+from poplarrack.etcd_json import encode_base64
 from poplarrack.fetchers import apply_events
 from poplarrack.fetchers import build_fetcher
 from poplarrack.fetchers import Fetcher
@@ -295,6 +297,42 @@
     assert results == [True] + [False] * 4, results
 
 
+# CONFIG, DENIED: each version comes whole through the watch. After a time in
+# which many were written, a watch that was resumed had an answer that was too
+# long to be read; each further try had a longer one.
+def test_a_fetcher_catches_up_with_more_versions_than_an_answer_holds(store):
+    stand_in, address = store
+    stand_in.put('op/config', CONFIG)
+    held, delays = [], []
+
+    def fall_behind(snapshot, read_at):
+        held.append(snapshot)
+        if len(held) == 1:
+            stand_in.failure_status = 503
+        elif 9.0 in timeouts_of(snapshot):
+            fetcher.stop()
+
+    def write_meanwhile(seconds):
+        delays.append(seconds)
+        stand_in.failure_status = 0
+        for timeout in range(2, 10):
+            stand_in.put('op/config', config(timeout=f'{timeout}s'))
+        if len(delays) == 4:
+            fetcher.stop()
+
+    fetcher = Fetcher(client_of(address), fall_behind, lambda *result: None)
+    fetcher.stopped.wait = write_meanwhile
+    most = 3 * len(encode_base64(dumps(CONFIG).encode()))
+    with patch('poplarrack.platforms.MAX_RESPONSE_BYTES', most):
+        fetcher.run()
+    assert 9.0 in timeouts_of(held[-1]), len(delays)
+
+
+def timeouts_of(snapshot):
+    routes = load_configuration(snapshot).routes
+    return {route.timeout_seconds for route in routes}
+
+
 class RecordingLoop:
     """Keeps calls until they are run, as an event loop does."""
 
