Count requests at an endpoint by rank

The logs could tell ranks apart only in a mesh of organisations, told nothing of how long a request was held before it was given back, and are limited to 20 lines a second; no counter was by kind.

Change: counters by rank at the endpoint's node, at most 32 ranks and one for the rest; waited_ms and rank in endpoint_not_answered; target_left_ms in request_ended.

Measured: tests.test_receivers, tests.test_metrics, tests.test_senders pass.

--- a/poplarrack/carried_calls.py
+++ b/poplarrack/carried_calls.py
@@ -153,6 +153,9 @@
             if table.configured_at
             else None,
             'ms': round((now - call.started_at) * 1000, 1),
+            'target_left_ms': round((call.target_at - now) * 1000, 1)
+            if call.target_at
+            else None,
         },
     )
 
--- a/poplarrack/metrics.py
+++ b/poplarrack/metrics.py
@@ -24,6 +24,14 @@
 # The same for an organisation. Labels are bounded: each costs the server that
 # collects them memory.
 ORGANISATION_COUNTS = ('calls', 'over_limit')
+# Keys of a Receiver's counts of one rank.
+RANK_COUNTS = (
+    'received',
+    'sent',
+    'late',
+    'not_run_at_once',
+    'not_run_after_wait',
+)
 MAX_LABELLED_ORGANISATIONS = 100
 OTHER_ORGANISATIONS = '(other)'
 
@@ -106,6 +114,7 @@
             yield from self._collect_latency()
             yield from self._collect_services()
             yield from self._collect_organisations()
+            yield from self._collect_ranks(receiver)
         for name, value in counters.items():
             name = re.sub(r'\W', '_', name)
             text = name.replace('_', ' ')
@@ -195,6 +204,20 @@
                 family.add_metric([label], count)
             yield family
 
+    def _collect_ranks(self, receiver):
+        """Yield what the endpoint's node did with requests, by rank."""
+        from prometheus_client.core import CounterMetricFamily
+
+        for name in RANK_COUNTS:
+            family = CounterMetricFamily(
+                f'poplarrack_endpoint_rank_{name}',
+                f'{name.replace("_", " ")}, by rank',
+                labels=['rank'],
+            )
+            for rank, counts in receiver.counts_by_rank.items():
+                family.add_metric([str(rank)], counts[name])
+            yield family
+
     def _collect_latency(self):
         from prometheus_client.core import HistogramMetricFamily
 
--- a/poplarrack/receivers.py
+++ b/poplarrack/receivers.py
@@ -50,6 +50,11 @@
 MAX_TOLD_WAIT_SECONDS = 60.0
 # Megabits per second of a link of which nothing is known.
 UNBOUNDED_LINK = 1e6
+# A request that did not run was refused at once if it waited less.
+MIN_COUNTED_WAIT_SECONDS = 0.005
+# Ranks that are counted, each with a label; further ones count together.
+MAX_COUNTED_RANKS = 32
+OTHER_RANKS = '(other)'
 # Outcomes that count as failures of the endpoint.
 FAILED_OUTCOMES = (Outcome.LOST, Outcome.TIMED_OUT, Outcome.TOO_LARGE)
 
@@ -90,6 +95,7 @@
         self.door = Door()
         self.cold_gate = ColdGate(clock())
         self.counts = Counter()
+        self.counts_by_rank = {}
         self.received_requests = set()
         # The BodyPipes of answers that are passed on in pieces.
         self.answer_bodies = set()
@@ -201,6 +207,7 @@
         deadline = now + request.time_left_ms / 1000 - ANSWER_MARGIN_SECONDS
         received = ReceivedRequest(request, reply, deadline, upload, in_pieces)
         received.received_at = now
+        self._count_rank(request.rank, 'received')
         if self.answer_bodies and not self.admission.free_slots:
             self._end_stalled_answer()
         reason = self._refusal_reason(request, now)
@@ -394,6 +401,7 @@
         if received.ticket is not None:
             self.shares.begin(received.ticket)
         self.counts['sent'] += 1
+        self._count_rank(request.rank, 'sent')
         self.counts['sent_repeats'] += request.is_repeat
         self.running_repeats.add(request)
 
@@ -526,6 +534,10 @@
                     received.request.route, now - received.sent_at
                 )
         self.counts['answered'] += 1
+        request = received.request
+        target_at = received.received_at + request.target_left_ms / 1000
+        if request.target_left_ms and now > target_at:
+            self._count_rank(request.rank, 'late')
 
     def _build_delivery(self, received, answer, now, streamed_bytes=0):
         """Return the Delivery of an answer.
@@ -567,6 +579,13 @@
 
     def _reply_unanswered(self, received, verdict, reason):
         self.counts[f'{verdict.name.lower()} {reason}'] += 1
+        waited_seconds = self.clock() - received.received_at
+        if verdict is Verdict.NOT_RUN:
+            has_waited = waited_seconds >= MIN_COUNTED_WAIT_SECONDS
+            self._count_rank(
+                received.request.rank,
+                'not_run_after_wait' if has_waited else 'not_run_at_once',
+            )
         logger.info(
             'endpoint_not_answered',
             extra={
@@ -576,6 +595,8 @@
                 'running': self.admission.running,
                 'waiting': len(self.admission.queue),
                 'slots': self.admission.slots,
+                'rank': received.request.rank,
+                'waited_ms': round(waited_seconds * 1000, 1),
                 **self._describe_share(received),
                 'room': self.admission.room,
             },
@@ -602,6 +623,14 @@
             received.timer.cancel()
         self.received_requests.discard(received)
 
+    def _count_rank(self, rank, name):
+        counts = self.counts_by_rank.get(rank)
+        if counts is None:
+            if len(self.counts_by_rank) >= MAX_COUNTED_RANKS:
+                rank = OTHER_RANKS
+            counts = self.counts_by_rank.setdefault(rank, Counter())
+        counts[name] += 1
+
     def _describe_share(self, received):
         """Return the inputs of a place in the queue, for the log."""
         if self.shares is None:
@@ -609,7 +638,6 @@
         request = received.request
         return {
             'organisation': request.organisation,
-            'rank': request.rank,
             'seconds_beyond_share': round(
                 self.shares.beyond_share(request.rank, request.organisation), 3
             ),
--- a/tests/test_receivers.py
+++ b/tests/test_receivers.py
@@ -11,6 +11,8 @@
 from poplarrack.header_names import HeaderNames
 from poplarrack.members import EndpointState
 from poplarrack.received_requests import RunningRepeats
+from poplarrack.receivers import MAX_COUNTED_RANKS
+from poplarrack.receivers import OTHER_RANKS
 from poplarrack.receivers import Receiver
 from tests.samples import endpoint
 from tests.support import build_load_tests
@@ -342,3 +344,36 @@
             return receiver.in_flight, receiver.admission.running
 
     assert asyncio.run(run()) == (0, 0)
+
+
+# Bookings were starved beside lookups of a better rank, and no counter told.
+def test_requests_are_counted_by_rank():
+    async def run():
+        server = GatedServer()
+        async with receiver_of(server) as receiver:
+            running = asyncio.create_task(deliver(receiver, rank=0))
+            await asyncio.sleep(0.02)
+            await deliver(receiver, rank=1)
+            waiting = asyncio.create_task(
+                deliver(receiver, rank=1, max_wait_ms=300)
+            )
+            await asyncio.wait_for(waiting, 5)
+            server.gate.set()
+            await running
+            return receiver.counts_by_rank
+
+    counts = asyncio.run(run())
+    assert counts[0]['received'] == counts[0]['sent'] == 1
+    assert counts[1]['received'] == 2
+    assert counts[1]['not_run_at_once'] == 1
+    assert counts[1]['not_run_after_wait'] == 1
+    assert not counts[1]['sent']
+
+
+def test_ranks_beyond_a_number_are_counted_together():
+    receiver = Receiver(HEADER_NAMES, lambda: 100.0, 1_000)
+    for rank in range(2 * MAX_COUNTED_RANKS):
+        receiver.receive(request(rank=rank), lambda delivery: None)
+    assert len(receiver.counts_by_rank) == MAX_COUNTED_RANKS + 1
+    other = receiver.counts_by_rank[OTHER_RANKS]
+    assert other['received'] == other['not_run_at_once'] == MAX_COUNTED_RANKS
