Leave worse ranks a part of a full endpoint

Cause: an endpoint's queue served the best rank that waits, without a bound, and its door counted all of the better ranks as ahead of a new request. While lookups of the better rank filled the slots, bookings got none and were refused at each node that they were offered to.

Change: each endpoint's node counts by rank what it is asked for, first offers only, and what it serves. A rank that is served less than four fifths as often as all is next, and waits at the door only for its own. Since that is bounded by the mean, a worse rank isn't served more often than a better one.

--- a/poplarrack/admissions.py
+++ b/poplarrack/admissions.py
@@ -5,7 +5,9 @@
 from dataclasses import field
 from math import inf
 
+from poplarrack.queue_orders import may_be_in_time
 from poplarrack.queue_orders import QUEUE_ORDERS
+from poplarrack.rank_turns import RankTurns
 
 # Least weight of a new observation in the mean service time: the plain mean
 # of the first observations changes over to a moving average.
@@ -58,6 +60,7 @@
         self.service_seconds = INITIAL_SERVICE_SECONDS
         self.observations = 0
         self.route_seconds = {}
+        self.turns = RankTurns()
 
     def observe(self, seconds, route=''):
         """Record the seconds that the endpoint took for a request."""
@@ -85,12 +88,13 @@
         """Return how many requests may run at once."""
         return self.slots if self.learned is None else self.learned.room
 
-    def begin(self, route, now):
+    def begin(self, route, now, rank=0):
         """Count a request that starts to run.
 
         :returns: what ``end`` is given.
         """
         self.running += 1
+        self.turns.serve(rank, now)
         return self.learned and self.learned.begin(route, now)
 
     def end(self, run, now, succeeded):
@@ -112,9 +116,13 @@
         """Return the seconds that a request of a rank and tag would wait."""
         if self.free_slots > len(self.queue):
             return 0.0
-        return self._wait_behind(
-            self.order.count_ahead(self.queue, rank, tag, now)
-        )
+        queue = self.queue
+        if self.turns.is_behind(rank, now):
+            queue = self._members_of(rank)
+        return self._wait_behind(self.order.count_ahead(queue, rank, tag, now))
+
+    def _members_of(self, rank):
+        return [item for item in self.queue if item.rank == rank]
 
     def count_ahead_of_new(self, now):
         """Return how many run before a new request of the lowest rank."""
@@ -188,7 +196,10 @@
         if not self.queue:
             return None
         last = self.queue[-1]
-        wait = self._wait_behind(len(self.queue) - 1)
+        ahead = len(self.queue) - 1
+        if self.turns.is_behind(last.rank, now):
+            ahead = len(self._members_of(last.rank)) - 1
+        wait = self._wait_behind(ahead)
         return last if now + wait > last.expires_at else None
 
     def discard(self, item):
@@ -196,6 +207,19 @@
         if item in self.queue:
             self.queue.remove(item)
 
+    def _next_rank(self, now):
+        """Return the rank whose request runs next.
+
+        A rank that is behind gets its turn for what can be in time.
+        """
+        best = self.queue[0].rank
+        if self.queue[-1].rank == best:
+            return best
+        in_time = {
+            item.rank for item in self.queue if may_be_in_time(item, now)
+        }
+        return self.turns.next_rank(sorted(in_time | {best}), now)
+
     def dequeue(self, now):
         """Remove the next request to run and any that are too late.
 
@@ -205,10 +229,10 @@
         too_late = []
         min_seconds = self.service_seconds * MIN_SERVICE_TIME_FRACTION
         while self.queue and self.free_slots:
-            index = self.order.next_index(
-                self.queue, self.service_seconds, now
-            )
-            item = self.queue.pop(index)
+            members = self._members_of(self._next_rank(now))
+            index = self.order.next_index(members, self.service_seconds, now)
+            item = members[index]
+            self.queue.remove(item)
             if now >= item.expires_at or item.deadline - now < min_seconds:
                 too_late.append(item)
                 continue
--- a/poplarrack/exchanges.py
+++ b/poplarrack/exchanges.py
@@ -61,6 +61,7 @@
     ``organisation`` is the name of the caller's, if its key was checked, and
     ``route`` the name of the route. ``streamed_bytes`` is the size of a body
     that follows in pieces, -1 if its size is not known, 0 if ``body`` is all.
+    ``was_offered`` says that it was offered to another node before.
     """
 
     request_id: bytes
@@ -82,6 +83,7 @@
     organisation: str = ''
     route: str = ''
     streamed_bytes: int = 0
+    was_offered: bool = False
 
 
 class Occupancy(Struct, frozen=True, array_like=True):
--- a/poplarrack/offers.py
+++ b/poplarrack/offers.py
@@ -64,4 +64,5 @@
         call.organisation.name if call.organisation else '',
         route.name,
         0 if request.upload is None else request.upload.length or -1,
+        call.offers > 1,
     )
--- a/poplarrack/queue_orders.py
+++ b/poplarrack/queue_orders.py
@@ -1,6 +1,6 @@
 """Order the requests that wait for an endpoint.
 
-An order tells which of those that wait runs next, and how many of them would
+An order tells which of those of one rank runs next, and how many of them would
 run before a new one. The queue is sorted by rank, by the tag of the fair
 shares, by deadline and by arrival.
 """
@@ -18,14 +18,6 @@
     return register
 
 
-def best_rank(queue):
-    """Yield the index and the QueuedRequest of those of the best rank."""
-    for index, item in enumerate(queue):
-        if item.rank != queue[0].rank:
-            return
-        yield index, item
-
-
 @queue_order('deadline')
 class ByDeadline:
     """By deadline, but first what can be in time.
@@ -36,10 +28,11 @@
     def next_index(self, queue, service_seconds, now):
         """Return the index of the request to run next.
 
-        :param queue: the QueuedRequests in their order; not empty.
+        :param queue: the QueuedRequests of one rank in their order; not
+            empty.
         :param service_seconds: the mean time that a request runs.
         """
-        for index, item in best_rank(queue):
+        for index, item in enumerate(queue):
             if item.target_at - now >= service_seconds:
                 return index
         return 0
@@ -66,7 +59,7 @@
         """
         in_time = [
             (item.tag, item.target_at, index)
-            for index, item in best_rank(queue)
+            for index, item in enumerate(queue)
             if may_be_in_time(item, now)
         ]
         return min(in_time, default=(0.0, 0.0, 0))[-1]
--- a/poplarrack/receivers.py
+++ b/poplarrack/receivers.py
@@ -211,6 +211,8 @@
         if self.answer_bodies and not self.admission.free_slots:
             self._end_stalled_answer()
         reason = self._refusal_reason(request, now)
+        if reason in ('', 'busy') and not request.was_offered:
+            self.admission.turns.ask(request.rank, now)
         if reason:
             self._reply_not_run(received, reason)
             return received
@@ -395,7 +397,7 @@
         request = received.request
         remaining_seconds = received.deadline - now
         admission = self.admission
-        run = admission.begin(request.route, now)
+        run = admission.begin(request.route, now, request.rank)
         received.sent_at = now
         self.cold_gate.record(now)
         if received.ticket is not None:
