Refuse at once what can't be in time

Cause: with more load than room, a request was queued for up to nine tenths of its deadline. What was late gave way to what could be in time, so that it waited that long for a turn that never came. The queue of what could be in time grew to the whole of the target latency, so that each ran at the end of its time, and one that was refused had none left to come back with.

Change: while an endpoint has run nothing for half a second but what could be in time, its node gives back those that are late, and admits a request only if it waits at most a quarter of what is left of its target latency. The way to the endpoint's node and back is taken off that. A request that is given back is offered to others as before.

--- a/poplarrack/admissions.py
+++ b/poplarrack/admissions.py
@@ -21,6 +21,9 @@
 # A request with less than this fraction of the mean service time left would
 # most likely time out while it runs.
 MIN_SERVICE_TIME_FRACTION = 0.5
+# An endpoint that ran nothing but what could be in time for so long has no
+# room for what is late.
+FULL_SECONDS = 0.5
 
 
 @dataclass(order=True, slots=True)
@@ -61,6 +64,8 @@
         self.observations = 0
         self.route_seconds = {}
         self.turns = RankTurns()
+        # When there was room for what can't be in time.
+        self.spare_at = 0.0
 
     def observe(self, seconds, route=''):
         """Record the seconds that the endpoint took for a request."""
@@ -95,6 +100,8 @@
         """
         self.running += 1
         self.turns.serve(rank, now)
+        if not self.queue:
+            self.spare_at = now
         return self.learned and self.learned.begin(route, now)
 
     def end(self, run, now, succeeded):
@@ -202,6 +209,24 @@
         wait = self._wait_behind(ahead)
         return last if now + wait > last.expires_at else None
 
+    def is_full(self, now):
+        """Return whether what can be in time takes all of the room."""
+        return now - self.spare_at > FULL_SECONDS
+
+    def remove_hopeless(self, now):
+        """Remove the requests that are late while there is no room for them.
+
+        :returns: their QueuedRequests.
+        """
+        if not self.queue or not self.is_full(now):
+            return []
+        hopeless = [
+            item for item in self.queue if not may_be_in_time(item, now)
+        ]
+        for item in hopeless:
+            self.queue.remove(item)
+        return hopeless
+
     def discard(self, item):
         """Remove a request that ended before it got a slot."""
         if item in self.queue:
@@ -233,6 +258,8 @@
             index = self.order.next_index(members, self.service_seconds, now)
             item = members[index]
             self.queue.remove(item)
+            if not self.queue or not may_be_in_time(item, now):
+                self.spare_at = now
             if now >= item.expires_at or item.deadline - now < min_seconds:
                 too_late.append(item)
                 continue
--- a/poplarrack/offers.py
+++ b/poplarrack/offers.py
@@ -58,7 +58,7 @@
         call.rank,
         route.repeatable,
         placement.spare_slot_fraction,
-        max(0, int((call.target_at - now) * 1000)),
+        max(0, int((call.target_at - now - travel_seconds) * 1000)),
         call.arrivals > 0,
         loads,
         call.organisation.name if call.organisation else '',
--- a/poplarrack/receivers.py
+++ b/poplarrack/receivers.py
@@ -50,6 +50,9 @@
 MAX_TOLD_WAIT_SECONDS = 60.0
 # Megabits per second of a link of which nothing is known.
 UNBOUNDED_LINK = 1e6
+# Fraction of its target latency that a request may wait while the endpoint is
+# full.
+FULL_WAIT_FRACTION = 0.25
 # A request that did not run was refused at once if it waited less.
 MIN_COUNTED_WAIT_SECONDS = 0.005
 # Ranks that are counted, each with a label; further ones count together.
@@ -343,12 +346,25 @@
             tag = self.shares.tag_of(request.rank, request.organisation)
         return self.admission.admits(
             request.rank,
-            request.max_wait_ms / 1000,
+            self._max_wait(request, now),
             now,
             request.spare_slot_fraction,
             tag,
         )
 
+    def _max_wait(self, request, now):
+        """Return the seconds that a request may be expected to wait.
+
+        While the room is full of what can be in time, a long queue would
+        serve each request at the end of its time, and leave none to those
+        that are refused for another attempt.
+        """
+        seconds = request.max_wait_ms / 1000
+        if not self.admission.is_full(now):
+            return seconds
+        target_seconds = request.target_left_ms / 1000
+        return min(seconds, FULL_WAIT_FRACTION * target_seconds)
+
     def _enqueue(self, received, now):
         request = received.request
         expires_at = self._expires_at(received, now)
@@ -371,7 +387,9 @@
         return min(received.deadline, now + max_wait_seconds)
 
     def _displace(self, now):
-        """Refuse a request at once that others have left too late."""
+        """Refuse at once what others have left too late."""
+        for hopeless in self.admission.remove_hopeless(now):
+            self._reply_not_run(hopeless.received, 'busy')
         item = self.shares and self.admission.displaced(now)
         if item:
             self.admission.discard(item)
--- a/tests/test_admissions.py
+++ b/tests/test_admissions.py
@@ -144,3 +144,31 @@
     assert admission.admits(0, 0.1, 1.0)
     assert not admission.admits(2, 0.1, 1.0)
     assert not admission.admits(0, 9.0, 1.0, spare_slot_fraction=0.1)
+
+
+# Under too much load, late requests were held until their last wait was over
+# and refused then, a second later, while others took every slot.
+def test_what_is_late_is_given_back_while_the_endpoint_is_full():
+    admission = Admission(1, order='target')
+    admission.observe(0.1)
+    admission.begin('lookup', 10.0)
+    for name, target_at in (('late', 10.35), ('in time', 11.5)):
+        admission.enqueue(name, 1, 20.0, 15.0, target_at)
+    assert not admission.is_full(10.3)
+    assert not admission.remove_hopeless(10.3)
+    assert admission.is_full(10.6)
+    given_back = admission.remove_hopeless(10.6)
+    assert [item.received for item in given_back] == ['late']
+    assert [item.received for item in admission.queue] == ['in time']
+
+
+def test_late_requests_use_the_room_that_others_leave():
+    admission = Admission(1, order='target')
+    admission.observe(0.1)
+    admission.begin('lookup', 10.0)
+    admission.enqueue('late', 1, 20.0, 15.0, 10.1)
+    admission.end(None, 11.0, True)
+    assert admission.dequeue(11.0)[0].received == 'late'
+    admission.begin('late', 11.0)
+    admission.enqueue('late, too', 1, 20.0, 15.0, 11.0)
+    assert not admission.remove_hopeless(11.2)
--- a/tests/test_rank_turns.py
+++ b/tests/test_rank_turns.py
@@ -59,6 +59,22 @@
     check_served(load=0.7)
 
 
+# Refused requests were held for twice their target latency and longer: their
+# callers had no time left to come back, and each hold is wasted.
+def test_what_cannot_be_in_time_is_refused_before_its_target_has_passed():
+    for load in (0.7, 1.0):
+        seen = run_mesh(replace(DESK, load=load), SEED)
+        for kind in (LOOKUP, BOOKING):
+            refused = sorted(
+                item.seconds
+                for item in seen.answered
+                if item.kind == kind.name and item.status != 200
+            )
+            assert refused
+            median = refused[len(refused) // 2]
+            assert median < kind.target_seconds, (kind.name, median)
+
+
 def test_a_rank_that_is_behind_goes_next_if_it_can_be_in_time():
     admission = Admission(1, order='target')
     admission.observe(0.1)
