--- a/poplarrack/admissions.py
+++ b/poplarrack/admissions.py
@@ -5,7 +5,9 @@
 from dataclasses import field
 from math import inf
 
+from poplarrack.queue_orders import may_be_in_time
 from poplarrack.queue_orders import QUEUE_ORDERS
+from poplarrack.rank_turns import RankTurns
 
 # Least weight of a new observation in the mean service time: the plain mean
 # of the first observations changes over to a moving average.
@@ -19,6 +21,9 @@
 # A request with less than this fraction of the mean service time left would
 # most likely time out while it runs.
 MIN_SERVICE_TIME_FRACTION = 0.5
+# An endpoint that ran nothing but what could be in time for so long has no
+# room for what is late.
+FULL_SECONDS = 0.5
 
 
 @dataclass(order=True, slots=True)
@@ -58,6 +63,9 @@
         self.service_seconds = INITIAL_SERVICE_SECONDS
         self.observations = 0
         self.route_seconds = {}
+        self.turns = RankTurns()
+        # When there was room for what can't be in time.
+        self.spare_at = 0.0
 
     def observe(self, seconds, route=''):
         """Record the seconds that the endpoint took for a request."""
@@ -85,12 +93,15 @@
         """Return how many requests may run at once."""
         return self.slots if self.learned is None else self.learned.room
 
-    def begin(self, route, now):
+    def begin(self, route, now, rank=0):
         """Count a request that starts to run.
 
         :returns: what ``end`` is given.
         """
         self.running += 1
+        self.turns.serve(rank, now)
+        if not self.queue:
+            self.spare_at = now
         return self.learned and self.learned.begin(route, now)
 
     def end(self, run, now, succeeded):
@@ -112,9 +123,13 @@
         """Return the seconds that a request of a rank and tag would wait."""
         if self.free_slots > len(self.queue):
             return 0.0
-        return self._wait_behind(
-            self.order.count_ahead(self.queue, rank, tag, now)
-        )
+        queue = self.queue
+        if self.turns.is_behind(rank, now):
+            queue = self._members_of(rank)
+        return self._wait_behind(self.order.count_ahead(queue, rank, tag, now))
+
+    def _members_of(self, rank):
+        return [item for item in self.queue if item.rank == rank]
 
     def count_ahead_of_new(self, now):
         """Return how many run before a new request of the lowest rank."""
@@ -188,14 +203,48 @@
         if not self.queue:
             return None
         last = self.queue[-1]
-        wait = self._wait_behind(len(self.queue) - 1)
+        ahead = len(self.queue) - 1
+        if self.turns.is_behind(last.rank, now):
+            ahead = len(self._members_of(last.rank)) - 1
+        wait = self._wait_behind(ahead)
         return last if now + wait > last.expires_at else None
 
+    def is_full(self, now):
+        """Return whether what can be in time takes all of the room."""
+        return now - self.spare_at > FULL_SECONDS
+
+    def remove_hopeless(self, now):
+        """Remove the requests that are late while there is no room for them.
+
+        :returns: their QueuedRequests.
+        """
+        if not self.queue or not self.is_full(now):
+            return []
+        hopeless = [
+            item for item in self.queue if not may_be_in_time(item, now)
+        ]
+        for item in hopeless:
+            self.queue.remove(item)
+        return hopeless
+
     def discard(self, item):
         """Remove a request that ended before it got a slot."""
         if item in self.queue:
             self.queue.remove(item)
 
+    def _next_rank(self, now):
+        """Return the rank whose request runs next.
+
+        A rank that is behind gets its turn for what can be in time.
+        """
+        best = self.queue[0].rank
+        if self.queue[-1].rank == best:
+            return best
+        in_time = {
+            item.rank for item in self.queue if may_be_in_time(item, now)
+        }
+        return self.turns.next_rank(sorted(in_time | {best}), now)
+
     def dequeue(self, now):
         """Remove the next request to run and any that are too late.
 
@@ -205,10 +254,12 @@
         too_late = []
         min_seconds = self.service_seconds * MIN_SERVICE_TIME_FRACTION
         while self.queue and self.free_slots:
-            index = self.order.next_index(
-                self.queue, self.service_seconds, now
-            )
-            item = self.queue.pop(index)
+            members = self._members_of(self._next_rank(now))
+            index = self.order.next_index(members, self.service_seconds, now)
+            item = members[index]
+            self.queue.remove(item)
+            if not self.queue or not may_be_in_time(item, now):
+                self.spare_at = now
             if now >= item.expires_at or item.deadline - now < min_seconds:
                 too_late.append(item)
                 continue
--- a/poplarrack/offers.py
+++ b/poplarrack/offers.py
@@ -58,10 +58,11 @@
         call.rank,
         route.repeatable,
         placement.spare_slot_fraction,
-        max(0, int((call.target_at - now) * 1000)),
+        max(0, int((call.target_at - now - travel_seconds) * 1000)),
         call.arrivals > 0,
         loads,
         call.organisation.name if call.organisation else '',
         route.name,
         0 if request.upload is None else request.upload.length or -1,
+        call.offers > 1,
     )
--- a/tests/test_senders.py
+++ b/tests/test_senders.py
@@ -637,3 +637,22 @@
     (answer,), upload, streams = asyncio.run(run())
     assert answer.startswith(b'HTTP/1.1 503'), answer
     assert upload.closed and not streams.sent
+
+
+# Lookups that came back after a refusal had the slots of those that could
+# still be in time: on a busy day 10,498 were late for their callers, 6,858 in
+# time.
+def test_a_call_that_comes_back_has_less_of_its_target_latency():
+    async def run():
+        sender, streams = build_sender([GOOD] * 3)
+        routes = [replace(item, target_latency_seconds=0.6) for item in ROUTES]
+        sender.set_table(
+            RoutingTable(5, Router(routes), {'front': [destination(2)]})
+        )
+        for asked_ms in (b'3200', b'3000', b'2500'):
+            await send(sender, '/pay/x', [(b'x-deadline', asked_ms)])
+        return [request.target_left_ms for _, request in streams.sent]
+
+    first, second, third = asyncio.run(run())
+    assert 590 <= second <= first <= 600
+    assert 370 <= third <= 390
