Recognise calls that come back by their deadlines

Cause: it compared what a caller waits with the longest wait of its route.

Change: a call that ends unserved is remembered by the moment at which its caller stops waiting, and a new one of that moment is the same caller again. Callers that wait differently long don't meet. An endpoint is full only while requests wait, and not for the time that one runs; the turns of ranks keep 64 ranks at most.

--- a/poplarrack/admissions.py
+++ b/poplarrack/admissions.py
@@ -210,22 +210,24 @@
         return last if now + wait > last.expires_at else None
 
     def is_full(self, now):
-        """Return whether what can be in time takes all of the room."""
-        return now - self.spare_at > FULL_SECONDS
+        """Return whether what can be in time takes all of the room.
 
-    def remove_hopeless(self, now):
+        Not for the time that a request runs: no slot may have become free.
+        """
+        least_seconds = max(FULL_SECONDS, self.service_seconds)
+        return bool(self.queue) and now - self.spare_at > least_seconds
+
+    def remove_late(self, now):
         """Remove the requests that are late while there is no room for them.
 
         :returns: their QueuedRequests.
         """
-        if not self.queue or not self.is_full(now):
+        if not self.is_full(now):
             return []
-        hopeless = [
-            item for item in self.queue if not may_be_in_time(item, now)
-        ]
-        for item in hopeless:
+        late = [item for item in self.queue if not may_be_in_time(item, now)]
+        for item in late:
             self.queue.remove(item)
-        return hopeless
+        return late
 
     def discard(self, item):
         """Remove a request that ended before it got a slot."""
--- a/poplarrack/carried_calls.py
+++ b/poplarrack/carried_calls.py
@@ -29,6 +29,8 @@
     ``cold_seconds`` is how much longer endpoints that refused it are cold.
     ``answer_body`` is the BodyPipe of the last answer, if that is long.
     ``is_within_limit`` says that it was counted against a limit.
+    ``caller_deadline`` is when its caller stops waiting, 0 if that is not
+    known, and ``first_at`` when the caller sent it for the first time.
     """
 
     request: HttpRequest
@@ -39,6 +41,8 @@
     service: str = ''
     version: str | None = None
     stage: int = 0
+    caller_deadline: float = 0.0
+    first_at: float = 0.0
     deadline: float = 0.0
     target_at: float = 0.0
     offers: int = 0
--- a/poplarrack/rank_turns.py
+++ b/poplarrack/rank_turns.py
@@ -16,6 +16,8 @@
 MEMORY_SECONDS = 3.0
 # Least fraction of a rank that is served, as a part of that of all ranks.
 LEAST_PART = 0.8
+# Ranks that are remembered.
+MAX_RANKS = 64
 # Requests of which a rank is assumed to have asked and been served before.
 ASSUMED_REQUESTS = 1.0
 
@@ -44,13 +46,25 @@
         self.total = RankLoad()
 
     def _load_of(self, rank, now):
+        """Return the RankLoad of a rank, which is added if it has none."""
         load = self.loads.get(rank)
         if load is None:
+            if len(self.loads) >= MAX_RANKS:
+                # The one that was asked for the least of late.
+                least = min(
+                    self.loads, key=lambda other: self._asked(other, now)
+                )
+                del self.loads[least]
             load = self.loads[rank] = RankLoad(counted_at=now)
         load.fade(now)
         self.total.fade(now)
         return load
 
+    def _asked(self, rank, now):
+        load = self.loads[rank]
+        load.fade(now)
+        return load.asked
+
     def ask(self, rank, now):
         """Record a request that was offered, admitted or not."""
         self._load_of(rank, now).asked += 1
@@ -63,12 +77,17 @@
 
     def fraction(self, rank, now):
         """Return the fraction of a rank's requests that were served."""
-        return _fraction(self._load_of(rank, now))
+        load = self.loads.get(rank)
+        if load is None:
+            return 1.0
+        load.fade(now)
+        return _fraction(load)
 
     def is_behind(self, rank, now):
         """Return whether a rank was served too seldom, compared with all."""
         if len(self.loads) < 2:
             return False
+        self.total.fade(now)
         least = LEAST_PART * min(1.0, _fraction(self.total))
         return self.fraction(rank, now) < least
 
--- a/poplarrack/receivers.py
+++ b/poplarrack/receivers.py
@@ -388,8 +388,8 @@
 
     def _displace(self, now):
         """Refuse at once what others have left too late."""
-        for hopeless in self.admission.remove_hopeless(now):
-            self._reply_not_run(hopeless.received, 'busy')
+        for late in self.admission.remove_late(now):
+            self._reply_not_run(late.received, 'busy')
         item = self.shares and self.admission.displaced(now)
         if item:
             self.admission.discard(item)
--- a/poplarrack/senders.py
+++ b/poplarrack/senders.py
@@ -13,7 +13,6 @@
 
 from poplarrack.body_pipes import WholeBody
 from poplarrack.call_limits import CallLimits
-from poplarrack.caller_waits import CallerWaits
 from poplarrack.candidates import explain_exclusion
 from poplarrack.candidates import filter_group
 from poplarrack.candidates import regions_of
@@ -52,6 +51,7 @@
 from poplarrack.placements import Placement
 from poplarrack.placements import RemainingTime
 from poplarrack.retry_budgets import SharedRetryBudget
+from poplarrack.returning_calls import ReturningCalls
 from poplarrack.routing_tables import derive_routing_table
 from poplarrack.routing_tables import RoutingTable
 from poplarrack.run_times import RunTimes
@@ -66,6 +66,7 @@
 CALLERS_PATIENCE_FRACTION = 1 / 3
 # Answers after which callers come back.
 RETRIED_STATUSES = (429, 503)
+SERVER_ERRORS = range(500, 600)
 # Organisations in the state dump.
 DUMPED_ORGANISATIONS = 10
 # A deadline header with more digits is ignored as invalid.
@@ -106,7 +107,7 @@
         self.destinations = DestinationTable(clock)
         self.load_reports = LoadReports(self.destinations, receiver)
         self.run_times = RunTimes()
-        self.caller_waits = CallerWaits()
+        self.returning_calls = ReturningCalls()
         self.splitter = TrafficSplitter(random)
         self.evidence = EvidenceCounter()
         self.budgets = {}
@@ -138,7 +139,6 @@
             for budget in self.budgets.values():
                 budget.keep_only(names)
             self.run_times.keep_only(names)
-            self.caller_waits.keep_only(names)
             for name in (
                 self.counts_by_organisation.keys() - table.organisations.keys()
             ):
@@ -191,27 +191,29 @@
             return False
         call.route = route
         call.rank = route.queue_rank
-        if self.table.organisations and not self._identify(call, now):
-            return False
-        call.service = self.splitter.choose_service(route)
         requested_ms = _parse_milliseconds(
             request.header(self.header_names.deadline_ms)
         )
-        allowed_seconds = route.timeout_seconds
-        waited_seconds = 0.0
+        call.first_at = now
         if requested_ms is not None:
-            allowed_seconds = min(allowed_seconds, requested_ms / 1000)
-            waited_seconds = self.caller_waits.record(
-                route.name, requested_ms / 1000
+            call.caller_deadline = now + requested_ms / 1000
+            call.first_at = self.returning_calls.take(
+                route.name, call.caller_deadline, now
             )
+        if self.table.organisations and not self._identify(call, now):
+            return False
+        call.service = self.splitter.choose_service(route)
+        allowed_seconds = route.timeout_seconds
+        if call.caller_deadline:
+            allowed_seconds = min(allowed_seconds, call.caller_deadline - now)
         call.deadline = now + allowed_seconds - ANSWER_MARGIN_SECONDS
         if self.closes_at is not None and call.deadline > self.closes_at:
             self._refuse(call, ErrorKind.DRAINING, call.service)
             return False
         call.target_at = now + allowed_seconds
         if route.target_latency_seconds:
-            target_seconds = route.target_latency_seconds - waited_seconds
-            call.target_at = now + min(allowed_seconds, target_seconds)
+            target_at = call.first_at + route.target_latency_seconds
+            call.target_at = min(call.target_at, target_at)
         if call.service != self.settings.service:
             # Callers and the endpoint can't be told apart, but an endpoint
             # rarely calls its own service.
@@ -638,6 +640,8 @@
         now = self.clock()
         log_ended(call, self.table, kind.value, detail, now)
         self._end(call)
+        if ANSWERS[kind].http_status in (429, *SERVER_ERRORS):
+            self._remember(call, now)
         keep_alive = call.request.stays_open(self.draining)
         if ANSWERS[kind].http_status in RETRIED_STATUSES:
             # Callers retry on a new connection; this one would stay idle,
@@ -672,6 +676,8 @@
         self.latencies.observe(now - call.started_at)
         log_ended(call, self.table, f'status {delivery.status}', '', now)
         self._end(call)
+        if delivery.status in SERVER_ERRORS:
+            self._remember(call, now)
         keep_alive = call.request.stays_open(self.draining)
         if delivery.streamed_bytes:
             self._respond_in_pieces(call, delivery, keep_alive)
@@ -694,6 +700,13 @@
         )
         call.respond(head, keep_alive, call.answer_body, chunked)
 
+    def _remember(self, call, now):
+        """Remember a call that its caller may send again."""
+        if call.caller_deadline:
+            self.returning_calls.record(
+                call.route.name, call.caller_deadline, call.first_at, now
+            )
+
     def _end(self, call):
         call.ended = True
         self.calls.discard(call)
--- a/poplarrack/sidecar_servers.py
+++ b/poplarrack/sidecar_servers.py
@@ -295,6 +295,7 @@
         self.call_server.expire(now)
         self.receiver.share_fairly(bool(self.sender.table.organisations))
         self.receiver.close_idle(self.loop.time())
+        self.sender.returning_calls.expire(now)
         members = self.node.knowledge.members.members.values()
         self.streams.keep_only(member.peer_address for member in members)
 
