Don't take long runs alone for a full endpoint

Callers saw nothing of it: found in reading the change before. An endpoint whose runs take seconds starts few, so that half a second without a start made it seem full, and requests that could have waited would be refused.

Cause: full was told by the time since a request last ran without waiting.

Change: two service times must have passed as well, and a run that ends with none waiting shows that there is room.

Measured: tests.test_admissions; a new test fails without the change.

--- a/poplarrack/admissions.py
+++ b/poplarrack/admissions.py
@@ -21,9 +21,10 @@
 # A request with less than this fraction of the mean service time left would
 # most likely time out while it runs.
 MIN_SERVICE_TIME_FRACTION = 0.5
-# An endpoint that ran nothing but what could be in time for so long has no
-# room for what is late.
+# An endpoint that ran nothing but what waited and could be in time for so long
+# and for so many service times, has no room for what is late.
 FULL_SECONDS = 0.5
+FULL_SERVICE_TIMES = 2
 
 
 @dataclass(order=True, slots=True)
@@ -111,6 +112,8 @@
         :param succeeded: whether the endpoint ran it to a good end.
         """
         self.running -= 1
+        if not self.queue:
+            self.spare_at = now
         if self.learned is not None:
             self.learned.end(run, now, succeeded)
 
@@ -211,7 +214,10 @@
 
     def is_full(self, now):
         """Return whether what can be in time takes all of the room."""
-        return now - self.spare_at > FULL_SECONDS
+        least_seconds = max(
+            FULL_SECONDS, FULL_SERVICE_TIMES * self.service_seconds
+        )
+        return now - self.spare_at > least_seconds
 
     def remove_hopeless(self, now):
         """Remove the requests that are late while there is no room for them.
--- a/tests/test_admissions.py
+++ b/tests/test_admissions.py
@@ -172,3 +172,16 @@
     admission.begin('late', 11.0)
     admission.enqueue('late, too', 1, 20.0, 15.0, 11.0)
     assert not admission.remove_hopeless(11.2)
+
+
+# Runs of seconds would make an endpoint seem full on which nobody had waited.
+def test_long_runs_alone_do_not_fill_an_endpoint():
+    admission = Admission(1, order='target')
+    admission.observe(2.0)
+    run = admission.begin('listing', 10.0)
+    assert not admission.is_full(13.0)
+    admission.end(run, 13.5, True)
+    assert not admission.is_full(17.0)
+    admission.begin('listing', 17.0)
+    admission.enqueue('listing', 1, 40.0, 40.0, 40.0)
+    assert admission.is_full(22.0)
