Read before judging others after a gap

Callers saw: nothing that was measured; other nodes saw an endpoint withdrawn and announced again. After SIGCONT, a node's log told backend_server_silent 2 ms before backend_server_announced.

Cause: node.tick() judges by the time since the node last heard of its endpoint, its source and its neighbours. After the node stood still, or after a long turn of the event loop, the tick runs before what waits is read.

Change: the first tick after a gap of over 0.5 s judges nothing; the next one does, whatever the gap.

--- a/poplarrack/sidecar_servers.py
+++ b/poplarrack/sidecar_servers.py
@@ -58,6 +58,8 @@
 DRAIN_POLL_SECONDS = 0.05
 CONNECTION_EXPIRY_INTERVAL_SECONDS = 1.0
 SETTINGS_RELOAD_INTERVAL_SECONDS = 5.0
+# Beyond which a node has stood still, or was busy in one turn of its loop.
+MAX_TICK_GAP_SECONDS = 0.5
 # Beside the addresses of the platform.
 RELOADED_SETTINGS = frozenset(
     (
@@ -212,6 +214,8 @@
         self.local_endpoint = LocalEndpoint(self)
         self.loop = None
         self.stopping = None
+        self.ticked_at = self.clock()
+        self.skipped_tick = False
         self.expiry_checked_at = 0.0
         self.settings_read_at = 0.0
 
@@ -273,8 +277,14 @@
         )
 
     def _tick(self):
-        self.node.tick()
         now = self.clock()
+        last, self.ticked_at = self.ticked_at, now
+        if now - last > MAX_TICK_GAP_SECONDS and not self.skipped_tick:
+            # What others sent meanwhile is read first.
+            self.skipped_tick = True
+            return
+        self.skipped_tick = False
+        self.node.tick()
         self.streams.check_liveness(self.loop.time())
         self.limit_exchange.tick(now)
         self.call_server.end_abandoned()
--- a/tests/test_sidecar_servers.py
+++ b/tests/test_sidecar_servers.py
@@ -5,6 +5,7 @@
 from dataclasses import replace
 from json import dumps
 import socket
+import time
 from unittest import TestCase
 
 from poplarrack.addresses import split_address
@@ -476,3 +477,36 @@
         return int(answer.split()[1])
 
     assert asyncio.run(run()) == [503, 503, 503]
+
+
+# A node that stood still, or was busy in one turn of its event loop, withdrew
+# its own endpoint from all others before it read the heartbeat that waited.
+def test_an_endpoint_is_not_silent_while_its_node_is_busy():
+    ttl_seconds = 0.8
+    calls = replace(
+        parse_settings(SETTINGS).calls, announcement_ttl_seconds=ttl_seconds
+    )
+    later = {**HEARTBEAT, 'status': {**HEARTBEAT['status'], 'sequence': 9}}
+    put = build_request('PUT', '/-/instances/i-1', dumps(later).encode())
+
+    async def run():
+        with running_store() as (stand_in, store):
+            stand_in.put('op/config', CONFIG)
+            async with running_node(store, calls=calls) as (server, settings):
+                await until(lambda: has_recalled(server))
+                forgotten = []
+                server.node.forget_endpoint = lambda: forgotten.append(1)
+                await send_heartbeat(settings, HEARTBEAT)
+                address = split_address(settings.announce_address)
+                with socket.create_connection(address) as endpoint:
+                    endpoint.sendall(put)
+                    time.sleep(ttl_seconds + 0.1)
+                    await asyncio.sleep(0.4)
+                    heard = list(forgotten)
+                await until(lambda: is_forgotten(forgotten))
+                return heard
+
+    async def is_forgotten(forgotten):
+        return bool(forgotten)
+
+    assert not asyncio.run(run())
