Bound what is dropped of a refused caller

Callers saw: nothing. Read in review of: a caller that is refused and sends on without end would be read from for up to idle_timeout.

Change: the connection is aborted once more than max_body_bytes were dropped. test_a_caller_that_still_sends_reads_why_it_is_refused sends half of its body, as much as that bound; it asks for the same answer.

--- a/poplarrack/caller_connections.py
+++ b/poplarrack/caller_connections.py
@@ -98,6 +98,7 @@
         self.awaits_continue = False
         # Whether the rest of a body is dropped before the connection closes.
         self.lingers_until = 0.0
+        self.dropped_bytes = 0
         self.is_write_paused = False
         self.is_reading = True
         self.last_read = server.clock()
@@ -152,7 +153,7 @@
         """Feed the parser and refuse malformed requests."""
         if self.drops_input:
             if self.lingers_until:
-                self.last_read = self.server.clock()
+                self._drop(len(data))
             return
         self.last_read = self.server.clock()
         self.overhead_bytes += len(data)
@@ -165,6 +166,13 @@
             self._update_reading()
         self._count_held()
 
+    def _drop(self, size):
+        """Count what is dropped; that of one request has a bound."""
+        self.last_read = self.server.clock()
+        self.dropped_bytes += size
+        if self.dropped_bytes > self.server.limits.max_body_bytes:
+            self.transport.abort()
+
     @property
     def drops_input(self):
         """Return whether what the caller sends is of no use any more."""
