Count part of an answer as a sign of life

Callers lost the answer of a node that was sending it: one of 256 KB over a thin link, with the PONG behind it, had its node avoided after 0.1 s and its connection aborted after 0.6 s, although bytes came all the time.

Cause: check_liveness measured silence from the probe to the next whole frame. Change: it measures from the last bytes, if they came after the probe. A new request, which restarted that time on a connection without others, doesn't while a probe has no answer: a node that is gone would be kept.

Measured: test_a_peer_whose_answer_is_coming_in_is_not_silent (by the reviewer) failed before, the peer was avoided and the request lost; test_new_requests_do_not_keep_a_silent_peer fails (TimeoutError) without the second part.

--- a/poplarrack/streams.py
+++ b/poplarrack/streams.py
@@ -124,7 +124,10 @@
         :param now: the event loop's time in seconds.
         """
         if self.probe_sent_at:
-            silent_seconds = now - self.probe_sent_at
+            # An answer that comes in slowly has the probe's behind it.
+            silent_seconds = now - max(
+                self.probe_sent_at, self.last_received_at
+            )
             if silent_seconds <= AVOID_AFTER_SECONDS or poll_now(
                 self.transport, select.POLLIN
             ):
@@ -206,8 +209,9 @@
     def _write(self, kind, message_id, payload, pending):
         self.traffic.messages_out += 1
         self.traffic.bytes_out += len(payload) + FRAME_HEADER.size
-        if not self.stream.pending:
-            # Silence is measured from the first pending request on.
+        if not self.stream.pending and not self.stream.probe_sent_at:
+            # Silence is measured from the first pending request on. A new
+            # request is no sign of life of a node that was probed.
             self.stream.last_received_at = self.last_used_at
         self.stream.pending[message_id] = pending
         self.stream.send(kind, message_id, payload)
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -4,6 +4,7 @@
 from contextlib import asynccontextmanager
 from contextlib import AsyncExitStack
 from contextlib import suppress
+from unittest.mock import patch
 
 from poplarrack.byte_budgets import ByteBudget
 from poplarrack.errors import ErrorKind
@@ -316,3 +317,73 @@
     not_run = Verdict.NOT_RUN
     assert asyncio.run(run(small, None)) == [answered, not_run, answered]
     assert small.total_bytes == 0
+
+
+# LOST: a peer whose answer was coming in, but not complete yet, was given up
+# because silence was measured to the next whole frame.
+def test_a_peer_whose_answer_is_coming_in_is_not_silent():
+    async def run():
+        writers = []
+        slow = await asyncio.start_server(
+            lambda reader, writer: writers.append(writer), '127.0.0.1', 0
+        )
+        port = slow.sockets[0].getsockname()[1]
+        address = f'127.0.0.1:{port}'
+        streams = PeerStreams(PeerTraffic(), 9.0)
+        avoided = []
+        streams.on_unresponsive = avoided.append
+        request_task = asyncio.ensure_future(deliver(streams, address, 9.0))
+        while not writers or not streams.peers[address].connected:
+            await asyncio.sleep(0)
+        stream = streams.peers[address].stream
+        now = asyncio.get_running_loop().time() + PROBE_AFTER_SECONDS + 0.1
+        streams.check_liveness(now)
+        payload = ANSWER_CODEC.encode(Delivery(Verdict.NOT_RUN))
+        frame = build_frame(FrameKind.ANSWER, 1, payload)
+        writers[0].write(frame[:-1])
+        while len(stream.buffer) < len(frame) - 1:
+            await asyncio.sleep(0)
+        stream.last_received_at = now + PROBE_TIMEOUT_SECONDS + 0.05
+        streams.check_liveness(now + PROBE_TIMEOUT_SECONDS + 0.1)
+        writers[0].write(frame[-1:])
+        delivery = await request_task
+        slow.close()
+        writers[0].close()
+        await streams.close()
+        return avoided, delivery.verdict
+
+    assert asyncio.run(run()) == ([], Verdict.NOT_RUN)
+
+
+# LOST: requests that were sent while a probe had no answer must not count as
+# signs of life of a peer that is gone.
+def test_new_requests_do_not_keep_a_silent_peer():
+    async def run():
+        silent = await asyncio.start_server(
+            lambda reader, writer: None, '127.0.0.1', 0
+        )
+        address = f'127.0.0.1:{silent.sockets[0].getsockname()[1]}'
+        streams = PeerStreams(PeerTraffic(), 9.0)
+        avoided = []
+        streams.on_unresponsive = avoided.append
+        loop = asyncio.get_running_loop()
+        first = asyncio.ensure_future(deliver(streams, address, 9.0))
+        while not (streams.peers and streams.peers[address].connected):
+            await asyncio.sleep(0)
+        stream = streams.peers[address].stream
+        probed_at = loop.time() + PROBE_AFTER_SECONDS + 0.1
+        streams.check_liveness(probed_at)
+        assert stream.probe_sent_at == probed_at
+        stream.pending.popitem()[1].on_done(None, b'', None)
+        await first
+        with patch.object(loop, 'time', lambda: probed_at + 0.5):
+            second = asyncio.ensure_future(deliver(streams, address, 9.0))
+            while not stream.pending:
+                await asyncio.sleep(0)
+        streams.check_liveness(probed_at + PROBE_TIMEOUT_SECONDS + 0.1)
+        delivery = await asyncio.wait_for(second, 2.0)
+        silent.close()
+        await streams.close()
+        return avoided == [address], delivery.verdict
+
+    assert asyncio.run(run()) == (True, Verdict.LOST)
