Test a refusal behind a request not begun

Cause: before a refusal went out as the answer to a request before it that had not begun, where its caller read slowly: no exchange was open, and what was queued wasn't looked at.

--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -726,3 +726,14 @@
         connection.data_received(memoryview(raw)[start_at : start_at + step])
     lines = caller.transport.written.split(b'HTTP/1.1 ')[1:]
     assert [line[:3] for line in lines] == [b'200'] * len(parts), lines
+
+
+# MIXED, DENIED: where a caller read its answers slowly, the refusal of a later
+# request went out as the answer to one before it that had not begun.
+def test_a_refusal_is_no_answer_to_a_request_before_it(caller):
+    connection = caller.connection
+    connection.pause_writing()
+    caller.send(('POST', '/first'))
+    assert not caller.started
+    connection.data_received(b'GET /wrong HTTP/1.1\r\nhost : a\r\n\r\n')
+    assert b'HTTP/1.1 400' not in caller.transport.written
