End requests that stop coming in a drain

A caller that stopped within a request held a node that drained: one of the own mesh for good, a sidecar until its grace was over, when the connection was reset without an answer.

Cause: pauses within a body are bounded by idle_timeout, which may be far longer than the grace; and nothing called expire() in a drain, so that not even the limit of a head held. Change: while the server drains, header_timeout bounds pauses within a body, too, and close_idle() applies the limits. It answers 408.

--- a/poplarrack/caller_connections.py
+++ b/poplarrack/caller_connections.py
@@ -656,6 +656,7 @@
 
         Not while its body is wanted by no one, or a request is in flight on
         the connection: that one ends at its deadline and takes its body along.
+        Pauses within a body are shorter while the server drains.
         """
         if (
             self.request is None
@@ -666,7 +667,7 @@
         ):
             return False
         limits = self.server.limits
-        if self.has_head:
+        if self.has_head and not self.server.draining:
             return self.is_silent(now, limits.idle_timeout_seconds)
         return self.is_silent(now, limits.header_timeout_seconds)
 
--- a/poplarrack/callers.py
+++ b/poplarrack/callers.py
@@ -121,13 +121,16 @@
     def close_idle(self, now):
         """Close connections that have been idle for ``DRAIN_IDLE_SECONDS``.
 
-        Called while the server drains.
+        So are those whose request or idle timeout has passed. Called while
+        the server drains.
         """
         for connection in list(self.connections):
             if not connection.busy and connection.is_silent(
                 now, DRAIN_IDLE_SECONDS
             ):
                 connection.transport.close()
+            else:
+                connection.expire(now)
 
     @property
     def drained(self):
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -737,3 +737,37 @@
     assert not caller.started
     connection.data_received(b'GET /wrong HTTP/1.1\r\nhost : a\r\n\r\n')
     assert b'HTTP/1.1 400' not in caller.transport.written
+
+
+# DRAIN: a caller that stops within a body holds a node that drains for the
+# idle timeout, which may be longer than the grace of the process.
+def test_a_stalled_body_does_not_hold_a_drain_for_the_idle_timeout(
+    slow_caller,
+):
+    caller, wait = slow_caller
+    server = caller.connection.server
+    server.announce_drain()
+    caller.connection.data_received(HALF_BODY)
+    wait(server.limits.header_timeout_seconds + 0.1)
+    server.close_idle(server.clock())
+    assert b'HTTP/1.1 408' in caller.transport.written
+
+
+# DRAIN: in a drain nothing looked for requests that were too slow, and one
+# whose caller had stopped within it held a node of the own mesh for good.
+def test_a_drain_ends_requests_that_stopped_coming(slow_caller):
+    caller, _ = slow_caller
+    for part in (HALF_HEAD, HALF_BODY):
+        caller.__init__()
+        server = caller.connection.server
+        server.connections.add(caller.connection)
+        server.announce_drain()
+        caller.connection.data_received(part)
+        server.clock.now += server.limits.header_timeout_seconds - 0.1
+        server.close_idle(server.clock())
+        assert not caller.transport.written
+        server.clock.now += 0.2
+        server.close_idle(server.clock())
+        assert b'HTTP/1.1 408' in caller.transport.written
+        server.close_idle(server.clock())
+        assert caller.transport.closing
