--- a/tests/test_senders.py
+++ b/tests/test_senders.py
@@ -285,6 +285,36 @@
     assert explained == ErrorKind.NO_ENDPOINT.value
 
 
+# DENIED: a target in absolute form, as callers send to a proxy, got 404.
+def test_a_target_in_absolute_form_is_routed_by_its_host_and_path():
+    async def run(target):
+        sender, streams = build_sender([GOOD])
+        route = Route('r', '/pay/', 'front', host='shop.example')
+        sender.set_table(replace(sender.table, router=Router((route,))))
+        status, _, _ = await send(sender, target)
+        found = [
+            (routed.target, dict(routed.headers).get(b'host'))
+            for _, routed in streams.sent
+        ]
+        return status, found
+
+    for target, path in (
+        ('http://shop.example/pay/x?y=/z', '/pay/x?y=/z'),
+        ('HTTP://a:b@Shop.example:80/pay/', '/pay/'),
+    ):
+        status, found = asyncio.run(run(target))
+        assert (status, [sent for sent, _ in found]) == (200, [path]), status
+        assert found[0][1].lower().startswith(b'shop.example'), found
+    for target in (
+        'http://other/pay/x',
+        'http://shop.example?a=/pay/',
+        'http://shop.example/p',
+        '/http://shop.example/pay/x',
+        '*',
+    ):
+        assert asyncio.run(run(target)) == (404, []), target
+
+
 def test_headers_of_the_mesh_are_set_whatever_was_sent():
     async def run():
         sender, streams = build_sender([GOOD])
