--- a/tests/test_store_client.py
+++ b/tests/test_store_client.py
@@ -11,6 +11,7 @@
 from unittest.mock import patch
 
 from poplarrack.configurations import load_configuration
+from poplarrack.errors import ErrorKind
 from poplarrack.etcd_json import encode_base64
 from poplarrack.fetchers import apply_events
 from poplarrack.fetchers import build_fetcher
@@ -23,6 +24,7 @@
 from poplarrack.platforms import CONFIGURATION_PREFIX
 from poplarrack.snapshots import Snapshot
 from tests.store_stand_in import running_store
+from tests.support import assert_raises
 from tests.support import build_load_tests
 from tests.support import fixture
 from tests.test_platform_adapter import CONFIG
@@ -255,6 +257,32 @@
         store[0].delete('op/evacuate/a')
 
 
+# DENIED: the copy that a store returned to held an evacuation and no
+# configuration yet.
+def test_a_copy_from_before_the_configuration_drops_no_routes(store):
+    stand_in, address = store
+    evacuate(stand_in)
+    stand_in.save()
+    stand_in.put('op/config', CONFIG)
+    client = client_of(address)
+    knowledge = apply_snapshot(Knowledge(), *read_configuration(client))
+    stand_in.go_back()
+    stand_in.put('op/evacuate/b', {})
+    assert_raises(
+        ErrorKind.COMPACTED,
+        next,
+        client.watch(CONFIGURATION_PREFIX, client.newest.revision),
+    )
+    snapshot, revision = read_configuration(client)
+    knowledge = apply_snapshot(knowledge, snapshot, revision)
+    assert len(knowledge.configuration.routes) == 2
+    put_again(stand_in)
+    batch = next(client.watch(CONFIGURATION_PREFIX, revision))
+    snapshot = apply_events(snapshot, batch.events, batch.generation)
+    knowledge = apply_snapshot(knowledge, snapshot)
+    assert 7.0 in timeouts_of(knowledge.configuration.snapshot)
+
+
 class RecordingNode:
     """Records what a fetcher reports."""
 
