Read targets in absolute form in one place

Change: only the connection does it (take_authority). The test of the Sender stays with the same cases; its requests go through the same step first.

Measured: tests.test_senders, test_callers, test_calls and test_routers pass.

--- a/poplarrack/dispatchers.py
+++ b/poplarrack/dispatchers.py
@@ -192,7 +192,6 @@
         call.caller_call_id = request.header(CALL_HEADER)
         self.in_flight += 1
         self.counts['calls'] += 1
-        request.take_origin_form()
         route = self.table.router.match(request.method, request.target)
         if route is None:
             kind, why = self.table.router.explain_mismatch()
@@ -211,7 +210,6 @@
 
     def may_overlap(self, request):
         """Return whether a call may run beside others of its connection."""
-        request.take_origin_form()
         route = self.table.router.match(request.method, request.target)
         return route is not None and route.repeatable
 
--- a/poplarrack/http_messages.py
+++ b/poplarrack/http_messages.py
@@ -47,10 +47,6 @@
 }
 
 
-# A target with a scheme and a host; user information is left out.
-ABSOLUTE_FORM = re.compile(r'https?://(?:[^/?@]*@)?([^/?@]+)(.*)', re.I)
-
-
 @dataclass(slots=True)
 class HttpRequest:
     """A complete request; its header names are in lower case.
@@ -74,19 +70,6 @@
     upload: BodyPipe | None = None
     takes_chunks: bool = True
 
-    def take_origin_form(self):
-        """Replace a target in absolute form, as clients send to a proxy.
-
-        Its host takes the place of the Host header (RFC 9112, 3.2.2).
-        """
-        found = ABSOLUTE_FORM.match(self.target)
-        if found is None:
-            return
-        host, rest = found.groups()
-        self.target = rest if rest.startswith('/') else f'/{rest}'
-        others = [item for item in self.headers if item[0] != b'host']
-        self.headers = [(b'host', host.encode('latin-1')), *others]
-
     def stays_open(self, draining):
         """Return whether its connection stays open behind the answer.
 
--- a/poplarrack/senders.py
+++ b/poplarrack/senders.py
@@ -177,7 +177,6 @@
         return route is not None and route.repeatable
 
     def _match(self, request):
-        request.take_origin_form()
         host = (request.header(b'host') or b'').decode('latin-1').lower()
         host = host.partition(':')[0]
         return self.table.router.match(request.method, request.target, host)
--- a/tests/test_senders.py
+++ b/tests/test_senders.py
@@ -22,6 +22,7 @@
 from poplarrack.explanations import Question
 from poplarrack.header_names import HeaderNames
 from poplarrack.http_messages import HttpRequest
+from poplarrack.http_messages import take_authority
 from poplarrack.organisations import build_key_index
 from poplarrack.organisations import StaleKeys
 from poplarrack.received_requests import RunningRepeats
@@ -140,6 +141,8 @@
     request = HttpRequest(
         'POST', path, [(b'host', b'shop'), (b'x-id', b'r1'), *headers]
     )
+    # As the connection does that reads it.
+    take_authority(request)
     call = sender.start(request, lambda raw, keep: answers.append(raw))
     if call.task is not None:
         await call.task
