Have the soak find refusals of proper requests

Cause: no request of the soak came close to a limit on callers, and no check judged a refusal by the versions that may be in force.

Versions change the limits. New faults: a node is suspended for longer than header_timeout while 30 callers are between two parts, large bodies at a node's start, nodes that start while the store is away. It adds to the zero bound on 404, which stays. A request sent behind an answer that its endpoint broke off ends with the connection, and doesn't count as lost.

--- a/tests/soak_checks.py
+++ b/tests/soak_checks.py
@@ -4,6 +4,7 @@
 """
 
 from tests.soak_records import build_body
+from tests.soak_records import STORE
 
 # From the ack of a version to the requests that must be handled by it.
 CONFIG_SECONDS = 2.5
@@ -13,11 +14,19 @@
 SLOWED_FACTOR = 8
 # Requests that a node may lose with a kept connection.
 MAX_LOST = 3
+# Proper requests that nodes may refuse as if they were wrong, in each number
+# of requests besides, and for want of a route or a key while out of touch.
+MAX_DENIED = 5
+REQUESTS_PER_DENIED = 500
+MAX_DENIED_OUT_OF_TOUCH = 10
 # An endpoint gets no further requests from LEAVE_TOLERANCE_SECONDS after its
 # leave was acknowledged.
 LEAVE_TOLERANCE_SECONDS = 0.5
 # Statuses that assert that the request did not run.
 NOT_RUN_STATUSES = {408, 421, 429, 503}
+# Those of them that don't say that the request is wrong.
+RETURNING_STATUSES = {408, 421, 429}
+ROUTE_STATUSES = {401, 403, 404}
 ANSWER_CHECKS = []
 RECORD_CHECKS = []
 
@@ -128,6 +137,83 @@
             )
 
 
+@record_check
+def check_denied(record):
+    """Check that proper requests are not refused as if they were wrong.
+
+    Nodes in touch follow the versions that may be in force. What all versions
+    allow counts from any node, since neither an impairment nor an older
+    version makes it wrong.
+    """
+    denied = [
+        request
+        for request in record.requests.values()
+        if is_denial(request) and is_allowed(record, request)
+    ]
+    out_of_touch = [
+        request
+        for request in denied
+        if request.status in ROUTE_STATUSES
+        and not was_in_touch(record, request)
+    ]
+    record.counts['denied'] = len(denied)
+    allowed = MAX_DENIED + len(record.requests) // REQUESTS_PER_DENIED
+    if len(denied) <= allowed:
+        denied = out_of_touch
+        allowed = MAX_DENIED_OUT_OF_TOUCH
+    if len(denied) > allowed:
+        for request in denied:
+            yield 'DENIED', request.key, describe_denial(record, request)
+
+
+def is_allowed(record, request):
+    """Return whether no version that its node may follow rules it out."""
+    versions = record.changes
+    if was_in_touch(record, request):
+        versions = record.select_in_force(
+            request.sent_at, request.ended_at, CONFIG_SECONDS
+        )
+    return all(version.allows(request) for version in versions)
+
+
+def was_in_touch(record, request):
+    """Return whether a request's node was in touch all the while.
+
+    A node that got SIGTERM is not in touch.
+    """
+    return request.sent_at <= record.stopped_at and record.is_in_touch(
+        request.host,
+        request.sent_at,
+        request.ended_at,
+        STABLE_WINDOW_SECONDS,
+    )
+
+
+def is_denial(request):
+    """Return whether a node says of a request that it is wrong."""
+    return (
+        300 <= request.status < 500
+        and request.status not in RETURNING_STATUSES
+        and not request.stamp
+    )
+
+
+def describe_denial(record, request):
+    """Say which proper request was refused, and beside what."""
+    impaired = [
+        name
+        for name in (request.host, STORE)
+        if not record.is_undisturbed(
+            name, request.sent_at - STABLE_WINDOW_SECONDS, request.ended_at
+        )
+    ]
+    return (
+        f'at {request.host}, got {request.status} for {request.path} with '
+        f'{request.head_bytes} + {len(request.body)} bytes and a pause of '
+        f'{request.pause_seconds:.2f} s; impaired: {impaired}'
+    )
+
+
 @record_check
 def check_confirmed(record):
     """Check that nodes in touch follow each confirmed version in time."""
@@ -214,13 +300,15 @@
 def check_lost(record):
     """Check that nodes in touch don't lose requests with kept connections.
 
-    Only requests count whose endpoint wrote a whole answer.
+    Only requests count whose endpoint wrote a whole answer. Those that were
+    sent behind one without an answer end with its connection.
     """
     lost = [
         request
         for request in record.requests.values()
         if request.kept
         and not (request.status or request.abandoned)
+        and (request.behind is None or request.behind.status)
         and record.runs[request.key]
         and all(run.sound for run in record.runs[request.key])
         and record.is_in_touch(
--- a/tests/soak_faults.py
+++ b/tests/soak_faults.py
@@ -4,6 +4,8 @@
 from contextlib import contextmanager
 import signal
 
+from tests.soak_callers import Caller
+from tests.soak_checks import CONFIG_SECONDS
 from tests.soak_checks import STABLE_WINDOW_SECONDS
 from tests.soak_records import STORE
 
@@ -12,6 +14,13 @@
 PLANNED_KINDS = ('reload_node', 'replace_endpoint', 'restart_in_turn')
 MAX_DOWN_SECONDS = 1.0
 MAX_FREEZE_SECONDS = 3.0
+# Callers that send a body in two parts while their node is suspended for
+# longer than it may wait for the second part.
+SENDERS = 30
+SENDING_SECONDS = 0.1
+SENDING_FREEZE_FACTORS = (1.1, 1.3)
+START_POLL_SECONDS = 0.01
+MAX_START_SECONDS = 3.0
 MAX_STORE_FAILURE_SECONDS = 3.0
 MAX_GAP_SECONDS = 0.7
 MAX_COPY_AGE_SECONDS = 4.0
@@ -62,6 +71,13 @@
     await asyncio.sleep(soak.random.random() * longest_seconds)
 
 
+async def wait_for_start(soak, host):
+    """Wait until a node that is started serves."""
+    end = soak.clock() + MAX_START_SECONDS
+    while not host.has_started() and soak.clock() < end:
+        await asyncio.sleep(START_POLL_SECONDS)
+
+
 @fault(4)
 async def kill_node(soak, host):
     """Kill a node's process and start it again.
@@ -115,6 +131,48 @@
                 host.start()
 
 
+@fault(2)
+async def freeze_while_sending(soak, host):
+    """Suspend a node while callers are between two parts of a body."""
+    async with host.lock:
+        await wait_for_start(soak, host)
+        callers = [
+            Caller(soak, host, soak.random, keeps=False)
+            for _ in range(SENDERS)
+        ]
+        now = soak.clock()
+        timeout = max(
+            version.limits.header_timeout_seconds
+            for version in soak.record.select_in_force(
+                now, now, CONFIG_SECONDS
+            )
+        )
+        calls = [
+            asyncio.ensure_future(caller.call(in_parts=True))
+            for caller in callers
+        ]
+        await asyncio.sleep(SENDING_SECONDS)
+        with disturbed(soak, host.name):
+            host.signal(signal.SIGSTOP)
+            factor = soak.random.uniform(*SENDING_FREEZE_FACTORS)
+            await asyncio.sleep(timeout * factor)
+            host.signal(signal.SIGCONT)
+            if host.killed:
+                host.start()
+        await asyncio.gather(*calls)
+
+
+@fault(1)
+async def send_large_at_start(soak, host):
+    """Send large bodies to a node that has just started."""
+    await kill_node(soak, host)
+    await wait_for_start(soak, host)
+    callers = [
+        Caller(soak, host, soak.random, keeps=False) for _ in range(SENDERS)
+    ]
+    await asyncio.gather(*(caller.call(is_large=True) for caller in callers))
+
+
 @fault(4)
 async def reload_node(soak, host):
     """Send SIGHUP, several times in quick succession."""
@@ -135,6 +193,21 @@
             soak.mesh.restore_store()
 
 
+@fault(1)
+async def start_without_store(soak, host):
+    """Kill a node and others, and start them while the store fails."""
+    async with soak.store_lock:
+        others = soak.random.sample(
+            soak.hosts, soak.random.randint(1, len(soak.hosts))
+        )
+        with disturbed(soak, STORE):
+            soak.mesh.fail_store(soak.random)
+            starts = (kill_node(soak, other) for other in others)
+            await asyncio.gather(*starts)
+            await pause(soak, MAX_STORE_FAILURE_SECONDS)
+            soak.mesh.restore_store()
+
+
 @fault(1)
 async def return_store(soak, host):
     """Have the store come back from a copy that is some seconds old."""
--- a/tests/soak_http.py
+++ b/tests/soak_http.py
@@ -134,6 +134,8 @@
         self.reader, self.writer = await asyncio.open_connection(
             *split_address(address), limit=STREAM_LIMIT_BYTES
         )
+        # A pause between two parts begins when the first one is sent.
+        self.writer.transport.set_write_buffer_limits(0)
 
     async def exchange(self, raw):
         """Send a request; return the answer.
@@ -150,6 +152,52 @@
             if answer is None or answer.is_last:
                 self.close()
 
+    async def exchange_in_parts(self, parts, pause_seconds, clock):
+        """Send a request with pauses; return the answer.
+
+        :param parts: the bytes of the request, in parts.
+        :param pause_seconds: the pause between two parts.
+        :param clock: a function that returns monotonic seconds.
+        :returns: the answer, and the longest pause in seconds.
+        """
+        reading = asyncio.ensure_future(
+            read_message(self.reader, until_end=True)
+        )
+        answer, longest = None, 0.0
+        unsent = list(parts)
+        try:
+            while unsent and not reading.done():
+                written_at = await self._write(unsent.pop(0), clock)
+                if unsent:
+                    await asyncio.wait([reading], timeout=pause_seconds)
+                    longest = max(longest, clock() - written_at)
+            answer = await reading
+            return answer, longest
+        finally:
+            reading.cancel()
+            if answer is None or answer.is_last or unsent:
+                self.close()
+
+    async def _write(self, data, clock):
+        """Write data; return when the last of it was sent."""
+        written_at = clock()
+        self.writer.write(data)
+        if self.writer.transport.get_write_buffer_size():
+            await self.writer.drain()
+            written_at = clock()
+        return written_at
+
+    async def exchange_ahead(self, raws):
+        """Send requests at once; yield their answers in order."""
+        self.writer.write(b''.join(raws))
+        for _ in raws:
+            answer = await read_message(self.reader, until_end=True)
+            if answer.is_last:
+                self.close()
+            yield answer
+            if not self.is_open:
+                return
+
     async def read_unasked(self, seconds):
         """Wait; return bytes that arrive while no request is waiting."""
         try:
--- a/tests/soak_meshes.py
+++ b/tests/soak_meshes.py
@@ -76,10 +76,10 @@
         with running_store() as (store, address):
             yield cls(store, address)
 
-    def write(self, number, routes):
+    def write(self, number, routes, limits):
         """Write a version of the configuration; return when confirmed."""
         with self.operator:
-            self.written = build_configuration(number, routes)
+            self.written = build_configuration(number, routes, limits)
             self.store.put('op/config', self.written)
 
     def save_store(self):
@@ -208,9 +208,9 @@
             application.stop()
             server.stop()
 
-    def write(self, number, routes):
+    def write(self, number, routes, limits):
         """Write the settings that a version changes; return when confirmed."""
-        resources = build_resources(routes)
+        resources = build_resources(routes, limits)
         changed = {
             path: resources.get(path)
             for path in {*resources, *self.written}
--- a/tests/soak_operators.py
+++ b/tests/soak_operators.py
@@ -1,16 +1,18 @@
 """The operator of a soak: changes routes, and records the confirmations."""
 
 import asyncio
+from dataclasses import asdict
 from dataclasses import dataclass
 
+from poplarrack.resources import CallerLimits
 from tests.soak_records import Change
 from tests.test_platform_adapter import CONFIG
 from tests.test_platform_adapter import ROUTE
 
 SERVICES = ('front', 'back')
 # Routes that all versions have, and whether they are safe.
-SAFE_PREFIX = '/a/'
-STABLE_PREFIXES = {SAFE_PREFIX: True, '/b/': False}
+SAFE_PREFIX, UNSAFE_PREFIX = '/a/', '/b/'
+STABLE_PREFIXES = {SAFE_PREFIX: True, UNSAFE_PREFIX: False}
 MOVED_PREFIXES = {'/c/': True, '/d/': False, '/e/': True}
 # As many as installations have.
 IDLE_ROUTES = 300
@@ -20,6 +22,12 @@
 # change is seen after the longest ones.
 PAUSES_SECONDS = (0.3, 1.0, 4.0, 5.0)
 MAX_SERIES = 3
+# Limits that versions change between. A node that is suspended for longer than
+# the shortest timeout goes on within the run.
+LIMITS = (
+    CallerLimits('callers', 8192, 1_200_000, 1.0, 5.0),
+    CallerLimits('callers', 16384, 2_000_000, 2.0, 8.0),
+)
 CHANGE_KINDS = {}
 
 
@@ -42,8 +50,9 @@
 
     :param record: the Record.
     :param random: a random.Random.
-    :param write: a coroutine function of the number of a version and its
-        RouteStates by prefix, which returns when the store confirmed it.
+    :param write: a coroutine function of the number of a version, its
+        RouteStates by prefix and its CallerLimits, which returns when the
+        store confirmed it.
     """
 
     def __init__(self, record, random, write):
@@ -54,6 +63,7 @@
             prefix: RouteState(safe, SERVICES[0])
             for prefix, safe in prefixes.items()
         }
+        self.limits = LIMITS[0]
         # Routes that were added or dropped, the latest last.
         self.changed = ['/none/']
 
@@ -66,11 +76,11 @@
         sent_at = self.record.clock()
         # Entered before it is sent, since nodes may follow it at once.
         self.record.changes.append(
-            Change(self.number, sent_at, float('inf'), services)
+            Change(self.number, sent_at, float('inf'), services, self.limits)
         )
-        await self.write(self.number, dict(self.routes))
+        await self.write(self.number, dict(self.routes), self.limits)
         self.record.changes[self.number - 1] = Change(
-            self.number, sent_at, self.record.clock(), services
+            self.number, sent_at, self.record.clock(), services, self.limits
         )
 
     async def run(self):
@@ -125,13 +135,19 @@
         operator.changed.append(prefix)
 
 
+@change
+def change_limits(operator):
+    """Widen the limits of callers, or narrow them again."""
+    operator.limits = LIMITS[operator.limits is LIMITS[0]]
+
+
 def add_idle_routes(routes):
     """Return the routes and those that nobody calls."""
     idle = RouteState(True, SERVICES[0])
     return {**routes, **{f'/idle{n}/': idle for n in range(IDLE_ROUTES)}}
 
 
-def build_configuration(number, routes):
+def build_configuration(number, routes, limits):
     """Return the value of ``op/config`` for a version on the platform."""
     return {
         **CONFIG,
@@ -146,15 +162,22 @@
             }
             for prefix, route in add_idle_routes(routes).items()
         },
+        'limits': {
+            'max_header_bytes': limits.max_header_bytes,
+            'max_body_bytes': limits.max_body_bytes,
+            'header_timeout': f'{limits.header_timeout_seconds}s',
+            'idle_timeout': f'{limits.idle_timeout_seconds}s',
+        },
     }
 
 
-def build_resources(routes):
+def build_resources(routes, limits):
     """Return the settings of a version in the product's own mesh by path."""
     resources = {
         f'soak/services/{name}': {'name': name, 'version': 'v1'}
         for name in SERVICES
     }
+    resources['soak/limits/callers'] = asdict(limits)
     for prefix, route in add_idle_routes(routes).items():
         name = f'r-{prefix.strip("/")}'
         resources[f'soak/routes/{name}'] = {
--- a/tests/soak_records.py
+++ b/tests/soak_records.py
@@ -9,6 +9,8 @@
 from itertools import count
 from math import inf
 
+from poplarrack.resources import CallerLimits
+
 # The name under which impairments of the store are recorded.
 STORE = 'store'
 
@@ -19,6 +21,8 @@
 
     ``kept`` says whether its connection had carried a request before,
     ``denies_run`` whether the answer promises that it did not run.
+    ``pause_seconds`` is the longest pause that its caller made in it;
+    ``behind`` is the request that was sent ahead of it, or None.
     """
 
     key: str
@@ -33,6 +37,9 @@
     stamp: str = ''
     denies_run: bool = False
     abandoned: bool = False
+    head_bytes: int = 0
+    pause_seconds: float = 0.0
+    behind: object = field(default=None, repr=False)
 
 
 @dataclass(slots=True)
@@ -78,11 +85,21 @@
     sent_at: float
     acked_at: float
     services: dict
+    limits: CallerLimits = CallerLimits('callers')
 
     def service_of(self, path):
         """Return the service of a path, None if no route matches it."""
         return self.services.get(path[: path.index('/', 1) + 1])
 
+    def allows(self, request):
+        """Return whether a request has a route and keeps the limits."""
+        return (
+            self.service_of(request.path) is not None
+            and request.head_bytes <= self.limits.max_header_bytes
+            and len(request.body) <= self.limits.max_body_bytes
+            and request.pause_seconds <= self.limits.header_timeout_seconds
+        )
+
 
 @dataclass
 class Disturbance:
@@ -175,6 +192,17 @@
             for item in (name, STORE)
         )
 
+    def select_in_force(self, start, end, bound):
+        """Return the versions that may be in force from start to end.
+
+        :param bound: the seconds from the ack of a version to its effect.
+        """
+        first = 0
+        for position, change in enumerate(self.changes):
+            if change.acked_at + bound < start:
+                first = position
+        return [item for item in self.changes[first:] if item.sent_at <= end]
+
     def boot_of(self, host, at):
         """Return the number of the host's process at a time."""
         return bisect_right(self.boots[host], at)
--- a/tests/soaks.py
+++ b/tests/soaks.py
@@ -90,9 +90,9 @@
         """Return a random.Random of its own for a part of the soak."""
         return Random(f'{self.seed} {name}')
 
-    async def write(self, number, routes):
+    async def write(self, number, routes, limits):
         """Write a version of the configuration to the store."""
-        await asyncio.to_thread(self.mesh.write, number, routes)
+        await asyncio.to_thread(self.mesh.write, number, routes, limits)
 
     async def run(self, seconds):
         """Run the nodes, the callers and the faults; check the record.
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -1,7 +1,10 @@
 """Test that each check of the soak finds what it is for."""
 
+from poplarrack.resources import CallerLimits
 from tests.soak_checks import check_answer
 from tests.soak_checks import check_record
+from tests.soak_checks import MAX_DENIED
+from tests.soak_checks import MAX_DENIED_OUT_OF_TOUCH
 from tests.soak_http import HttpMessage
 from tests.soak_records import Change
 from tests.soak_records import Disturbance
@@ -174,3 +177,90 @@
         for _ in range(4):
             add_run(record, add_request(record, 5.0, kept=kept))
         assert rules_broken(record) == found
+
+
+def deny(number, disturbed=(), **fields):
+    """Return the rules that a number of refused requests breaks.
+
+    Versions widen the limits from 10 s and from 20 s on, and add a route
+    from 20 s on.
+
+    :param disturbed: spans in which the host was impaired.
+    """
+    record = Record(lambda: 0.0)
+    record.boots[HOST] = [0.0]
+    narrow = CallerLimits('callers', 8000, 100, 1.0, 5.0)
+    wide = CallerLimits('callers', 9000, 200, 2.0, 5.0)
+    services = {'/c/': 'front'}
+    added = {**services, '/n1/': 'front'}
+    record.changes = [
+        Change(1, 0.0, 0.0, services, narrow),
+        Change(2, 9.9, 10.0, services, wide),
+        Change(3, 19.9, 20.0, added, wide),
+    ]
+    record.disturbances[HOST] = [Disturbance(*span) for span in disturbed]
+    for _ in range(number):
+        add_request(record, **fields)
+    return set(rules_broken(record))
+
+
+# A node answered 400 to requests whose callers kept the limits.
+def test_proper_requests_that_are_refused_are_found_beyond_the_bound():
+    frozen = ((4.0, 6.0),)
+    for number, disturbed, fields, broken in (
+        # What all versions allow is proper at any node.
+        (MAX_DENIED, (), {'sent_at': 5.0, 'status': 400}, False),
+        (MAX_DENIED + 1, (), {'sent_at': 5.0, 'status': 400}, True),
+        (MAX_DENIED + 1, frozen, {'sent_at': 5.0, 'status': 400}, True),
+        (MAX_DENIED + 1, (), {'sent_at': 5.0, 'status': 302}, True),
+        # A promise that the request did not run says nothing against it.
+        (9, (), {'sent_at': 5.0, 'status': 408}, False),
+        (9, (), {'sent_at': 5.0, 'status': 429}, False),
+        (9, (), {'sent_at': 5.0, 'status': 503}, False),
+        # An endpoint's own answer.
+        (9, (), {'sent_at': 5.0, 'status': 400, 'stamp': 's1'}, False),
+    ):
+        found = deny(number, disturbed, **fields)
+        assert ('DENIED' in found) == broken, (number, disturbed, fields)
+
+
+# Nodes have a time to take over a version, and longer while out of touch.
+def test_requests_are_judged_by_the_versions_that_may_be_in_force():
+    large = {'status': 413, 'body': b'x' * 150}
+    slow = {'status': 400, 'pause_seconds': 1.5}
+    head = {'status': 400, 'head_bytes': 8500}
+    added = {'status': 404, 'path': '/n1/x'}
+    for fields in (large, slow, head):
+        assert 'DENIED' not in deny(9, sent_at=12.4, **fields), fields
+        assert 'DENIED' in deny(9, sent_at=12.6, **fields), fields
+        found = deny(9, [(12.0, 13.0)], sent_at=12.6, **fields)
+        assert 'DENIED' not in found, fields
+    assert 'DENIED' not in deny(9, sent_at=22.4, **added)
+    assert 'DENIED' in deny(9, sent_at=22.6, **added)
+    assert 'DENIED' not in deny(9, sent_at=30.0, body=b'x' * 250, status=413)
+
+
+def test_routes_of_all_versions_are_known_to_nodes_out_of_touch():
+    # A node that knows no configuration yet answered 404 in place of 503.
+    record = Record(lambda: 0.0)
+    record.changes = [Change(1, 0.0, 0.0, {'/c/': 'front'})]
+    record.disturbances[HOST] = [Disturbance(4.0, 6.0)]
+    # Enough requests for the bound on all nodes to allow as many.
+    for _ in range(5000):
+        add_request(record, 1.0, status=503)
+    for _ in range(MAX_DENIED_OUT_OF_TOUCH):
+        add_request(record, 5.0, status=401)
+    assert not rules_broken(record)
+    add_request(record, 5.0, status=401)
+    assert set(rules_broken(record)) == {'DENIED'}
+
+
+def test_what_was_sent_behind_a_broken_answer_is_not_lost():
+    # The connection ends with the answer that its endpoint broke off.
+    for status, found in ((0, []), (200, ['LOST'])):
+        record = build_record()
+        for _ in range(4):
+            first = add_request(record, 5.0, status=status)
+            behind = add_request(record, 5.0, kept=True, behind=first)
+            add_run(record, behind)
+        assert rules_broken(record) == found
