Have the soak find kinds of requests that starve

All routes of the soak had one rank, and its load filled no endpoint, so that it could not see this.

Cause: no load of the soak made ranks compete.

Change: two routes of one service with ranks 0 and 3 are called in bursts, 80 callers of the urgent and 10 of the other, beyond what the service can run. Suspensions of nodes with callers between two parts, and large bodies at a node's start, come twice as often.

--- a/tests/soak_callers.py
+++ b/tests/soak_callers.py
@@ -87,17 +87,22 @@
                 'MIXED', self.host.name, f'sent {unasked!r} without a request'
             )
 
-    async def call(self, key=None, in_parts=False, is_large=False):
+    async def call(
+        self, key=None, in_parts=False, is_large=False, prefix=None
+    ):
         """Send one request and record its answer.
 
         :param key: the id of a call that an endpoint makes, to a safe route;
             None for a request of its own.
         :param in_parts: whether it has a body that comes with a pause.
         :param is_large: whether it has a body nearly as large as allowed.
+        :param prefix: the prefix of a safe route, None for that of the others.
         :returns: the Request.
         """
         if in_parts or is_large:
             request = self.build_unsafe(is_large)
+        elif prefix is not None:
+            request = self.build_safe(self.new_key(), prefix)
         else:
             request = self.build_request(key)
         self.record.requests[request.key] = request
@@ -126,7 +131,7 @@
         """Send several safe requests at once and record their answers."""
         requests = []
         for _ in range(self.random.randint(2, MAX_AHEAD)):
-            request = self.build_request(f'c{next(self.record.numbers)}')
+            request = self.build_request(None)
             request.behind = requests[-1] if requests else None
             requests.append(request)
             self.record.requests[request.key] = request
@@ -208,10 +213,14 @@
             return self.build_safe(key, SAFE_PREFIX)
         prefix, safe = self.soak.operator.draw_prefix(self.random)
         if safe:
-            return self.build_safe(f'c{next(self.record.numbers)}', prefix)
+            return self.build_safe(self.new_key(), prefix)
         is_large = self.random.random() < LARGE_FRACTION
         return self.build_unsafe(is_large, prefix)
 
+    def new_key(self):
+        """Return the id of a request of its own."""
+        return f'c{next(self.record.numbers)}'
+
     def build_safe(self, key, prefix):
         """Return a Request without a body."""
         now = self.record.clock()
@@ -219,7 +228,7 @@
 
     def build_unsafe(self, is_large, prefix=UNSAFE_PREFIX):
         """Return a Request with a body."""
-        key = f'c{next(self.record.numbers)}'
+        key = self.new_key()
         return Request(
             key,
             self.host.name,
--- a/tests/soak_checks.py
+++ b/tests/soak_checks.py
@@ -3,7 +3,10 @@
 The bounds are those of the settings of an installation.
 """
 
+from collections import defaultdict
+
 from tests.soak_records import build_body
+from tests.soak_records import CALL_MARK
 from tests.soak_records import STORE
 
 # From the ack of a version to the requests that must be handled by it.
@@ -23,6 +26,10 @@
 # leave was acknowledged.
 LEAVE_TOLERANCE_SECONDS = 0.5
 # Statuses that assert that the request did not run.
+# A kind of request is served at least this part as often as all requests.
+MIN_SERVED_RATIO = 0.25
+# Fewer requests of a kind say nothing.
+MIN_REQUESTS_OF_KIND = 50
 NOT_RUN_STATUSES = {408, 421, 429, 503}
 # Those of them that don't say that the request is wrong.
 RETURNING_STATUSES = {408, 421, 429}
@@ -296,6 +303,46 @@
     return f'ran in {handling.service} for {path}'
 
 
+@record_check
+def check_starved(record):
+    """Check that no kind of request is starved while others are served.
+
+    A kind is a route that all versions have, or the calls of endpoints.
+    """
+    kinds = defaultdict(list)
+    for request in record.requests.values():
+        if not request.abandoned and all(
+            item.allows(request) for item in record.changes
+        ):
+            kinds[kind_of(request)].append(request)
+    every = [request for requests in kinds.values() for request in requests]
+    for kind, requests in kinds.items():
+        served = served_fraction(requests)
+        record.counts[f'served of {kind} %'] = round(served * 100)
+        if (
+            len(requests) >= MIN_REQUESTS_OF_KIND
+            and served < MIN_SERVED_RATIO * served_fraction(every)
+        ):
+            yield (
+                'STARVED',
+                kind,
+                f'served {served:.3f} of {len(requests)}, of all requests '
+                f'{served_fraction(every):.3f} of {len(every)}',
+            )
+
+
+def kind_of(request):
+    """Return the prefix of a request, or what calls of endpoints have."""
+    if CALL_MARK in request.key:
+        return CALL_MARK
+    return request.path[: request.path.index('/', 1) + 1]
+
+
+def served_fraction(requests):
+    """Return the part of requests that got an endpoint's answer."""
+    return sum(bool(item.stamp) for item in requests) / len(requests)
+
+
 @record_check
 def check_lost(record):
     """Check that nodes in touch don't lose requests with kept connections.
--- a/tests/soak_endpoints.py
+++ b/tests/soak_endpoints.py
@@ -15,7 +15,9 @@
 from tests.soak_http import NotHttpError
 from tests.soak_http import read_message
 from tests.soak_http import STREAM_LIMIT_BYTES
+from tests.soak_operators import BURST_RANKS
 from tests.soak_records import build_body
+from tests.soak_records import CALL_MARK
 from tests.soak_records import Run
 
 # The part of the endpoints that stutter, and the part of their answers that
@@ -28,7 +30,8 @@
 # The part of the runs that make a call of their own. Some endpoints give it
 # the same id when a request runs again.
 CALLING_FRACTION = 0.05
-CALL_MARK = '-call'
+# The run time of requests that come in bursts.
+BURST_RUN_SECONDS = 0.2
 STATUSES = (200,) * 22 + (404, 500, 500)
 CUT_SECONDS = 0.02
 STUTTERS = {}
@@ -256,6 +259,8 @@
         seconds = self.random.random() * self.random.choice((0.02, 0.02, 0.1))
         if self.random.random() < 0.01:
             seconds += self.random.random()
+        if request.target.startswith(tuple(BURST_RANKS)):
+            seconds = BURST_RUN_SECONDS
         deadline_ms = request.headers.get(self.mesh.deadline_header, 1000)
         await asyncio.sleep(min(seconds, int(deadline_ms) / 1000))
         if CALL_MARK not in key and self.random.random() < CALLING_FRACTION:
--- a/tests/soak_faults.py
+++ b/tests/soak_faults.py
@@ -7,11 +7,18 @@
 from tests.soak_callers import Caller
 from tests.soak_checks import CONFIG_SECONDS
 from tests.soak_checks import STABLE_WINDOW_SECONDS
+from tests.soak_operators import LESS_URGENT_PREFIX
+from tests.soak_operators import URGENT_PREFIX
 from tests.soak_records import STORE
 
 FAULT_KINDS = {}
 # Spells of planned work have no others.
-PLANNED_KINDS = ('reload_node', 'replace_endpoint', 'restart_in_turn')
+PLANNED_KINDS = (
+    'burst_urgent',
+    'reload_node',
+    'replace_endpoint',
+    'restart_in_turn',
+)
 MAX_DOWN_SECONDS = 1.0
 MAX_FREEZE_SECONDS = 3.0
 # Callers that send a body in two parts while their node is suspended for
@@ -21,6 +28,10 @@
 SENDING_FREEZE_FACTORS = (1.1, 1.3)
 START_POLL_SECONDS = 0.01
 MAX_START_SECONDS = 3.0
+# Callers at all hosts in a burst, by the prefix of their requests.
+BURST_CALLERS = {URGENT_PREFIX: 80, LESS_URGENT_PREFIX: 10}
+BURST_SECONDS = 3.0
+BURST_PAUSE_SECONDS = 0.1
 MAX_STORE_FAILURE_SECONDS = 3.0
 MAX_GAP_SECONDS = 0.7
 MAX_COPY_AGE_SECONDS = 4.0
@@ -131,7 +142,7 @@
                 host.start()
 
 
-@fault(2)
+@fault(4)
 async def freeze_while_sending(soak, host):
     """Suspend a node while callers are between two parts of a body."""
     async with host.lock:
@@ -162,7 +173,7 @@
         await asyncio.gather(*calls)
 
 
-@fault(1)
+@fault(2)
 async def send_large_at_start(soak, host):
     """Send large bodies to a node that has just started."""
     await kill_node(soak, host)
@@ -261,6 +272,31 @@
     await host.endpoint.call_node(*soak.mesh.build_odd_report(host.endpoint))
 
 
+@fault(2)
+async def burst_urgent(soak, host):
+    """Send more urgent requests than a service can run, and some others."""
+    if soak.burst_lock.locked():
+        return
+    async with soak.burst_lock:
+        end = soak.clock() + BURST_SECONDS
+        await asyncio.gather(
+            *(
+                send_until(soak, prefix, end)
+                for prefix, callers in BURST_CALLERS.items()
+                for _ in range(callers)
+            )
+        )
+
+
+async def send_until(soak, prefix, end):
+    """Send the requests of one caller in a burst."""
+    host = soak.random.choice(soak.hosts)
+    caller = Caller(soak, host, soak.random, keeps=False)
+    while soak.clock() < end:
+        await caller.call(prefix=prefix)
+        await pause(soak, BURST_PAUSE_SECONDS)
+
+
 @fault(4)
 async def crash_endpoint(soak, host):
     """Replace an endpoint that stops without a leave by a new instance."""
--- a/tests/soak_operators.py
+++ b/tests/soak_operators.py
@@ -13,6 +13,9 @@
 # Routes that all versions have, and whether they are safe.
 SAFE_PREFIX, UNSAFE_PREFIX = '/a/', '/b/'
 STABLE_PREFIXES = {SAFE_PREFIX: True, UNSAFE_PREFIX: False}
+# Safe routes of one service that are called in bursts only, and their ranks.
+URGENT_PREFIX, LESS_URGENT_PREFIX = '/u/', '/l/'
+BURST_RANKS = {URGENT_PREFIX: 0, LESS_URGENT_PREFIX: 3}
 MOVED_PREFIXES = {'/c/': True, '/d/': False, '/e/': True}
 # As many as installations have.
 IDLE_ROUTES = 300
@@ -39,10 +42,11 @@
 
 @dataclass(frozen=True)
 class RouteState:
-    """A route: whether it is safe, and its service."""
+    """A route: whether it is safe, its service and its rank."""
 
     safe: bool
     service: str
+    rank: int = ROUTE['priority']
 
 
 class Operator:
@@ -63,6 +67,8 @@
             prefix: RouteState(safe, SERVICES[0])
             for prefix, safe in prefixes.items()
         }
+        for prefix, rank in BURST_RANKS.items():
+            self.routes[prefix] = RouteState(True, SERVICES[0], rank)
         self.limits = LIMITS[0]
         # Routes that were added or dropped, the latest last.
         self.changed = ['/none/']
@@ -157,6 +163,7 @@
                 **ROUTE,
                 'prefix': prefix,
                 'route_type': 'safe' if route.safe else 'unsafe',
+                'priority': route.rank,
                 'backends': None,
                 'service': route.service,
             }
@@ -185,5 +192,6 @@
             'prefix': prefix,
             'service': route.service,
             'repeatable': route.safe,
+            'rank': route.rank,
         }
     return resources
--- a/tests/soak_records.py
+++ b/tests/soak_records.py
@@ -13,6 +13,8 @@
 
 # The name under which impairments of the store are recorded.
 STORE = 'store'
+# What the ids of calls contain that endpoints make.
+CALL_MARK = '-call'
 
 
 @dataclass(slots=True)
--- a/tests/soaks.py
+++ b/tests/soaks.py
@@ -69,7 +69,7 @@
         self.seed, self.random, self.clock = seed, Random(seed), clock
         self.directory, self.mesh = directory, mesh
         self.net = choose_net(seed)
-        self.store_lock = asyncio.Lock()
+        self.store_lock, self.burst_lock = asyncio.Lock(), asyncio.Lock()
         self.zone_locks = defaultdict(asyncio.Lock)
         self.record = Record(clock)
         self.serving_hosts = set()
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -5,6 +5,7 @@
 from tests.soak_checks import check_record
 from tests.soak_checks import MAX_DENIED
 from tests.soak_checks import MAX_DENIED_OUT_OF_TOUCH
+from tests.soak_checks import MIN_REQUESTS_OF_KIND
 from tests.soak_http import HttpMessage
 from tests.soak_records import Change
 from tests.soak_records import Disturbance
@@ -264,3 +265,29 @@
             behind = add_request(record, 5.0, kept=True, behind=first)
             add_run(record, behind)
         assert rules_broken(record) == found
+
+
+# One rank or one service's calls would get nothing while the whole stands.
+def test_a_kind_that_is_served_far_less_than_all_is_found():
+    for path, served, fields, broken in (
+        ('/l/x', 5, {}, True),
+        ('/l/x', 15, {}, False),
+        # Not owed: its callers left, or a version has no such route.
+        ('/l/x', 0, {'abandoned': True}, False),
+        ('/n1/x', 0, {}, False),
+    ):
+        record = Record(lambda: 0.0)
+        record.boots[HOST] = [0.0]
+        services = {'/c/': 'front', '/l/': 'front'}
+        record.changes = [
+            Change(1, 0.0, 0.0, services),
+            Change(2, 0.0, 0.0, {**services, '/n1/': 'front'}),
+        ]
+        for _ in range(MIN_REQUESTS_OF_KIND * 10):
+            add_request(record, 5.0, status=200, stamp='s')
+        for number in range(MIN_REQUESTS_OF_KIND):
+            request = add_request(record, 5.0, path, status=503, **fields)
+            if number < served:
+                request.stamp = 's'
+        found = rules_broken(record)
+        assert found == ['STARVED'] * broken, (path, served, fields)
