Count own answers by status and kind

Cause: the counters have the kind in their name.

Change: poplarrack_own_answers, with the labels status and kind, one series for each kind of error from the start. The counters by kind stay.

Measured: tests.test_metrics holds, 3 tests, one of them new, which fails without the change as the family is missing.

--- a/poplarrack/metrics.py
+++ b/poplarrack/metrics.py
@@ -8,6 +8,7 @@
 from collections import Counter
 import re
 
+from poplarrack.errors import ANSWERS
 from poplarrack.evidence import ENTIRE_STAGE
 from poplarrack.pages import Page
 from poplarrack.store_histories import history_of
@@ -84,6 +85,7 @@
             text = name.replace('_', ' ')
             yield GaugeMetricFamily(f'poplarrack_{name}', text, value)
         yield from self._collect_moves(facts)
+        yield self._collect_own_answers()
         traffic = self.server.traffic
         counters = {
             'peer_messages_in': traffic.messages_in,
@@ -111,6 +113,27 @@
             text = name.replace('_', ' ')
             yield CounterMetricFamily(f'poplarrack_{name}', text, value)
 
+    def _collect_own_answers(self):
+        """Return how many calls the node ended itself.
+
+        All kinds are there from the start, so that the first one of a kind
+        shows as an increase.
+        """
+        from prometheus_client.core import CounterMetricFamily
+
+        family = CounterMetricFamily(
+            'poplarrack_own_answers',
+            'calls that the node ended itself, by its status and the kind',
+            labels=['status', 'kind'],
+        )
+        counts = self.node.dispatcher.counts
+        for kind, answer in ANSWERS.items():
+            family.add_metric(
+                [str(answer.http_status), kind.value],
+                counts[f'refused_{kind.value}'],
+            )
+        return family
+
     def _collect_room(self, family, receiver):
         """Yield how many requests the endpoint may run, and the slots."""
         admission = receiver.admission
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -7,6 +7,7 @@
 from prometheus_client.exposition import generate_latest
 
 from poplarrack.blackboards import Facts
+from poplarrack.errors import ErrorKind
 from poplarrack.evidence import Cell
 from poplarrack.evidence import CellKey
 from poplarrack.evidence import ENTIRE_STAGE
@@ -30,8 +31,8 @@
 load_tests = build_load_tests(__name__)
 
 
-def scrape(facts):
-    dispatcher = SimpleNamespace(in_flight=0, counts=Counter())
+def scrape(facts, **counts):
+    dispatcher = SimpleNamespace(in_flight=0, counts=Counter(counts))
     node = SimpleNamespace(
         blackboard=SimpleNamespace(facts=facts), dispatcher=dispatcher
     )
@@ -76,6 +77,30 @@
         assert line in page, page
 
 
+# Refusals with a 4xx could not be told from those that may come back.
+def test_own_answers_are_counted_by_status_and_kind():
+    settings = NodeSettings(
+        'n', 'south', 'a', 'n', '', '', '', PlatformSettings(())
+    )
+    page = scrape(
+        Facts(settings, member('n')), refused_no_route=3, refused_overloaded=5
+    )
+    lines = [
+        line
+        for line in page.splitlines()
+        if line.startswith('poplarrack_own_answers_total{')
+    ]
+    name = 'poplarrack_own_answers_total'
+    for kind, status, value in (
+        ('no_route', 404, 3.0),
+        ('overloaded', 503, 5.0),
+        ('malformed_request', 400, 0.0),
+    ):
+        line = f'{name}{{kind="{kind}",status="{status}"}} {value}'
+        assert line in lines, lines
+    assert len(lines) == len(ErrorKind)
+
+
 # An organisation a label would let the metrics grow with the configuration.
 def test_the_labels_of_organisations_are_bounded():
     counts = {
