--- a/tests/soak_checks.py
+++ b/tests/soak_checks.py
@@ -308,19 +308,10 @@
     """Check that no kind of request is starved while others are served.
 
     A kind is a route that all versions have, or the calls of endpoints.
-    Requests count that meet no impairment anywhere, since one may hit the
-    service of some kinds only.
     """
     kinds = defaultdict(list)
     for request in record.requests.values():
-        if (
-            not request.abandoned
-            and all(item.allows(request) for item in record.changes)
-            and all(
-                record.is_undisturbed(name, request.sent_at, request.ended_at)
-                for name in list(record.disturbances)
-            )
-        ):
+        if is_owed(record, request):
             kinds[kind_of(request)].append(request)
     every = [request for requests in kinds.values() for request in requests]
     for kind, requests in kinds.items():
@@ -338,6 +329,24 @@
             )
 
 
+def is_owed(record, request):
+    """Return whether all versions allow a request, and no impairment met it.
+
+    An impairment of any node counts, since it may hit the service of some
+    kinds only.
+    """
+    start, end = request.sent_at, request.ended_at
+    return (
+        not request.abandoned
+        and record.served_from <= start <= record.stopped_at
+        and all(version.allows(request) for version in record.changes)
+        and all(
+            record.is_undisturbed(name, start, end)
+            for name in list(record.disturbances)
+        )
+    )
+
+
 def kind_of(request):
     """Return the prefix of a request, or what calls of endpoints have."""
     if CALL_MARK in request.key:
--- a/tests/soak_records.py
+++ b/tests/soak_records.py
@@ -132,7 +132,8 @@
     """All that callers, endpoints and the operator did and saw.
 
     ``boots`` has the times at which each host's processes were started,
-    ``stopped_at`` when all hosts were sent SIGTERM at the end.
+    ``served_from`` when calls through every node had succeeded, ``stopped_at``
+    when all hosts were sent SIGTERM at the end.
     """
 
     clock: object
@@ -145,6 +146,7 @@
     counts: Counter = field(default_factory=Counter)
     violations: list = field(default_factory=list)
     numbers: object = field(default_factory=lambda: count(1))
+    served_from: float = 0.0
     stopped_at: float = inf
 
     def add_run(self, run):
--- a/tests/soaks.py
+++ b/tests/soaks.py
@@ -111,6 +111,7 @@
         watch = asyncio.ensure_future(self.watch())
         try:
             await self.wait_for_recovery()
+            self.record.served_from = self.clock()
             await send_burst(self)
             await self.disturb(self.clock() + seconds)
             await self.wait_for_recovery()
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -277,6 +277,8 @@
         ('/n1/x', 0, {}, False),
         # Sent while another node was impaired.
         ('/l/x', 0, {'sent_at': 8.0}, False),
+        # Sent while the nodes were started.
+        ('/l/x', 0, {'sent_at': 1.0}, False),
     ):
         record = Record(lambda: 0.0)
         record.boots[HOST] = [0.0]
@@ -285,6 +287,7 @@
             Change(1, 0.0, 0.0, services),
             Change(2, 0.0, 0.0, {**services, '/n1/': 'front'}),
         ]
+        record.served_from = 2.0
         record.disturbances['sidecar-a-1'].append(Disturbance(7.0, 9.0))
         for _ in range(MIN_REQUESTS_OF_KIND * 10):
             add_request(record, 5.0, status=200, stamp='s')
