--- a/tests/soak_checks.py
+++ b/tests/soak_checks.py
@@ -3,7 +3,11 @@
 The bounds are those of the settings of an installation.
 """
 
+from collections import defaultdict
+
 from tests.soak_records import build_body
+from tests.soak_records import CALL_MARK
+from tests.soak_records import STORE
 
 # From the ack of a version to the requests that must be handled by it.
 CONFIG_SECONDS = 2.5
@@ -13,11 +17,23 @@
 SLOWED_FACTOR = 8
 # Requests that a node may lose with a kept connection.
 MAX_LOST = 3
+# Proper requests that nodes may refuse as if they were wrong, in each number
+# of requests besides, and for want of a route or a key while out of touch.
+MAX_DENIED = 5
+REQUESTS_PER_DENIED = 500
+MAX_DENIED_OUT_OF_TOUCH = 10
 # An endpoint gets no further requests from LEAVE_TOLERANCE_SECONDS after its
 # leave was acknowledged.
 LEAVE_TOLERANCE_SECONDS = 0.5
 # Statuses that assert that the request did not run.
+# A kind of request is served at least this part as often as all requests.
+MIN_SERVED_RATIO = 0.25
+# Fewer requests of a kind say nothing.
+MIN_REQUESTS_OF_KIND = 50
 NOT_RUN_STATUSES = {408, 421, 429, 503}
+# Those of them that don't say that the request is wrong.
+RETURNING_STATUSES = {408, 421, 429}
+ROUTE_STATUSES = {401, 403, 404}
 ANSWER_CHECKS = []
 RECORD_CHECKS = []
 
@@ -128,6 +144,83 @@
             )
 
 
+@record_check
+def check_denied(record):
+    """Check that proper requests are not refused as if they were wrong.
+
+    Nodes in touch follow the versions that may be in force. What all versions
+    allow counts from any node, since neither an impairment nor an older
+    version makes it wrong.
+    """
+    denied = [
+        request
+        for request in record.requests.values()
+        if is_denial(request) and is_allowed(record, request)
+    ]
+    out_of_touch = [
+        request
+        for request in denied
+        if request.status in ROUTE_STATUSES
+        and not was_in_touch(record, request)
+    ]
+    record.counts['denied'] = len(denied)
+    allowed = MAX_DENIED + len(record.requests) // REQUESTS_PER_DENIED
+    if len(denied) <= allowed:
+        denied = out_of_touch
+        allowed = MAX_DENIED_OUT_OF_TOUCH
+    if len(denied) > allowed:
+        for request in denied:
+            yield 'DENIED', request.key, describe_denial(record, request)
+
+
+def is_allowed(record, request):
+    """Return whether no version that its node may follow rules it out."""
+    versions = record.changes
+    if was_in_touch(record, request):
+        versions = record.select_in_force(
+            request.sent_at, request.ended_at, CONFIG_SECONDS
+        )
+    return all(version.allows(request) for version in versions)
+
+
+def was_in_touch(record, request):
+    """Return whether a request's node was in touch all the while.
+
+    A node that got SIGTERM is not in touch.
+    """
+    return request.sent_at <= record.stopped_at and record.is_in_touch(
+        request.host,
+        request.sent_at,
+        request.ended_at,
+        STABLE_WINDOW_SECONDS,
+    )
+
+
+def is_denial(request):
+    """Return whether a node says of a request that it is wrong."""
+    return (
+        300 <= request.status < 500
+        and request.status not in RETURNING_STATUSES
+        and not request.stamp
+    )
+
+
+def describe_denial(record, request):
+    """Say which proper request was refused, and beside what."""
+    impaired = [
+        name
+        for name in (request.host, STORE)
+        if not record.is_undisturbed(
+            name, request.sent_at - STABLE_WINDOW_SECONDS, request.ended_at
+        )
+    ]
+    return (
+        f'at {request.host}, got {request.status} for {request.path} with '
+        f'{request.head_bytes} + {len(request.body)} bytes and a pause of '
+        f'{request.pause_seconds:.2f} s; impaired: {impaired}'
+    )
+
+
 @record_check
 def check_confirmed(record):
     """Check that nodes in touch follow each confirmed version in time."""
@@ -210,17 +303,75 @@
     return f'ran in {handling.service} for {path}'
 
 
+@record_check
+def check_starved(record):
+    """Check that no kind of request is starved while others are served.
+
+    A kind is a route that all versions have, or the calls of endpoints.
+    """
+    kinds = defaultdict(list)
+    for request in record.requests.values():
+        if is_owed(record, request):
+            kinds[kind_of(request)].append(request)
+    every = [request for requests in kinds.values() for request in requests]
+    for kind, requests in kinds.items():
+        served = served_fraction(requests)
+        record.counts[f'served of {kind} %'] = round(served * 100)
+        if (
+            len(requests) >= MIN_REQUESTS_OF_KIND
+            and served < MIN_SERVED_RATIO * served_fraction(every)
+        ):
+            yield (
+                'STARVED',
+                kind,
+                f'served {served:.3f} of {len(requests)}, of all requests '
+                f'{served_fraction(every):.3f} of {len(every)}',
+            )
+
+
+def is_owed(record, request):
+    """Return whether all versions allow a request, and no impairment met it.
+
+    An impairment of any node counts, since it may hit the service of some
+    kinds only.
+    """
+    start, end = request.sent_at, request.ended_at
+    return (
+        not request.abandoned
+        and record.served_from <= start <= record.stopped_at
+        and all(version.allows(request) for version in record.changes)
+        and all(
+            record.is_undisturbed(name, start, end)
+            for name in list(record.disturbances)
+        )
+    )
+
+
+def kind_of(request):
+    """Return the prefix of a request, or what calls of endpoints have."""
+    if CALL_MARK in request.key:
+        return CALL_MARK
+    return request.path[: request.path.index('/', 1) + 1]
+
+
+def served_fraction(requests):
+    """Return the part of requests that got an endpoint's answer."""
+    return sum(bool(item.stamp) for item in requests) / len(requests)
+
+
 @record_check
 def check_lost(record):
     """Check that nodes in touch don't lose requests with kept connections.
 
-    Only requests count whose endpoint wrote a whole answer.
+    Only requests count whose endpoint wrote a whole answer. Those that were
+    sent behind one without an answer end with its connection.
     """
     lost = [
         request
         for request in record.requests.values()
         if request.kept
         and not (request.status or request.abandoned)
+        and (request.behind is None or request.behind.status)
         and record.runs[request.key]
         and all(run.sound for run in record.runs[request.key])
         and record.is_in_touch(
--- a/tests/soak_faults.py
+++ b/tests/soak_faults.py
@@ -4,7 +4,11 @@
 from contextlib import contextmanager
 import signal
 
+from tests.soak_callers import Caller
+from tests.soak_checks import CONFIG_SECONDS
 from tests.soak_checks import STABLE_WINDOW_SECONDS
+from tests.soak_operators import LESS_URGENT_PREFIX
+from tests.soak_operators import URGENT_PREFIX
 from tests.soak_records import STORE
 
 FAULT_KINDS = {}
@@ -12,6 +16,17 @@
 PLANNED_KINDS = ('reload_node', 'replace_endpoint', 'restart_in_turn')
 MAX_DOWN_SECONDS = 1.0
 MAX_FREEZE_SECONDS = 3.0
+# Callers that send a body in two parts while their node is suspended for
+# longer than it may wait for the second part.
+SENDERS = 30
+SENDING_SECONDS = 0.1
+SENDING_FREEZE_FACTORS = (1.1, 1.3)
+START_POLL_SECONDS = 0.01
+MAX_START_SECONDS = 3.0
+# Callers at all hosts in a burst, by the prefix of their requests.
+BURST_CALLERS = {URGENT_PREFIX: 150, LESS_URGENT_PREFIX: 15}
+BURST_SECONDS = 3.0
+BURST_PAUSE_SECONDS = 0.3
 MAX_STORE_FAILURE_SECONDS = 3.0
 MAX_GAP_SECONDS = 0.7
 MAX_COPY_AGE_SECONDS = 4.0
@@ -62,6 +77,13 @@
     await asyncio.sleep(soak.random.random() * longest_seconds)
 
 
+async def wait_for_start(soak, host):
+    """Wait until a node that is started serves."""
+    end = soak.clock() + MAX_START_SECONDS
+    while not host.has_started() and soak.clock() < end:
+        await asyncio.sleep(START_POLL_SECONDS)
+
+
 @fault(4)
 async def kill_node(soak, host):
     """Kill a node's process and start it again.
@@ -115,6 +137,48 @@
                 host.start()
 
 
+@fault(4)
+async def freeze_while_sending(soak, host):
+    """Suspend a node while callers are between two parts of a body."""
+    async with host.lock:
+        await wait_for_start(soak, host)
+        callers = [
+            Caller(soak, host, soak.random, keeps=False)
+            for _ in range(SENDERS)
+        ]
+        now = soak.clock()
+        timeout = max(
+            version.limits.header_timeout_seconds
+            for version in soak.record.select_in_force(
+                now, now, CONFIG_SECONDS
+            )
+        )
+        calls = [
+            asyncio.ensure_future(caller.call(in_parts=True))
+            for caller in callers
+        ]
+        await asyncio.sleep(SENDING_SECONDS)
+        with disturbed(soak, host.name):
+            host.signal(signal.SIGSTOP)
+            factor = soak.random.uniform(*SENDING_FREEZE_FACTORS)
+            await asyncio.sleep(timeout * factor)
+            host.signal(signal.SIGCONT)
+            if host.killed:
+                host.start()
+        await asyncio.gather(*calls)
+
+
+@fault(2)
+async def send_large_at_start(soak, host):
+    """Send large bodies to a node that has just started."""
+    await kill_node(soak, host)
+    await wait_for_start(soak, host)
+    callers = [
+        Caller(soak, host, soak.random, keeps=False) for _ in range(SENDERS)
+    ]
+    await asyncio.gather(*(caller.call(is_large=True) for caller in callers))
+
+
 @fault(4)
 async def reload_node(soak, host):
     """Send SIGHUP, several times in quick succession."""
@@ -135,6 +199,21 @@
             soak.mesh.restore_store()
 
 
+@fault(1)
+async def start_without_store(soak, host):
+    """Kill a node and others, and start them while the store fails."""
+    async with soak.store_lock:
+        others = soak.random.sample(
+            soak.hosts, soak.random.randint(1, len(soak.hosts))
+        )
+        with disturbed(soak, STORE):
+            soak.mesh.fail_store(soak.random)
+            starts = (kill_node(soak, other) for other in others)
+            await asyncio.gather(*starts)
+            await pause(soak, MAX_STORE_FAILURE_SECONDS)
+            soak.mesh.restore_store()
+
+
 @fault(1)
 async def return_store(soak, host):
     """Have the store come back from a copy that is some seconds old."""
@@ -188,6 +267,35 @@
     await host.endpoint.call_node(*soak.mesh.build_odd_report(host.endpoint))
 
 
+@fault(1)
+async def burst_urgent(soak, host):
+    """Send a burst unless there is one."""
+    if not soak.burst_lock.locked():
+        async with soak.burst_lock:
+            await send_burst(soak)
+
+
+async def send_burst(soak):
+    """Send more urgent requests than a service can run, and some others."""
+    end = soak.clock() + BURST_SECONDS
+    await asyncio.gather(
+        *(
+            send_until(soak, prefix, end)
+            for prefix, callers in BURST_CALLERS.items()
+            for _ in range(callers)
+        )
+    )
+
+
+async def send_until(soak, prefix, end):
+    """Send the requests of one caller in a burst."""
+    host = soak.random.choice(soak.hosts)
+    caller = Caller(soak, host, soak.random, keeps=False)
+    while soak.clock() < end:
+        await caller.call(prefix=prefix)
+        await pause(soak, BURST_PAUSE_SECONDS)
+
+
 @fault(4)
 async def crash_endpoint(soak, host):
     """Replace an endpoint that stops without a leave by a new instance."""
--- a/tests/soaks.py
+++ b/tests/soaks.py
@@ -26,6 +26,7 @@
 from tests.soak_faults import draw_fault
 from tests.soak_faults import FAULT_KINDS
 from tests.soak_faults import PLANNED_KINDS
+from tests.soak_faults import send_burst
 from tests.soak_hosts import build_hosts
 from tests.soak_meshes import MESHES
 from tests.soak_meshes import PlatformMesh
@@ -69,7 +70,7 @@
         self.seed, self.random, self.clock = seed, Random(seed), clock
         self.directory, self.mesh = directory, mesh
         self.net = choose_net(seed)
-        self.store_lock = asyncio.Lock()
+        self.store_lock, self.burst_lock = asyncio.Lock(), asyncio.Lock()
         self.zone_locks = defaultdict(asyncio.Lock)
         self.record = Record(clock)
         self.serving_hosts = set()
@@ -90,9 +91,9 @@
         """Return a random.Random of its own for a part of the soak."""
         return Random(f'{self.seed} {name}')
 
-    async def write(self, number, routes):
+    async def write(self, number, routes, limits):
         """Write a version of the configuration to the store."""
-        await asyncio.to_thread(self.mesh.write, number, routes)
+        await asyncio.to_thread(self.mesh.write, number, routes, limits)
 
     async def run(self, seconds):
         """Run the nodes, the callers and the faults; check the record.
@@ -110,6 +111,8 @@
         watch = asyncio.ensure_future(self.watch())
         try:
             await self.wait_for_recovery()
+            self.record.served_from = self.clock()
+            await send_burst(self)
             await self.disturb(self.clock() + seconds)
             await self.wait_for_recovery()
             self.record.stopped_at = self.clock()
