--- a/tests/soak_checks.py
+++ b/tests/soak_checks.py
@@ -25,11 +25,11 @@
 # An endpoint gets no further requests from LEAVE_TOLERANCE_SECONDS after its
 # leave was acknowledged.
 LEAVE_TOLERANCE_SECONDS = 0.5
-# Statuses that assert that the request did not run.
 # A kind of request is served at least this part as often as all requests.
 MIN_SERVED_RATIO = 0.25
 # Fewer requests of a kind say nothing.
 MIN_REQUESTS_OF_KIND = 50
+# Statuses that assert that the request did not run.
 NOT_RUN_STATUSES = {408, 421, 429, 503}
 # Those of them that don't say that the request is wrong.
 RETURNING_STATUSES = {408, 421, 429}
