Tell returning calls by organisation, too

Cause: on a node with many refused calls of one route, a new call may have the deadline of another caller's by chance.

Change: the organisation must be the same, and the deadlines lie within 10 ms. Reading the deadline and setting the times are functions of their own.

Measured: tests.test_senders, test_returning_calls, test_organisations and test_explanations pass.

--- a/poplarrack/carried_calls.py
+++ b/poplarrack/carried_calls.py
@@ -62,6 +62,12 @@
     task: object = None
     ended: bool = False
 
+    @property
+    def return_key(self):
+        """Return what a call that comes back has in common with this one."""
+        name = self.organisation.name if self.organisation else ''
+        return self.route.name, name
+
     @property
     def is_spent(self):
         """Return whether a part of its body is no longer held.
--- a/poplarrack/returning_calls.py
+++ b/poplarrack/returning_calls.py
@@ -10,8 +10,8 @@
 
 # How far the deadlines of a call and of the one before it may lie apart: what
 # they spend on the way to this node differs.
-TOLERANCE_SECONDS = 0.02
-# Calls of a route that are remembered.
+TOLERANCE_SECONDS = 0.01
+# Calls of one key that are remembered.
 MAX_REMEMBERED = 256
 
 
@@ -19,32 +19,32 @@
     """Calls that were not served, by when their callers stop waiting.
 
     ``ended`` has pairs of the caller's deadline and of when its first call
-    came, in order, by route.
+    came, in order, by key.
     """
 
     def __init__(self):
         self.ended = {}
 
-    def record(self, route, deadline, first_at, now):
+    def record(self, key, deadline, first_at, now):
         """Remember a call that ended without being served.
 
-        :param route: the name of its route.
+        :param key: what a call that comes back has in common with it.
         :param deadline: when its caller stops waiting.
         :param first_at: when the caller's first call came.
         """
         if deadline <= now:
             return
-        calls = self.ended.setdefault(route, [])
+        calls = self.ended.setdefault(key, [])
         del calls[: bisect_left(calls, (now, 0.0))]
         if len(calls) < MAX_REMEMBERED:
             insort(calls, (deadline, first_at))
 
-    def take(self, route, deadline, now):
+    def take(self, key, deadline, now):
         """Return when the first call came of the caller of a new one.
 
         :returns: ``now`` for a call that has not been here before.
         """
-        calls = self.ended.get(route)
+        calls = self.ended.get(key)
         if not calls:
             return now
         index = bisect_left(calls, (deadline - TOLERANCE_SECONDS, 0.0))
@@ -59,7 +59,7 @@
 
     def expire(self, now):
         """Forget the calls whose callers no longer wait."""
-        for route, calls in list(self.ended.items()):
+        for key, calls in list(self.ended.items()):
             del calls[: bisect_left(calls, (now, 0.0))]
             if not calls:
-                del self.ended[route]
+                del self.ended[key]
--- a/poplarrack/senders.py
+++ b/poplarrack/senders.py
@@ -191,29 +191,16 @@
             return False
         call.route = route
         call.rank = route.queue_rank
-        requested_ms = _parse_milliseconds(
-            request.header(self.header_names.deadline_ms)
-        )
-        call.first_at = now
-        if requested_ms is not None:
-            call.caller_deadline = now + requested_ms / 1000
-            call.first_at = self.returning_calls.take(
-                route.name, call.caller_deadline, now
-            )
         if self.table.organisations and not self._identify(call, now):
             return False
+        self._read_deadline(call, now)
+        if call.organisation is not None and self._is_over_limit(call):
+            return False
         call.service = self.splitter.choose_service(route)
-        allowed_seconds = route.timeout_seconds
-        if call.caller_deadline:
-            allowed_seconds = min(allowed_seconds, call.caller_deadline - now)
-        call.deadline = now + allowed_seconds - ANSWER_MARGIN_SECONDS
+        self._set_times(call, now)
         if self.closes_at is not None and call.deadline > self.closes_at:
             self._refuse(call, ErrorKind.DRAINING, call.service)
             return False
-        call.target_at = now + allowed_seconds
-        if route.target_latency_seconds:
-            target_at = call.first_at + route.target_latency_seconds
-            call.target_at = min(call.target_at, target_at)
         if call.service != self.settings.service:
             # Callers and the endpoint can't be told apart, but an endpoint
             # rarely calls its own service.
@@ -224,6 +211,30 @@
         self.budget_of(call.service).record_call(route.name, now)
         return True
 
+    def _read_deadline(self, call, now):
+        """Read how long the caller waits, and see if it was here before."""
+        requested_ms = _parse_milliseconds(
+            call.request.header(self.header_names.deadline_ms)
+        )
+        call.first_at = now
+        if requested_ms is not None:
+            call.caller_deadline = now + requested_ms / 1000
+            call.first_at = self.returning_calls.take(
+                call.return_key, call.caller_deadline, now
+            )
+
+    def _set_times(self, call, now):
+        """Set by when a call ends, and by when its answer is in time."""
+        route = call.route
+        ends_at = now + route.timeout_seconds
+        if call.caller_deadline:
+            ends_at = min(ends_at, call.caller_deadline)
+        call.deadline = ends_at - ANSWER_MARGIN_SECONDS
+        call.target_at = ends_at
+        if route.target_latency_seconds:
+            target_at = call.first_at + route.target_latency_seconds
+            call.target_at = min(ends_at, target_at)
+
     def explain_mismatch(self, now):
         """Return the ErrorKind of calls that match no route, and the reason.
 
@@ -257,6 +268,11 @@
             return False
         call.organisation = organisation
         call.rank = rank_of(organisation, call.route)
+        return True
+
+    def _is_over_limit(self, call):
+        """Count a call of an organisation; refuse it beyond the limit."""
+        organisation = call.organisation
         now = self.clock()
         retry_after = self.call_limits.admit(organisation, now)
         counts = self.counts_by_organisation.setdefault(
@@ -271,9 +287,9 @@
             self._refuse(
                 call, ErrorKind.RATE_LIMITED, organisation.name, retry_after
             )
-            return False
+            return True
         call.is_within_limit = True
-        return True
+        return False
 
     def _service_counts(self, service):
         counts = self.counts_by_service.get(service)
@@ -704,7 +720,7 @@
         """Remember a call that its caller may send again."""
         if call.caller_deadline:
             self.returning_calls.record(
-                call.route.name, call.caller_deadline, call.first_at, now
+                call.return_key, call.caller_deadline, call.first_at, now
             )
 
     def _end(self, call):
