Poll few sockets to make room for a connection

Callers of a node with many connections waited while new ones came: each new one beyond the limit had the sockets of all idle ones polled, if bytes waited there, as after a busy turn of the event loop.

Cause: evict_idle() bounded those that it evicts, not those that it polls. Change: it looks at the 256 that have been idle the longest.

Measured: test_a_new_connection_has_few_sockets_polled failed before, with 1000 sockets polled for one connection, and passes with 256.

--- a/poplarrack/callers.py
+++ b/poplarrack/callers.py
@@ -1,6 +1,7 @@
 """Serve callers over HTTP/1.1 on the node's call address."""
 
 import asyncio
+from heapq import nsmallest
 import socket
 
 from poplarrack.byte_budgets import ByteBudget
@@ -14,6 +15,9 @@
 MIN_EVICTION_IDLE_SECONDS = 0.5
 # Connections evicted at a time, those idle the longest first.
 EVICTION_BATCH = 64
+# Connections that are looked at for that. Those with bytes that
+# wait are read in the event loop's next turn.
+MAX_EVICTION_POLLS = 4 * EVICTION_BATCH
 DRAIN_IDLE_SECONDS = 1.0
 DRAIN_POLL_SECONDS = 0.05
 
@@ -77,18 +81,28 @@
         return len(self.connections) > self.max_connections
 
     def evict_idle(self, now):
-        """Evict the connections that have been idle the longest."""
-        idle = [
-            connection
-            for connection in self.connections
-            if not connection.busy
-        ]
-        idle.sort(key=lambda connection: connection.last_read)
+        """Make room for new connections.
+
+        Those that have been idle the longest are evicted.
+        """
+        self._evict(
+            (item for item in self.connections if not item.busy),
+            lambda item: item.is_silent(now, MIN_EVICTION_IDLE_SECONDS),
+        )
+
+    def _evict(self, connections, may_evict):
+        """Evict those of some connections that may be, the oldest first.
+
+        :param may_evict: a function of a connection, which polls its socket.
+        """
+        oldest = nsmallest(
+            MAX_EVICTION_POLLS, connections, key=lambda item: item.last_read
+        )
         evicted = 0
-        for connection in idle:
+        for connection in oldest:
             if evicted == EVICTION_BATCH:
                 break
-            if connection.is_silent(now, MIN_EVICTION_IDLE_SECONDS):
+            if may_evict(connection):
                 evicted += 1
                 self.connections.discard(connection)
                 connection.transport.close()
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -8,6 +8,7 @@
 from select import select
 import socket
 from unittest import TestCase
+from unittest.mock import patch
 
 from hypothesis import given
 from hypothesis import settings
@@ -17,6 +18,7 @@
 from poplarrack.caller_connections import CallerConnection
 from poplarrack.caller_connections import MAX_OVERLAPPING_REQUESTS
 from poplarrack.callers import CallServer
+from poplarrack.callers import MAX_EVICTION_POLLS
 from poplarrack.http_messages import build_answer
 from poplarrack.resources import CallerLimits
 from tests.support import build_load_tests
@@ -771,3 +773,35 @@
         assert b'HTTP/1.1 408' in caller.transport.written
         server.close_idle(server.clock())
         assert caller.transport.closing
+
+
+def open_connections(server, number, part=b''):
+    """Return new connections of which each has sent a part of a request."""
+    connections = []
+    for _ in range(number):
+        server.clock.now += 0.001
+        connection = CallerConnection(server)
+        connection.connection_made(RecordingTransport())
+        if part:
+            connection.data_received(part)
+        connections.append(connection)
+    return connections
+
+
+# DENIED: with many connections, each new one had all sockets polled, so that
+# the node stood still while many came at once.
+def test_a_new_connection_has_few_sockets_polled():
+    polled = []
+
+    def poll_now(transport, events):
+        polled.append(transport)
+        return True
+
+    server = CallServer(HeldDispatcher(), ManualClock(), 1_000)
+    idle = open_connections(server, 1_000)
+    server.clock.now += LONG_SECONDS
+    with patch('poplarrack.caller_connections.poll_now', poll_now):
+        open_connections(server, 1)
+    oldest = [item.transport for item in idle[:MAX_EVICTION_POLLS]]
+    assert polled == oldest, len(polled)
+    assert MAX_EVICTION_POLLS < 1_000
