Make room where requests stop coming

New callers were reset without an answer while callers that had stopped within a body took all connections, for up to idle_timeout.

Cause: only connections without a request make room, and since pauses within a body are bounded by idle_timeout, a few bytes now and then hold a connection. Change: where evicting idle connections isn't enough, evict_idle() answers 408 to requests that have paused for header_timeout, those that pause the longest first, up to 64 at a time. Requests in flight, bodies that are passed on or wait for a 100 Continue are left alone.

Measured: test_requests_that_pause_make_room_for_new_connections failed before, the new connection was reset. A caller that sends a byte in each header_timeout still holds its connection.

--- a/poplarrack/caller_connections.py
+++ b/poplarrack/caller_connections.py
@@ -654,9 +654,30 @@
     def _is_too_slow(self, now):
         """Return whether the rest of a request is too long in coming.
 
+        Pauses within a body are shorter while the server drains.
+        """
+        limits = self.server.limits
+        seconds = limits.header_timeout_seconds
+        if self.has_head and not self.server.draining:
+            seconds = limits.idle_timeout_seconds
+        return self._is_stalled(now, seconds)
+
+    def refuse_stalled(self, now):
+        """Refuse a request that pauses too long for a server without room.
+
+        :returns: whether there was one.
+        """
+        seconds = self.server.limits.header_timeout_seconds
+        is_stalled = self._is_stalled(now, seconds)
+        if is_stalled:
+            self._refuse(ErrorKind.REQUEST_TOO_SLOW, 'connections')
+        return is_stalled
+
+    def _is_stalled(self, now, seconds):
+        """Return whether no more of a request has come for some seconds.
+
         Not while its body is wanted by no one, or a request is in flight on
         the connection: that one ends at its deadline and takes its body along.
-        Pauses within a body are shorter while the server drains.
         """
         if (
             self.request is None
@@ -666,10 +687,7 @@
             or self.pipelined
         ):
             return False
-        limits = self.server.limits
-        if self.has_head and not self.server.draining:
-            return self.is_silent(now, limits.idle_timeout_seconds)
-        return self.is_silent(now, limits.header_timeout_seconds)
+        return self.is_silent(now, seconds)
 
     def is_silent(self, now, seconds):
         """Return whether the caller has sent nothing for some seconds.
--- a/poplarrack/callers.py
+++ b/poplarrack/callers.py
@@ -15,7 +15,7 @@
 MIN_EVICTION_IDLE_SECONDS = 0.5
 # Connections evicted at a time, those idle the longest first.
 EVICTION_BATCH = 64
-# Connections that are looked at for that. Those with bytes that
+# Connections of a kind that are looked at for that. Those with bytes that
 # wait are read in the event loop's next turn.
 MAX_EVICTION_POLLS = 4 * EVICTION_BATCH
 DRAIN_IDLE_SECONDS = 1.0
@@ -83,12 +83,18 @@
     def evict_idle(self, now):
         """Make room for new connections.
 
-        Those that have been idle the longest are evicted.
+        Those that have been idle the longest are evicted. If that is not
+        enough, so are those whose unfinished request pauses the longest.
         """
         self._evict(
             (item for item in self.connections if not item.busy),
             lambda item: item.is_silent(now, MIN_EVICTION_IDLE_SECONDS),
         )
+        if self.is_over_limit:
+            self._evict(
+                (item for item in self.connections if item.busy),
+                lambda item: item.refuse_stalled(now),
+            )
 
     def _evict(self, connections, may_evict):
         """Evict those of some connections that may be, the oldest first.
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -788,6 +788,41 @@
     return connections
 
 
+# DENIED: callers that stopped within a body took all connections for the idle
+# timeout, and new ones were reset without an answer.
+def test_requests_that_pause_make_room_for_new_connections():
+    for part in (HALF_HEAD, HALF_BODY):
+        server = CallServer(HeldDispatcher(), ManualClock(), 100)
+        paused = open_connections(server, 100, part)
+        seconds = server.limits.header_timeout_seconds
+        server.clock.now = paused[0].last_read + seconds - 0.1
+        [refused] = open_connections(server, 1)
+        assert refused.transport.closing
+        server.connections.discard(refused)
+        server.clock.now = paused[49].last_read + seconds - 0.0005
+        [first] = open_connections(server, 1)
+        assert not first.transport.closing
+        written = [item.transport.written for item in paused]
+        ended = [item.startswith(b'HTTP/1.1 408') for item in written]
+        assert ended == [True] * 50 + [False] * 50, sum(ended)
+        closed = [item.transport.closing for item in paused]
+        assert closed == ended
+        assert server.dispatcher.counts['refused_request_too_slow'] == 50
+
+
+# DENIED: those that waited for an answer would be cut off.
+def test_requests_in_flight_are_not_evicted():
+    server = CallServer(HeldDispatcher(), ManualClock(), 10)
+    server.takes_uploads = True
+    waiting = open_connections(server, 5, REQUEST)
+    upload = LARGE_HEAD.replace(b'2000000', b'900000')
+    waiting += open_connections(server, 5, upload)
+    server.clock.now += LONG_SECONDS
+    [refused] = open_connections(server, 1)
+    assert refused.transport.closing
+    assert not any(item.transport.closing for item in waiting)
+
+
 # DENIED: with many connections, each new one had all sockets polled, so that
 # the node stood still while many came at once.
 def test_a_new_connection_has_few_sockets_polled():
