Keep the server of a node that stood still

Callers lost an endpoint for which nothing was wrong: its node, which had stood still for longer than its announcements hold, told all nodes that it had no backend server, until the next announcement was read.

Cause: the first tick after a pause compares the clock with the last announcement that was read; those that came meanwhile wait in the socket. Change: the time for which a node stood still, beyond 0.5 s between two ticks, doesn't count as silence of its server.

Measured: test_a_node_that_stood_still_does_not_forget_its_server (by the reviewer) failed before: the endpoint was None two ticks after the pause. It also checks that a silent server is forgotten later. `python -m unittest` with tests.test_nodes (34), test_paused_nodes (1), test_heartbeats (13), test_departing_endpoints (1), test_many_nodes (4), test_spread (9): pass.

--- a/poplarrack/nodes.py
+++ b/poplarrack/nodes.py
@@ -46,6 +46,8 @@
 logger = logging.getLogger(__name__)
 
 TICK_SECONDS = 0.1
+# A node stood still for the time by which its ticks are further apart.
+MAX_TICK_GAP_SECONDS = 0.5
 # How often the controllers run while no fact changes and no move is live.
 IDLE_DECISION_INTERVAL_SECONDS = 0.3
 CALLS_REFRESH_INTERVAL_SECONDS = 0.5
@@ -118,6 +120,7 @@
         self.tasks = set()
         self.executing = set()
         self.last_decisions = {}
+        self.ticked_at = now
         self.decided_facts = None
         self.decided_at = 0.0
         self.live_moves = set()
@@ -177,6 +180,7 @@
         braked in time, a node waits a little before it decides again.
         """
         now = self.clock()
+        self._excuse_gap(now)
         self._refresh(now)
         facts = self.facts
         if (
@@ -191,6 +195,19 @@
                 self.last_decisions[name] = (now, decision)
                 self.execute(decision)
 
+    def _excuse_gap(self, now):
+        """Count no time for silence of the server in which the node stood.
+
+        Announcements that came meanwhile wait to be read.
+        """
+        stood_seconds = now - self.ticked_at - MAX_TICK_GAP_SECONDS
+        self.ticked_at = now
+        facts = self.facts
+        if stood_seconds > 0 and facts.own.endpoint is not None:
+            # One that came meanwhile may have been read already.
+            announced_at = min(now, facts.announced_at + stood_seconds)
+            self.blackboard.write('membership', announced_at=announced_at)
+
     def _refresh(self, now):
         """Update the facts that the node derives from its own state."""
         if now - self.calls_refreshed_at >= CALLS_REFRESH_INTERVAL_SECONDS:
--- a/tests/test_nodes.py
+++ b/tests/test_nodes.py
@@ -34,6 +34,7 @@
 from poplarrack.messages import Report
 from poplarrack.messages import Updates
 from poplarrack.nodes import CHECK_INTERVAL_SECONDS
+from poplarrack.nodes import TICK_SECONDS
 from poplarrack.reporters import build_report
 from poplarrack.reporters import send_report
 from poplarrack.reporters import summarize_zone
@@ -299,6 +300,21 @@
     assert node.facts.own.endpoint is None
 
 
+# A node that stood still took its backend server for silent, whose heartbeats
+# waited in its socket, and told all nodes that it had none.
+@on_fakes
+async def test_a_node_that_stood_still_does_not_forget_its_server(mesh):
+    node = mesh.nodes['a-4']
+    node.announce(endpoint('127.0.0.1:5', announced_at=mesh.clock()))
+    mesh.paused_nodes.add('a-4')
+    await asyncio.sleep(5)
+    mesh.paused_nodes.discard('a-4')
+    await asyncio.sleep(2 * TICK_SECONDS)
+    assert node.facts.own.endpoint is not None
+    await asyncio.sleep(5)
+    assert node.facts.own.endpoint is None
+
+
 @on_fakes
 async def test_a_verdict_in_a_cut_off_zone_is_final_everywhere(mesh):
     mesh.injected_faults.is_partitioned = partition('e')
