Go on with callers that don't wait to continue

A caller that asked to continue, but sent its body without waiting, lost answers: where its body was wanted by no one, the connection closed after the answer to the next request, which said that it stays open, and those behind were thrown away. Nor did a limit hold for what it sent then.

Cause: awaits_continue stayed set after the body had come. Change: the end of the body clears it. _is_stalled() doesn't ask for it any more: while it is set, its request is queued or in flight.

Measured: test_a_caller_that_does_not_wait_to_continue_goes_on failed before, the second request behind the body was not started. `python -m unittest tests.test_callers`: 33 pass.

--- a/poplarrack/caller_connections.py
+++ b/poplarrack/caller_connections.py
@@ -379,6 +379,7 @@
             self._pass_on()
             self.upload.end()
             self.upload = None
+            self.awaits_continue = False
             return
         request.body, self.body = self.body.joined(), BodyBuffer()
         self._enqueue(request)
@@ -676,13 +677,12 @@
     def _is_stalled(self, now, seconds):
         """Return whether no more of a request has come for some seconds.
 
-        Not while its body is wanted by no one, or a request is in flight on
-        the connection: that one ends at its deadline and takes its body along.
+        Not while a request is in flight on the connection: that one ends at
+        its deadline and takes its body along, also one not wanted yet.
         """
         if (
             self.request is None
             or not self.is_reading
-            or self.awaits_continue
             or self.exchanges
             or self.pipelined
         ):
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -840,3 +840,30 @@
     oldest = [item.transport for item in idle[:MAX_EVICTION_POLLS]]
     assert polled == oldest, len(polled)
     assert MAX_EVICTION_POLLS < 1_000
+
+
+# LOST: a caller that asked to continue, but sent its body without waiting for
+# that, lost the answers behind that request, if the body was not wanted. Nor
+# did a limit hold for what it sent then.
+def test_a_caller_that_does_not_wait_to_continue_goes_on(slow_caller):
+    caller, wait = slow_caller
+    connection = caller.connection
+    connection.server.takes_uploads = True
+    connection.data_received(
+        b'POST /up HTTP/1.1\r\nhost: a\r\nexpect: 100-continue\r\n'
+        b'content-length: 300000\r\n\r\n'
+    )
+    connection.data_received(bytes(50_000))
+    assert caller.started == ['/up']
+    connection.upload.close()
+    for _ in range(5):
+        connection.data_received(bytes(50_000))
+    caller.dispatcher.answer('/up')
+    for target in ('/a', '/b'):
+        caller.send(('GET', target))
+        caller.dispatcher.answer(target)
+    assert not caller.transport.closing
+    assert len(caller.bodies) == 3
+    connection.data_received(HALF_HEAD)
+    wait(LONG_SECONDS)
+    assert b'HTTP/1.1 408' in caller.transport.written
