Test what bounds a connection that lingers

Cause: the review could revert these lines of caller_connections.py with all tests green: `busy` of a connection that closes, `last_read` once a body is wanted, and the limit of silence while the rest of a request is dropped. Change: tests only.

Measured: with each line reverted, one of the four tests fails; also without the bound by idle_timeout, and where dropped bytes are no sign of life. `python -m unittest tests.test_callers`: 37 pass.

--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -18,6 +18,7 @@
 from poplarrack.caller_connections import CallerConnection
 from poplarrack.caller_connections import MAX_OVERLAPPING_REQUESTS
 from poplarrack.callers import CallServer
+from poplarrack.callers import DRAIN_IDLE_SECONDS
 from poplarrack.callers import MAX_EVICTION_POLLS
 from poplarrack.http_messages import build_answer
 from poplarrack.resources import CallerLimits
@@ -867,3 +868,65 @@
     connection.data_received(HALF_HEAD)
     wait(LONG_SECONDS)
     assert b'HTTP/1.1 408' in caller.transport.written
+
+
+# DENIED: one that only dropped the rest of a refused request kept its place
+# from new callers, and held a drain.
+def test_a_refused_connection_makes_room_and_holds_no_drain():
+    for act in (
+        lambda server: open_connections(server, 1),
+        lambda server: server.close_idle(server.clock()),
+    ):
+        server = CallServer(HeldDispatcher(), ManualClock(), 1)
+        [refused] = open_connections(server, 1, LARGE_HEAD)
+        assert refused.transport.written.startswith(b'HTTP/1.1 413')
+        assert not refused.transport.closing
+        server.clock.now += DRAIN_IDLE_SECONDS + 0.1
+        act(server)
+        assert refused.transport.closing
+        new = server.connections - {refused}
+        assert not any(item.transport.closing for item in new)
+
+
+# LOST: a caller that had just been told to continue was reset while it sent,
+# and with that lost an answer that came before its body.
+def test_a_caller_that_was_told_to_continue_reads_an_early_answer(slow_caller):
+    caller, wait = slow_caller
+    caller.connection.server.takes_uploads = True
+    caller.connection.data_received(
+        b'POST /up HTTP/1.1\r\nhost: a\r\nexpect: 100-continue\r\n'
+        b'content-length: 900000\r\n\r\n'
+    )
+    wait(LONG_SECONDS)
+    caller.connection.upload.open(lambda: None)
+    caller.dispatcher.answer('/up', keep_alive=False)
+    wait(0.1)
+    assert b' 200 ' in caller.transport.written
+    assert not caller.transport.closing
+
+
+# Callers that send nothing more would keep a connection of no more use.
+def test_a_refused_connection_is_kept_while_its_caller_sends(slow_caller):
+    caller, wait = slow_caller
+    limits = caller.connection.server.limits
+    caller.connection.data_received(LARGE_HEAD)
+    for _ in range(3):
+        wait(limits.header_timeout_seconds - 0.1)
+        assert not caller.transport.closing
+        caller.connection.data_received(b'more')
+    wait(limits.header_timeout_seconds + 0.1)
+    assert caller.transport.closing
+
+
+# So would those that never stop.
+def test_a_refused_connection_is_not_kept_for_good(slow_caller):
+    caller, wait = slow_caller
+    limits = caller.connection.server.limits
+    caller.connection.data_received(LARGE_HEAD)
+    for _ in range(int(limits.idle_timeout_seconds)):
+        assert not caller.transport.closing
+        caller.connection.data_received(b'more')
+        wait(1.0)
+    caller.connection.data_received(b'more')
+    wait(1.0)
+    assert caller.transport.closing
