--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -8,6 +8,7 @@
 from select import select
 import socket
 from unittest import TestCase
+from unittest.mock import patch
 
 from hypothesis import given
 from hypothesis import settings
@@ -17,6 +18,8 @@
 from poplarrack.caller_connections import CallerConnection
 from poplarrack.caller_connections import MAX_OVERLAPPING_REQUESTS
 from poplarrack.callers import CallServer
+from poplarrack.callers import DRAIN_IDLE_SECONDS
+from poplarrack.callers import MAX_EVICTION_POLLS
 from poplarrack.http_messages import build_answer
 from poplarrack.resources import CallerLimits
 from tests.support import build_load_tests
@@ -783,3 +786,159 @@
         assert b'HTTP/1.1 408' in caller.transport.written
         server.close_idle(server.clock())
         assert caller.transport.closing
+
+
+def open_connections(server, number, part=b''):
+    """Return new connections of which each has sent a part of a request."""
+    connections = []
+    for _ in range(number):
+        server.clock.now += 0.001
+        connection = CallerConnection(server)
+        connection.connection_made(RecordingTransport())
+        if part:
+            connection.data_received(part)
+        connections.append(connection)
+    return connections
+
+
+# DENIED: callers that stopped within a body took all connections for the idle
+# timeout, and new ones were reset without an answer.
+def test_requests_that_pause_make_room_for_new_connections():
+    for part in (HALF_HEAD, HALF_BODY):
+        server = CallServer(HeldDispatcher(), ManualClock(), 100)
+        paused = open_connections(server, 100, part)
+        seconds = server.limits.header_timeout_seconds
+        server.clock.now = paused[0].last_read + seconds - 0.1
+        [refused] = open_connections(server, 1)
+        assert refused.transport.closing
+        server.connections.discard(refused)
+        server.clock.now = paused[49].last_read + seconds - 0.0005
+        [first] = open_connections(server, 1)
+        assert not first.transport.closing
+        written = [item.transport.written for item in paused]
+        ended = [item.startswith(b'HTTP/1.1 408') for item in written]
+        assert ended == [True] * 50 + [False] * 50, sum(ended)
+        closed = [item.transport.closing for item in paused]
+        assert closed == ended
+        assert server.dispatcher.counts['refused_request_too_slow'] == 50
+
+
+# DENIED: those that waited for an answer would be cut off.
+def test_requests_in_flight_are_not_evicted():
+    server = CallServer(HeldDispatcher(), ManualClock(), 10)
+    server.takes_uploads = True
+    waiting = open_connections(server, 5, REQUEST)
+    upload = LARGE_HEAD.replace(b'2000000', b'900000')
+    waiting += open_connections(server, 5, upload)
+    server.clock.now += LONG_SECONDS
+    [refused] = open_connections(server, 1)
+    assert refused.transport.closing
+    assert not any(item.transport.closing for item in waiting)
+
+
+# DENIED: with many connections, each new one had all sockets polled, so that
+# the node stood still while many came at once.
+def test_a_new_connection_has_few_sockets_polled():
+    polled = []
+
+    def poll_now(transport, events):
+        polled.append(transport)
+        return True
+
+    server = CallServer(HeldDispatcher(), ManualClock(), 1_000)
+    idle = open_connections(server, 1_000)
+    server.clock.now += LONG_SECONDS
+    with patch('poplarrack.caller_connections.poll_now', poll_now):
+        open_connections(server, 1)
+    oldest = [item.transport for item in idle[:MAX_EVICTION_POLLS]]
+    assert polled == oldest, len(polled)
+    assert MAX_EVICTION_POLLS < 1_000
+
+
+# LOST: a caller that asked to continue, but sent its body without waiting for
+# that, lost the answers behind that request, if the body was not wanted. Nor
+# did a limit hold for what it sent then.
+def test_a_caller_that_does_not_wait_to_continue_goes_on(slow_caller):
+    caller, wait = slow_caller
+    connection = caller.connection
+    connection.server.takes_uploads = True
+    connection.data_received(
+        b'POST /up HTTP/1.1\r\nhost: a\r\nexpect: 100-continue\r\n'
+        b'content-length: 300000\r\n\r\n'
+    )
+    connection.data_received(bytes(50_000))
+    assert caller.started == ['/up']
+    connection.upload.close()
+    for _ in range(5):
+        connection.data_received(bytes(50_000))
+    caller.dispatcher.answer('/up')
+    for target in ('/a', '/b'):
+        caller.send(('GET', target))
+        caller.dispatcher.answer(target)
+    assert not caller.transport.closing
+    assert len(caller.bodies) == 3
+    connection.data_received(HALF_HEAD)
+    wait(LONG_SECONDS)
+    assert b'HTTP/1.1 408' in caller.transport.written
+
+
+# DENIED: one that only dropped the rest of a refused request kept its place
+# from new callers, and held a drain.
+def test_a_refused_connection_makes_room_and_holds_no_drain():
+    for act in (
+        lambda server: open_connections(server, 1),
+        lambda server: server.close_idle(server.clock()),
+    ):
+        server = CallServer(HeldDispatcher(), ManualClock(), 1)
+        [refused] = open_connections(server, 1, LARGE_HEAD)
+        assert refused.transport.written.startswith(b'HTTP/1.1 413')
+        assert not refused.transport.closing
+        server.clock.now += DRAIN_IDLE_SECONDS + 0.1
+        act(server)
+        assert refused.transport.closing
+        new = server.connections - {refused}
+        assert not any(item.transport.closing for item in new)
+
+
+# LOST: a caller that had just been told to continue was reset while it sent,
+# and with that lost an answer that came before its body.
+def test_a_caller_that_was_told_to_continue_reads_an_early_answer(slow_caller):
+    caller, wait = slow_caller
+    caller.connection.server.takes_uploads = True
+    caller.connection.data_received(
+        b'POST /up HTTP/1.1\r\nhost: a\r\nexpect: 100-continue\r\n'
+        b'content-length: 900000\r\n\r\n'
+    )
+    wait(LONG_SECONDS)
+    caller.connection.upload.open(lambda: None)
+    caller.dispatcher.answer('/up', keep_alive=False)
+    wait(0.1)
+    assert b' 200 ' in caller.transport.written
+    assert not caller.transport.closing
+
+
+# Callers that send nothing more would keep a connection of no more use.
+def test_a_refused_connection_is_kept_while_its_caller_sends(slow_caller):
+    caller, wait = slow_caller
+    limits = caller.connection.server.limits
+    caller.connection.data_received(LARGE_HEAD)
+    for _ in range(3):
+        wait(limits.header_timeout_seconds - 0.1)
+        assert not caller.transport.closing
+        caller.connection.data_received(b'more')
+    wait(limits.header_timeout_seconds + 0.1)
+    assert caller.transport.closing
+
+
+# So would those that never stop.
+def test_a_refused_connection_is_not_kept_for_good(slow_caller):
+    caller, wait = slow_caller
+    limits = caller.connection.server.limits
+    caller.connection.data_received(LARGE_HEAD)
+    for _ in range(int(limits.idle_timeout_seconds)):
+        assert not caller.transport.closing
+        caller.connection.data_received(b'more')
+        wait(1.0)
+    caller.connection.data_received(b'more')
+    wait(1.0)
+    assert caller.transport.closing
