Explain a refused key as the node refuses it

Operators were misled: `poplarrack-ctl explain` said 401 for an unknown key where the node answers 503 `keys may be missing`, and that a request is placed where the node refuses every key (`keys may be revoked`).

Cause: explain() had its own rule for keys. Change: Sender.explain_key() decides for both. The reason of a 401 is now `no known key` in explanations, too.

--- a/poplarrack/explanations.py
+++ b/poplarrack/explanations.py
@@ -92,10 +92,12 @@
         return _refused(answer, *sender.explain_mismatch(now))
     answer['route'] = route.name
     organisation = table.organisations.get(question.organisation)
-    if table.organisations and not route.public and organisation is None:
-        return _refused(
-            answer, ErrorKind.UNAUTHENTICATED, 'no organisation has this key'
+    if table.organisations and not route.public:
+        refusal = sender.explain_key(
+            organisation, bool(question.organisation), now
         )
+        if refusal is not None:
+            return _refused(answer, *refusal)
     regions = common_regions(
         route.regions, organisation and organisation.regions
     )
--- a/poplarrack/senders.py
+++ b/poplarrack/senders.py
@@ -232,6 +232,24 @@
             return ErrorKind.NO_ENDPOINT, 'routes may be missing'
         return kind, why
 
+    def explain_key(self, organisation, has_key, now):
+        """Return why calls of routes that ask for a key are refused.
+
+        :param organisation: the Organisation that holds the key, None if no
+            one does.
+        :param has_key: whether the calls have a key.
+        :param now: seconds on the clock of the Sender.
+        :returns: the ErrorKind and the reason, None if they are not refused.
+        """
+        stale_keys = self.settings.stale_keys
+        if stale_keys is StaleKeys.REFUSED and self.may_be_behind(now):
+            return ErrorKind.NO_ENDPOINT, 'keys may be revoked'
+        if organisation is not None:
+            return None
+        if has_key and self.may_be_behind(now):
+            return ErrorKind.NO_ENDPOINT, 'keys may be missing'
+        return ErrorKind.UNAUTHENTICATED, 'no known key'
+
     def _identify(self, call, now):
         """Find the organisation of a call by its key; refuse it without.
 
@@ -240,18 +258,12 @@
         if call.route.public:
             call.rank = rank_of(None, call.route)
             return True
-        stale_keys = self.settings.stale_keys
-        if stale_keys is StaleKeys.REFUSED and self.may_be_behind(now):
-            self._refuse(call, ErrorKind.NO_ENDPOINT, 'keys may be revoked')
-            return False
         name = self.header_names.credentials
         key = read_key(call.request.headers, name)
         organisation = self.table.keys.find(key)
-        if organisation is None and key and self.may_be_behind(now):
-            self._refuse(call, ErrorKind.NO_ENDPOINT, 'keys may be missing')
-            return False
-        if organisation is None:
-            self._refuse(call, ErrorKind.UNAUTHENTICATED, 'no known key')
+        refusal = self.explain_key(organisation, bool(key), now)
+        if refusal is not None:
+            self._refuse(call, *refusal)
             return False
         call.organisation = organisation
         call.rank = rank_of(organisation, call.route)
--- a/tests/test_explanations.py
+++ b/tests/test_explanations.py
@@ -14,14 +14,18 @@
 from poplarrack.explanations import explain
 from poplarrack.explanations import parse_question
 from poplarrack.explanations import Question
+from poplarrack.organisations import StaleKeys
 from poplarrack.resources import Organisation
 from poplarrack.routers import Router
 from poplarrack.routing_tables import RoutingTable
 from tests.support import assert_raises
 from tests.support import build_load_tests
+from tests.test_senders import ACME
 from tests.test_senders import build_sender
 from tests.test_senders import destination
 from tests.test_senders import ROUTES
+from tests.test_senders import SETTINGS
+from tests.test_senders import with_organisations
 
 load_tests = build_load_tests(__name__)
 
@@ -100,6 +104,31 @@
     assert reasons_of(away) == {'i-2': 'home'}
 
 
+# DENIED: explain() said 401 where the node answers 503, and that a request is
+# placed where the node refuses every key.
+def test_a_key_is_explained_as_it_is_refused():
+    sender, _, now = told_sender()
+    sender.set_table(with_organisations(sender.table, ACME))
+    unauthenticated = ErrorKind.UNAUTHENTICATED.value
+    no_endpoint = ErrorKind.NO_ENDPOINT.value
+    known, unknown, keyless = (
+        replace(READ, organisation=name) for name in ('acme', 'k2', '')
+    )
+    for is_behind, policy, question, outcome, why in (
+        (False, StaleKeys.REFUSED, known, 'placed', 'expected'),
+        (False, StaleKeys.REFUSED, unknown, unauthenticated, 'no known key'),
+        (True, StaleKeys.LAST_KNOWN, known, 'placed', 'expected'),
+        (True, StaleKeys.LAST_KNOWN, unknown, no_endpoint, 'may be missing'),
+        (True, StaleKeys.LAST_KNOWN, keyless, unauthenticated, 'no known'),
+        (True, StaleKeys.REFUSED, known, no_endpoint, 'may be revoked'),
+    ):
+        sender.settings = replace(SETTINGS, stale_keys=policy)
+        sender.may_be_behind = lambda now, is_behind=is_behind: is_behind
+        answer = explain(sender, question, now)
+        found = (answer['outcome'], why in answer['why'])
+        assert found == (outcome, True), (answer, outcome, why)
+
+
 def test_a_question_is_read_from_a_query():
     asked = parse_question('path=/a/&method=get&deadline_ms=1500')
     assert asked == Question('', 'GET', '/a/', '', 1.5)
