Deny nothing by a version once a newer is rejected

Callers were denied for good, with 404 or 401, what a newer version may allow that their node had read and rejected: it held the old one.

Cause: a node took the version that it holds for the newest, whether or not it knew of a newer one. Change: where Knowledge holds a rejection, Sender and Dispatcher answer 503 `no_endpoint` with the detail `a newer version was rejected` to a request whose route or key isn't known. Known keys are taken, also with StaleKeys.REFUSED; a request without a key gets 401.

Measured: test_a_node_that_rejected_a_version_denies_no_key_and_no_route and test_a_node_that_rejected_a_version_denies_no_route failed before (401 and 404), test_calls_are_told_of_a_rejected_version had no such attribute. Open: only nodes that read the store learn of a rejection; those that are told of versions by others still deny by the old one.

--- a/poplarrack/dispatchers.py
+++ b/poplarrack/dispatchers.py
@@ -136,6 +136,8 @@
         self.in_flight = 0
         self.last_call = 0
         self.draining = False
+        # Returns whether a newer version can't be applied.
+        self.is_newer_rejected = lambda: False
 
     def rebuild_table(self, locality, knowledge, now):
         """Derive the call table from the node's knowledge and set it."""
@@ -194,7 +196,9 @@
         self.counts['calls'] += 1
         route = self.table.router.match(request.method, request.target)
         if route is None:
-            kind, why = self.table.router.explain_mismatch()
+            kind, why = self.table.router.explain_mismatch(
+                self.is_newer_rejected()
+            )
             is_denied = kind is ErrorKind.NO_ROUTE
             self._refuse(call, kind, request.target if is_denied else why)
             return call
--- a/poplarrack/nodes.py
+++ b/poplarrack/nodes.py
@@ -115,6 +115,7 @@
         self.check_at = 0.0
         build = dependencies.build_dispatcher or self._build_dispatcher
         self.dispatcher = build()
+        self.dispatcher.is_newer_rejected = self.is_newer_rejected
         self.spreader = Spreader(self)
         self.pending_rebuild = None
         self.tasks = set()
@@ -148,6 +149,10 @@
         """Return the state that nodes replicate."""
         return self.blackboard.facts.knowledge
 
+    def is_newer_rejected(self):
+        """Return whether a newer version than the one held was rejected."""
+        return self.knowledge.rejection is not None
+
     def digests(self):
         """Return the digests of the node's knowledge."""
         digests = self.knowledge.digests(self.settings.node_id)
--- a/poplarrack/routers.py
+++ b/poplarrack/routers.py
@@ -5,6 +5,9 @@
 from poplarrack.errors import ErrorKind
 from poplarrack.resources import Route
 
+# Why a node doesn't deny what the version that it holds doesn't allow.
+NEWER_REJECTED = 'a newer version was rejected'
+
 
 class Router:
     """Finds routes by host and first path segment.
@@ -33,14 +36,19 @@
         """Return the routes by their names."""
         return {route.name: route for route in self.routes}
 
-    def explain_mismatch(self):
+    def explain_mismatch(self, is_newer_rejected=False):
         """Return the ErrorKind of calls that match no route, and the reason.
 
-        Without any route, a node can't tell that a route doesn't exist.
+        Without any route, a node can't tell that a route doesn't exist, nor
+        by the last version that it can apply.
+
+        :param is_newer_rejected: whether a newer version can't be applied.
         """
-        if self.routes:
-            return ErrorKind.NO_ROUTE, 'no route matches'
-        return ErrorKind.NO_ENDPOINT, 'no configuration'
+        if not self.routes:
+            return ErrorKind.NO_ENDPOINT, 'no configuration'
+        if is_newer_rejected:
+            return ErrorKind.NO_ENDPOINT, NEWER_REJECTED
+        return ErrorKind.NO_ROUTE, 'no route matches'
 
     def match(self, method, target, host='') -> Route | None:
         """Return the first route that matches a call, or None.
--- a/poplarrack/senders.py
+++ b/poplarrack/senders.py
@@ -52,6 +52,7 @@
 from poplarrack.placements import Placement
 from poplarrack.placements import RemainingTime
 from poplarrack.retry_budgets import SharedRetryBudget
+from poplarrack.routers import NEWER_REJECTED
 from poplarrack.routing_tables import derive_routing_table
 from poplarrack.routing_tables import RoutingTable
 from poplarrack.run_times import RunTimes
@@ -121,6 +122,8 @@
         self.closes_at = None
         # Returns whether a newer version may have been missed.
         self.may_be_behind = lambda now: False
+        # Returns whether a newer version can't be applied.
+        self.is_newer_rejected = lambda: False
 
     def rebuild_table(self, locality, knowledge, now):
         """Derive the routing table from what the node knows and apply it."""
@@ -227,7 +230,9 @@
 
         :param now: seconds on the clock of the Sender.
         """
-        kind, why = self.table.router.explain_mismatch()
+        kind, why = self.table.router.explain_mismatch(
+            self.is_newer_rejected()
+        )
         if kind is ErrorKind.NO_ROUTE and self.may_be_behind(now):
             return ErrorKind.NO_ENDPOINT, 'routes may be missing'
         return kind, why
@@ -246,6 +251,8 @@
             return ErrorKind.NO_ENDPOINT, 'keys may be revoked'
         if organisation is not None:
             return None
+        if has_key and self.is_newer_rejected():
+            return ErrorKind.NO_ENDPOINT, NEWER_REJECTED
         if has_key and self.may_be_behind(now):
             return ErrorKind.NO_ENDPOINT, 'keys may be missing'
         return ErrorKind.UNAUTHENTICATED, 'no known key'
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -398,6 +398,17 @@
             assert headers['poplarrack-ran'] == 'no'
 
 
+# DENIED: a node that rejected a newer version denied what that may allow.
+@run
+async def test_a_node_that_rejected_a_version_denies_no_route():
+    async with call_path_to(lambda *x: OK) as path:
+        assert (await path.call('/none'))[0] == 404
+        path.dispatcher.is_newer_rejected = lambda: True
+        status, headers, _ = await path.call('/none')
+        assert (status, headers['poplarrack-ran']) == (503, 'no')
+        assert (await path.call('/jars'))[0] == 200
+
+
 @run
 async def test_requests_over_the_bounds_are_refused():
     async with call_path_to(lambda *x: OK) as path:
--- a/tests/test_nodes.py
+++ b/tests/test_nodes.py
@@ -315,6 +315,21 @@
     assert node.facts.own.endpoint is None
 
 
+# DENIED: nodes that read a version from the store and rejected it denied what
+# it may allow.
+@on_fakes
+async def test_calls_are_told_of_a_rejected_version(mesh):
+    nodes = mesh.nodes.values()
+    assert not any(node.dispatcher.is_newer_rejected() for node in nodes)
+    mesh.write_settings({'t/routes/front': route_json(target='none')})
+    await asyncio.sleep(3)
+    readers = [node for node in nodes if node.facts.platform.watching]
+    assert readers
+    assert all(node.dispatcher.is_newer_rejected() for node in readers)
+    await mesh.wait_for_revision(write_change(mesh, 3), 5)
+    assert not any(node.dispatcher.is_newer_rejected() for node in nodes)
+
+
 @on_fakes
 async def test_a_verdict_in_a_cut_off_zone_is_final_everywhere(mesh):
     mesh.injected_faults.is_partitioned = partition('e')
--- a/tests/test_senders.py
+++ b/tests/test_senders.py
@@ -395,6 +395,29 @@
     assert without_key == (401, [])
 
 
+# DENIED: a node that rejected a newer version denied for good what that may
+# allow. Keys that it knows are taken, whatever is done with stale keys.
+def test_a_node_that_rejected_a_version_denies_no_key_and_no_route():
+    async def run(path, *headers):
+        sender, streams = build_sender([GOOD])
+        sender.set_table(with_organisations(sender.table, ACME))
+        sender.settings = replace(SETTINGS, stale_keys=StaleKeys.REFUSED)
+        sender.is_newer_rejected = lambda: True
+        status, head, body = await send(sender, path, headers)
+        promised = b'"ran":"no"' in body and b'retry-after: ' in head
+        assert status != 503 or promised
+        return status, len(streams.sent), b'newer version was rejected' in body
+
+    unknown = (b'authorization', b'Bearer k2')
+    for path, headers, found in (
+        ('/pay/x', (unknown,), (503, 0, True)),
+        ('/none/', (KEY,), (503, 0, True)),
+        ('/pay/x', (KEY,), (200, 1, False)),
+        ('/pay/x', (), (401, 0, False)),
+    ):
+        assert asyncio.run(run(path, *headers)) == found, (path, headers)
+
+
 # QUOTA: a call over the limit must be refused at once with a promise that it
 # did not run, and be told when there is room again.
 def test_over_its_limit_an_organisation_is_refused():
