--- a/poplarrack/senders.py
+++ b/poplarrack/senders.py
@@ -52,6 +52,7 @@
 from poplarrack.placements import RemainingTime
 from poplarrack.retry_budgets import SharedRetryBudget
 from poplarrack.returning_calls import ReturningCalls
+from poplarrack.routers import NEWER_REJECTED
 from poplarrack.routing_tables import derive_routing_table
 from poplarrack.routing_tables import RoutingTable
 from poplarrack.run_times import RunTimes
@@ -122,6 +123,8 @@
         self.closes_at = None
         # Returns whether a newer version may have been missed.
         self.may_be_behind = lambda now: False
+        # Returns whether a newer version can't be applied.
+        self.is_newer_rejected = lambda: False
 
     def rebuild_table(self, locality, knowledge, now):
         """Derive the routing table from what the node knows and apply it."""
@@ -240,11 +243,33 @@
 
         :param now: seconds on the clock of the Sender.
         """
-        kind, why = self.table.router.explain_mismatch()
+        kind, why = self.table.router.explain_mismatch(
+            self.is_newer_rejected()
+        )
         if kind is ErrorKind.NO_ROUTE and self.may_be_behind(now):
             return ErrorKind.NO_ENDPOINT, 'routes may be missing'
         return kind, why
 
+    def explain_key(self, organisation, has_key, now):
+        """Return why calls of routes that ask for a key are refused.
+
+        :param organisation: the Organisation that holds the key, None if no
+            one does.
+        :param has_key: whether the calls have a key.
+        :param now: seconds on the clock of the Sender.
+        :returns: the ErrorKind and the reason, None if they are not refused.
+        """
+        stale_keys = self.settings.stale_keys
+        if stale_keys is StaleKeys.REFUSED and self.may_be_behind(now):
+            return ErrorKind.NO_ENDPOINT, 'keys may be revoked'
+        if organisation is not None:
+            return None
+        if has_key and self.is_newer_rejected():
+            return ErrorKind.NO_ENDPOINT, NEWER_REJECTED
+        if has_key and self.may_be_behind(now):
+            return ErrorKind.NO_ENDPOINT, 'keys may be missing'
+        return ErrorKind.UNAUTHENTICATED, 'no known key'
+
     def _identify(self, call, now):
         """Find the organisation of a call by its key; refuse it without.
 
@@ -253,18 +278,12 @@
         if call.route.public:
             call.rank = rank_of(None, call.route)
             return True
-        stale_keys = self.settings.stale_keys
-        if stale_keys is StaleKeys.REFUSED and self.may_be_behind(now):
-            self._refuse(call, ErrorKind.NO_ENDPOINT, 'keys may be revoked')
-            return False
         name = self.header_names.credentials
         key = read_key(call.request.headers, name)
         organisation = self.table.keys.find(key)
-        if organisation is None and key and self.may_be_behind(now):
-            self._refuse(call, ErrorKind.NO_ENDPOINT, 'keys may be missing')
-            return False
-        if organisation is None:
-            self._refuse(call, ErrorKind.UNAUTHENTICATED, 'no known key')
+        refusal = self.explain_key(organisation, bool(key), now)
+        if refusal is not None:
+            self._refuse(call, *refusal)
             return False
         call.organisation = organisation
         call.rank = rank_of(organisation, call.route)
