Bound the ranks that are remembered

Callers saw nothing of it: found in reading the diff.

Cause: the counts of ranks at an endpoint were kept for as long as its node runs.

Change: 256 ranks at most.

Measured: tests.test_rank_turns, with a new test that fails without the bound (768 ranks).

--- a/poplarrack/rank_turns.py
+++ b/poplarrack/rank_turns.py
@@ -18,6 +18,7 @@
 LEAST_PART = 0.8
 # Requests of which a rank is assumed to have asked and been served before.
 ASSUMED_REQUESTS = 1.0
+MAX_REMEMBERED_RANKS = 256
 
 
 @dataclass(slots=True)
@@ -46,6 +47,8 @@
     def _load_of(self, rank, now):
         load = self.loads.get(rank)
         if load is None:
+            if len(self.loads) >= MAX_REMEMBERED_RANKS:
+                self.loads.clear()
             load = self.loads[rank] = RankLoad(counted_at=now)
         load.fade(now)
         self.total.fade(now)
--- a/tests/test_rank_turns.py
+++ b/tests/test_rank_turns.py
@@ -13,6 +13,7 @@
 from poplarrack.benches.mesh_shapes import CallKind
 from poplarrack.benches.mesh_shapes import FOUR_ZONES
 from poplarrack.benches.mesh_shapes import MeshShape
+from poplarrack.rank_turns import MAX_REMEMBERED_RANKS
 from poplarrack.rank_turns import RankTurns
 from tests.support import build_load_tests
 
@@ -119,3 +120,10 @@
     assert turns.next_rank([0, 1], 10.0) == 1
     assert not turns.is_behind(1, 60.0)
     assert turns.next_rank([0, 1], 60.0) == 0
+
+
+def test_ranks_without_end_leave_a_process_its_memory():
+    turns = RankTurns()
+    for rank in range(3 * MAX_REMEMBERED_RANKS):
+        turns.ask(rank, 10.0)
+    assert len(turns.loads) <= MAX_REMEMBERED_RANKS
