Follow the settings' limits in the own mesh

Callers of the own mesh saw 413 for heads and bodies that the settings allow, and got no refusal of those that they rule out.

Cause: only the sidecar's server takes over the limits of the configuration; NodeServer kept the defaults.

Change: the call table has the limits, and its dispatcher hands those of each new revision to the server, as the sidecar's sender does. Without a configuration, what is beyond the defaults gets 503, not 413.

Measured: tests.test_end_to_end; the new test fails before (a body of 600,000 bytes beyond a limit of 500,000 got 200) and passes now. tests.test_calls, test_nodes, test_move_recovery and test_callers pass.

--- a/poplarrack/call_tables.py
+++ b/poplarrack/call_tables.py
@@ -10,6 +10,7 @@
 from poplarrack.balancers import SAME_ZONE
 from poplarrack.moves import effective_share
 from poplarrack.moves import is_live
+from poplarrack.resources import CallerLimits
 from poplarrack.resources import MoveState
 from poplarrack.routers import Router
 
@@ -45,6 +46,9 @@
     candidates: dict = field(default_factory=dict)
     warm_up_seconds: dict = field(default_factory=dict)
     revision: int = 0
+    limits: CallerLimits = field(
+        default_factory=lambda: CallerLimits('callers')
+    )
 
 
 def derive_call_table(locality, knowledge, now):
@@ -79,6 +83,7 @@
         ),
         {name: service.warm_up_seconds for name, service in services.items()},
         configuration.revision,
+        configuration.caller_limits,
     )
 
 
--- a/poplarrack/dispatchers.py
+++ b/poplarrack/dispatchers.py
@@ -122,6 +122,8 @@
         self.byte_budget = ByteBudget(max_buffered_bytes)
         self.pick = BALANCERS[balancer]
         self.table = CallTable()
+        # Is given the limits on callers of each new revision.
+        self.on_limits = lambda limits: None
         # ServerLoads by service and version, and the same by address.
         self.loads = {}
         self.servers = {}
@@ -148,6 +150,8 @@
         Connections to servers that left are closed, and queued calls are
         dispatched again.
         """
+        if table.revision != self.table.revision:
+            self.on_limits(table.limits)
         servers = {}
         loads = {}
         for key, candidates in table.candidates.items():
--- a/poplarrack/node_servers.py
+++ b/poplarrack/node_servers.py
@@ -55,6 +55,8 @@
         self.node = Node(settings, dependencies)
         self.peer_server = PeerServer(self.traffic, bind_handlers(self.node))
         self.call_server = CallServer(self.node.dispatcher, time.monotonic)
+        self.call_server.knows_limits = False
+        self.node.dispatcher.on_limits = self._apply_limits
         self.page_servers = []
         self.loop = None
         self.stopping = None
@@ -88,6 +90,10 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             self.loop.add_signal_handler(number, self.stopping.set)
 
+    def _apply_limits(self, limits):
+        self.call_server.limits = limits
+        self.call_server.knows_limits = True
+
     def _tick(self):
         self.node.tick()
         now = self.loop.time()
--- a/tests/test_end_to_end.py
+++ b/tests/test_end_to_end.py
@@ -111,6 +111,29 @@
         assert elapsed_seconds < MAX_REPORT_SECONDS, elapsed_seconds
 
 
+# Nodes of the own mesh kept to the default limits, whatever the settings say.
+def test_the_limits_on_callers_are_those_of_the_settings():
+    limits = {
+        'name': 'callers',
+        'max_header_bytes': 8192,
+        'max_body_bytes': 500_000,
+        'header_timeout_seconds': 5.0,
+        'idle_timeout_seconds': 10.0,
+    }
+    settings = {**SETTINGS, 'counter/limits/callers': limits}
+    with ProcessMesh() as mesh:
+        mesh.start_platform()
+        mesh.ctl('put_all', dumps(settings))
+        node = mesh.start_node('a-1', 'south', 'a')
+        mesh.start_backend(node, 'front', 'v1')
+        mesh.wait_until_ready()
+        mesh.wait_for_servers('a-1', 1)
+        url = f'http://{node.call_address}/menu'
+        for size, status in ((400_000, 200), (600_000, 413)):
+            answer = mesh.pool.request('POST', url, body=b'x' * size)
+            assert answer.status == status, (size, answer.status)
+
+
 def _call(mesh, node):
     return mesh.pool.request('GET', f'http://{node.call_address}/menu')
 
