Judge slow requests in a drain as outside of one

Before a drain, limits are checked once a second, so that callers have up to that more.

Change: in a drain, limits end a request a second later.

--- a/poplarrack/callers.py
+++ b/poplarrack/callers.py
@@ -20,6 +20,9 @@
 MAX_EVICTION_POLLS = 4 * EVICTION_BATCH
 DRAIN_IDLE_SECONDS = 1.0
 DRAIN_POLL_SECONDS = 0.05
+# How much later limits end a request in a drain, where they are checked at
+# each poll. Before, they are checked once in this time.
+DRAIN_EXPIRY_DELAY_SECONDS = 1.0
 
 
 class CallServer:
@@ -150,7 +153,7 @@
             ):
                 connection.transport.close()
             else:
-                connection.expire(now)
+                connection.expire(now - DRAIN_EXPIRY_DELAY_SECONDS)
 
     @property
     def drained(self):
