--- a/tests/test_sidecar_servers.py
+++ b/tests/test_sidecar_servers.py
@@ -367,10 +367,7 @@
         endpoint = SilentServer()
         listener = await asyncio.start_server(endpoint.serve, '127.0.0.1', 0)
         with running_store() as (stand_in, store):
-            # The late caller stays within the limits.
-            limits = {**CONFIG['limits'], 'header_timeout': '9s'}
-            config = {**CONFIG, 'routes': routes, 'limits': limits}
-            stand_in.put('op/config', config)
+            stand_in.put('op/config', {**CONFIG, 'routes': routes})
             async with running_node(store, grace_seconds=4.0) as node:
                 server, settings = node
                 await until(lambda: is_ready(settings))
