--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from poplarrack.blackboards import may_have_missed_a_version
 from poplarrack.platform.settings import BEAT_SECONDS
 from poplarrack.settings import PeerSettings
 from poplarrack.stand_ins.fakes import FakeMesh
@@ -318,3 +319,19 @@
     for seed in range(4):
         took = silent_connections('small', seed)
         assert max(took.values()) < STABLE_SECONDS - 0.3, took
+
+
+# DENIED: below a fetcher that has lost the store, all but three nodes went on
+# hearing beats, and took them for word of the store: 404 and 401 stayed final.
+def test_all_nodes_know_that_nobody_hears_of_the_store():
+    async def run(clock):
+        mesh = await start_site(clock, 'small', 3)
+        mesh.injected_faults.turned_away = set(mesh.nodes)
+        await asyncio.sleep(40)
+        return [
+            name
+            for name, node in mesh.nodes.items()
+            if not may_have_missed_a_version(node.facts, 5.0, mesh.clock())
+        ]
+
+    assert run_on_virtual_clock(run) == []
