--- a/poplarrack/admissions.py
+++ b/poplarrack/admissions.py
@@ -21,8 +21,8 @@
 # A request with less than this fraction of the mean service time left would
 # most likely time out while it runs.
 MIN_SERVICE_TIME_FRACTION = 0.5
-# An endpoint that ran nothing but what waited and could be in time for so long
-# and for so many service times, has no room for what is late.
+# An endpoint has no room for what is late if, for so long and for so many
+# service times, it ran nothing but what had waited and could be in time.
 FULL_SECONDS = 0.5
 FULL_SERVICE_TIMES = 2
 
--- a/poplarrack/nodes.py
+++ b/poplarrack/nodes.py
@@ -46,7 +46,8 @@
 logger = logging.getLogger(__name__)
 
 TICK_SECONDS = 0.1
-# A node stood still for the time by which its ticks are further apart.
+# By how much more its ticks are apart, a node stood still, or was busy in one
+# turn of its event loop.
 MAX_TICK_GAP_SECONDS = 0.5
 # How often the controllers run while no fact changes and no move is live.
 IDLE_DECISION_INTERVAL_SECONDS = 0.3
--- a/poplarrack/sidecar_servers.py
+++ b/poplarrack/sidecar_servers.py
@@ -33,6 +33,7 @@
 from poplarrack.link_gates import LinkGate
 from poplarrack.local_endpoints import LocalEndpoint
 from poplarrack.metrics import build_metrics_page
+from poplarrack.nodes import MAX_TICK_GAP_SECONDS
 from poplarrack.nodes import Node
 from poplarrack.nodes import NodeDependencies
 from poplarrack.nodes import TICK_SECONDS
@@ -58,8 +59,6 @@
 DRAIN_POLL_SECONDS = 0.05
 CONNECTION_EXPIRY_INTERVAL_SECONDS = 1.0
 SETTINGS_RELOAD_INTERVAL_SECONDS = 5.0
-# Beyond which a node has stood still, or was busy in one turn of its loop.
-MAX_TICK_GAP_SECONDS = 0.5
 # Beside the addresses of the platform.
 RELOADED_SETTINGS = frozenset(
     (
