Start nodes again that die behind a suspension

Cause: a fault of the soak, not of nodes. kill_node leaves the start to the fault that holds the host's lock. freeze_while_sending held it until its calls had ended, but looked for a killed node only before that.

Change: the calls are awaited without the lock, and the wait for the node's start goes before it. The impairment is recorded from the lock on.

--- a/tests/soak_faults.py
+++ b/tests/soak_faults.py
@@ -140,32 +140,34 @@
 @fault(4)
 async def freeze_while_sending(soak, host):
     """Suspend a node while callers are between two parts of a body."""
+    await wait_for_start(soak, host)
     async with host.lock:
-        await wait_for_start(soak, host)
-        callers = [
-            Caller(soak, host, soak.random, keeps=False)
-            for _ in range(SENDERS)
-        ]
-        now = soak.clock()
-        timeout = max(
-            version.limits.header_timeout_seconds
-            for version in soak.record.select_in_force(
-                now, now, CONFIG_SECONDS
-            )
-        )
-        calls = [
-            asyncio.ensure_future(caller.call(in_parts=True))
-            for caller in callers
-        ]
-        await asyncio.sleep(SENDING_SECONDS)
         with disturbed(soak, host.name):
+            callers = [
+                Caller(soak, host, soak.random, keeps=False)
+                for _ in range(SENDERS)
+            ]
+            now = soak.clock()
+            timeout = max(
+                version.limits.header_timeout_seconds
+                for version in soak.record.select_in_force(
+                    now, now, CONFIG_SECONDS
+                )
+            )
+            calls = [
+                asyncio.ensure_future(caller.call(in_parts=True))
+                for caller in callers
+            ]
+            await asyncio.sleep(SENDING_SECONDS)
             host.signal(signal.SIGSTOP)
             factor = soak.random.uniform(*SENDING_FREEZE_FACTORS)
             await asyncio.sleep(timeout * factor)
             host.signal(signal.SIGCONT)
             if host.killed:
                 host.start()
-        await asyncio.gather(*calls)
+    # Not under the lock: a fault that kills the node meanwhile would leave
+    # its start to this one.
+    await asyncio.gather(*calls)
 
 
 @fault(2)
